--- /dev/null
+++ b/cmd/ferry-demo/main.go
@@ -0,0 +1,4 @@
+// Command ferry-demo starts a small system in one process.
+package main
+
+func main() {}
--- /dev/null
+++ b/config/dynamic/objects.go
@@ -0,0 +1,221 @@
+package dynamic
+
+import (
+	"samphireferry.example/ferry/units"
+)
+
+// Set is the whole of the operators' objects.
+type Set struct {
+	Regions        []Region        `json:"regions,omitempty"`
+	FailureDomains []FailureDomain `json:"failure_domains,omitempty"`
+	Links          []Link          `json:"links,omitempty"`
+	Customers      []Customer      `json:"customers,omitempty"`
+	Keys           []Key           `json:"keys,omitempty"`
+	Services       []Service       `json:"services,omitempty"`
+	Versions       []Version       `json:"versions,omitempty"`
+	Upstreams      []Upstream      `json:"upstreams,omitempty"`
+	Routes         []Route         `json:"routes,omitempty"`
+	ClientBlocks   []ClientBlock   `json:"client_blocks,omitempty"`
+	Drains         []Drain         `json:"drains,omitempty"`
+	Moves          []Move          `json:"moves,omitempty"`
+	Rollouts       []Rollout       `json:"rollouts,omitempty"`
+}
+
+// Region is a group of failure domains that are near each other.
+type Region struct {
+	Name string `json:"name"`
+}
+
+// FailureDomain is a part of a region that can fail or be cut off by itself.
+type FailureDomain struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+}
+
+// Link is the connection between two regions. It counts for both directions.
+type Link struct {
+	Name string `json:"name"`
+	// Between names the two regions.
+	Between [2]string `json:"between"`
+	// Bandwidth is the capacity of each direction.
+	Bandwidth units.Bandwidth `json:"bandwidth"`
+	// Share is the part of the bandwidth that requests may use. Default "50%".
+	Share units.Share `json:"share,omitempty"`
+	// Latency is the one-way delay. Default "0s".
+	Latency units.Duration `json:"latency,omitempty"`
+}
+
+// Customer is one organisation with a rate of its own.
+type Customer struct {
+	Name string `json:"name"`
+	// Rate is the sustained number of requests per second over all entry
+	// instances together.
+	Rate units.Rate `json:"rate"`
+	// Burst is the number of requests that may come at once.
+	Burst int `json:"burst"`
+	// Weight is the relative part of an overloaded service. Default 1.
+	Weight int `json:"weight,omitempty"`
+	// Left marks a customer that has left the group. Its keys go on working
+	// on the routes that name it; no new key may be added for it.
+	Left bool `json:"left,omitempty"`
+}
+
+// Key is the credential of a customer. Only its SHA-256 is kept.
+type Key struct {
+	Name     string `json:"name"`
+	Customer string `json:"customer"`
+	// SHA256 is the hash of the key as 64 hexadecimal digits.
+	SHA256 string `json:"sha256"`
+	// Withdrawn stops the key at once.
+	Withdrawn bool `json:"withdrawn,omitempty"`
+}
+
+// Service is a program that runs on upstreams.
+type Service struct {
+	Name string `json:"name"`
+	// Deferrable marks work that yields to other services under overload.
+	Deferrable bool `json:"deferrable,omitempty"`
+	// EchoRequestID says that upstreams return the Ferry-Request-Id header.
+	// An answer without it, or with another one, is then discarded.
+	EchoRequestID bool `json:"echo_request_id,omitempty"`
+	// QueueTimeout bounds the wait for a free slot. Default "200ms".
+	QueueTimeout units.Duration `json:"queue_timeout,omitempty"`
+	// HealthPath is the path of the health endpoint. Default "/healthz".
+	HealthPath string `json:"health_path,omitempty"`
+	// LoadPath is the path of the load endpoint. Default "/load".
+	LoadPath string `json:"load_path,omitempty"`
+	// HealthInterval is the time between two health probes of an upstream.
+	// Default "500ms".
+	HealthInterval units.Duration `json:"health_interval,omitempty"`
+}
+
+// Version is one version of the program of a service.
+type Version struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+}
+
+// Upstream is one back end that runs one version of one service.
+type Upstream struct {
+	Name          string `json:"name"`
+	Service       string `json:"service"`
+	Version       string `json:"version"`
+	FailureDomain string `json:"failure_domain"`
+	// Address is the IP address and port, as "10.0.0.1:8080".
+	Address string `json:"address"`
+	// Slots is the number of requests that it serves at once.
+	Slots int `json:"slots"`
+	// Connections is the largest number of connections to it. Default 360.
+	Connections int `json:"connections,omitempty"`
+}
+
+// RouteKind says whether requests of a route may run more than once.
+type RouteKind string
+
+// The kinds of a route.
+const (
+	// Idempotent requests may be retried.
+	Idempotent RouteKind = "idempotent"
+	// AtMostOnce requests are sent to one upstream at most once.
+	AtMostOnce RouteKind = "at_most_once"
+)
+
+// CutOffRule says what a route does with keys while its failure domain cannot
+// learn of withdrawals.
+type CutOffRule string
+
+// The cut-off rules.
+const (
+	// CutOffServe goes on serving the keys that were valid before the cut.
+	CutOffServe CutOffRule = "serve"
+	// CutOffRefuse refuses all keys after CutOffAfter.
+	CutOffRefuse CutOffRule = "refuse"
+)
+
+// Route leads requests to a service.
+type Route struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	// Host matches the host of the request, without port. Empty matches all.
+	Host string `json:"host,omitempty"`
+	// PathPrefix matches whole path segments: "/a" matches "/a" and "/a/b".
+	PathPrefix string `json:"path_prefix"`
+	// Methods limits the route to these methods. Empty matches all.
+	Methods []string  `json:"methods,omitempty"`
+	Kind    RouteKind `json:"kind"`
+	// Open admits requests without a key, as the customer OpenCustomer.
+	Open bool `json:"open,omitempty"`
+	// OpenCustomer is the customer whose rate pays for requests without key.
+	// Required on open routes.
+	OpenCustomer string `json:"open_customer,omitempty"`
+	// Customers limits the route to these customers. Empty admits all.
+	Customers []string `json:"customers,omitempty"`
+	// KeyHeader names a header that carries the key in place of
+	// "Authorization: Bearer".
+	KeyHeader string `json:"key_header,omitempty"`
+	// KeyQuery names a query parameter that carries the key.
+	KeyQuery string `json:"key_query,omitempty"`
+	// Timeout bounds the whole request. Default "10s".
+	Timeout units.Duration `json:"timeout,omitempty"`
+	// MaxBody bounds the request body. Default "16MiB".
+	MaxBody units.Size `json:"max_body,omitempty"`
+	// WhenCutOff is the rule for keys in a failure domain that is cut off.
+	// Default "serve".
+	WhenCutOff CutOffRule `json:"when_cut_off,omitempty"`
+	// CutOffAfter is the bound of the rule "refuse". Default "30s".
+	CutOffAfter units.Duration `json:"cut_off_after,omitempty"`
+}
+
+// ClientBlock maps a block of caller addresses to failure domains.
+type ClientBlock struct {
+	Name string `json:"name"`
+	// Prefix is an IP prefix, as "192.0.2.0/24". The longest match counts.
+	Prefix string `json:"prefix"`
+	// FailureDomains are the preferred failure domains, best first.
+	FailureDomains []string `json:"failure_domains"`
+}
+
+// Drain stops new work on one upstream or on a whole failure domain.
+type Drain struct {
+	Name string `json:"name"`
+	// Upstream or FailureDomain names what is drained; exactly one is set.
+	Upstream      string `json:"upstream,omitempty"`
+	FailureDomain string `json:"failure_domain,omitempty"`
+	// Deadline bounds the wait for running requests. Default "10m".
+	Deadline units.Duration `json:"deadline,omitempty"`
+}
+
+// Move shifts the traffic of one service from one failure domain to another.
+// It ends done, or taken back when it is not done by its deadline.
+type Move struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	From    string `json:"from"`
+	To      string `json:"to"`
+	// Cap is the largest share of the source's traffic that is moved.
+	Cap units.Share `json:"cap"`
+	// Step is the growth of the share at each step. Default "10%".
+	Step units.Share `json:"step,omitempty"`
+	// StepInterval is the least time between two steps. Default "10s".
+	StepInterval units.Duration `json:"step_interval,omitempty"`
+	// Deadline bounds the whole move, counted from its first step.
+	Deadline units.Duration `json:"deadline"`
+}
+
+// Rollout shifts the traffic of one service from one version to another.
+// It ends done, or taken back when the new version fails or is late.
+type Rollout struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	From    string `json:"from"`
+	To      string `json:"to"`
+	// CanaryShare is the largest share until the new version has been judged
+	// on every route. Default "5%".
+	CanaryShare units.Share `json:"canary_share,omitempty"`
+	// Step is the growth of the share at each step. Default "20%".
+	Step units.Share `json:"step,omitempty"`
+	// StepInterval is the least time between two steps. Default "10s".
+	StepInterval units.Duration `json:"step_interval,omitempty"`
+	// Deadline bounds the whole roll-out, counted from its first step.
+	Deadline units.Duration `json:"deadline"`
+}
--- /dev/null
+++ b/units/units.go
@@ -0,0 +1,183 @@
+// Package units holds quantities that are written with their unit in JSON:
+// durations, rates, shares, bandwidths and sizes.
+//
+// A number without a unit is refused, so that a setting can never be read in
+// the wrong unit.
+package units
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Duration is a span of time, written as Go writes it: "250ms", "2s", "1h30m".
+type Duration time.Duration
+
+// Std returns the duration as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// MarshalText returns the duration with its unit.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText reads a duration with its unit and refuses negative ones.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return errors.Newf("%q is not a duration such as \"250ms\" or \"2s\"", text)
+	}
+	if parsed < 0 {
+		return errors.Newf("%q is negative", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// UnmarshalJSON refuses a number without a unit.
+func (d *Duration) UnmarshalJSON(data []byte) error { return unmarshalText(data, d) }
+
+// Rate is a number of requests per second, written as "200/s" or "90/min".
+type Rate float64
+
+var rateUnits = map[string]float64{"s": 1, "min": 60, "h": 3600}
+
+// PerSecond returns the rate in requests per second.
+func (r Rate) PerSecond() float64 { return float64(r) }
+
+// MarshalText returns the rate in requests per second with its unit.
+func (r Rate) MarshalText() ([]byte, error) {
+	return []byte(strconv.FormatFloat(float64(r), 'g', -1, 64) + "/s"), nil
+}
+
+// UnmarshalText reads a rate with its unit.
+func (r *Rate) UnmarshalText(text []byte) error {
+	number, unit, found := strings.Cut(string(text), "/")
+	seconds, known := rateUnits[unit]
+	if !found || !known {
+		return errors.Newf("%q is not a rate such as \"200/s\", \"90/min\" or \"10/h\"", text)
+	}
+	value, err := parseNumber(number)
+	if err != nil {
+		return errors.Wrapf(err, "rate %q", text)
+	}
+	*r = Rate(value / seconds)
+	return nil
+}
+
+// UnmarshalJSON refuses a number without a unit.
+func (r *Rate) UnmarshalJSON(data []byte) error { return unmarshalText(data, r) }
+
+// Share is a part of a whole between 0 and 1, written as "10%" or "0.5%".
+type Share float64
+
+// MarshalText returns the share in percent.
+func (s Share) MarshalText() ([]byte, error) {
+	return []byte(strconv.FormatFloat(float64(s)*100, 'g', -1, 64) + "%"), nil
+}
+
+// UnmarshalText reads a share in percent.
+func (s *Share) UnmarshalText(text []byte) error {
+	number, found := strings.CutSuffix(string(text), "%")
+	if !found {
+		return errors.Newf("%q is not a share such as \"10%%\"", text)
+	}
+	value, err := parseNumber(number)
+	if err != nil {
+		return errors.Wrapf(err, "share %q", text)
+	}
+	if value > 100 {
+		return errors.Newf("share %q is over 100%%", text)
+	}
+	*s = Share(value / 100)
+	return nil
+}
+
+// UnmarshalJSON refuses a number without a unit.
+func (s *Share) UnmarshalJSON(data []byte) error { return unmarshalText(data, s) }
+
+// Bandwidth is a number of bits per second, written as "4000Mbit/s".
+type Bandwidth float64
+
+var bandwidthUnits = []suffix{{"Gbit/s", 1e9}, {"Mbit/s", 1e6}, {"kbit/s", 1e3}, {"bit/s", 1}}
+
+// BytesPerSecond returns the bandwidth in bytes per second.
+func (b Bandwidth) BytesPerSecond() float64 { return float64(b) / 8 }
+
+// MarshalText returns the bandwidth in Mbit/s.
+func (b Bandwidth) MarshalText() ([]byte, error) {
+	return []byte(strconv.FormatFloat(float64(b)/1e6, 'g', -1, 64) + "Mbit/s"), nil
+}
+
+// UnmarshalText reads a bandwidth with its unit.
+func (b *Bandwidth) UnmarshalText(text []byte) error {
+	value, err := parseSuffixed(string(text), bandwidthUnits, "bandwidth such as \"4000Mbit/s\"")
+	*b = Bandwidth(value)
+	return err
+}
+
+// UnmarshalJSON refuses a number without a unit.
+func (b *Bandwidth) UnmarshalJSON(data []byte) error { return unmarshalText(data, b) }
+
+// Size is a number of bytes, written as "64KiB", "1MiB" or "512B".
+type Size int64
+
+var sizeUnits = []suffix{{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}
+
+// MarshalText returns the size in bytes with its unit.
+func (s Size) MarshalText() ([]byte, error) { return []byte(fmt.Sprintf("%dB", int64(s))), nil }
+
+// UnmarshalText reads a size with its unit.
+func (s *Size) UnmarshalText(text []byte) error {
+	value, err := parseSuffixed(string(text), sizeUnits, "size such as \"64KiB\"")
+	*s = Size(value)
+	return err
+}
+
+// UnmarshalJSON refuses a number without a unit.
+func (s *Size) UnmarshalJSON(data []byte) error { return unmarshalText(data, s) }
+
+type suffix struct {
+	text   string
+	factor float64
+}
+
+func parseSuffixed(text string, suffixes []suffix, want string) (float64, error) {
+	for _, s := range suffixes {
+		number, found := strings.CutSuffix(text, s.text)
+		if !found {
+			continue
+		}
+		value, err := parseNumber(number)
+		if err != nil {
+			return 0, errors.Wrapf(err, "%q", text)
+		}
+		return value * s.factor, nil
+	}
+	return 0, errors.Newf("%q is not a %s", text, want)
+}
+
+func parseNumber(text string) (float64, error) {
+	value, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(value) || math.IsInf(value, 0) {
+		return 0, errors.Newf("%q is not a number", text)
+	}
+	if value < 0 {
+		return 0, errors.Newf("%q is negative", text)
+	}
+	return value, nil
+}
+
+type textUnmarshaler interface{ UnmarshalText(text []byte) error }
+
+func unmarshalText(data []byte, into textUnmarshaler) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return errors.Newf("%s needs a unit and quotes", data)
+	}
+	return into.UnmarshalText([]byte(text))
+}
