--- a/reconcile/reconcile.go
+++ b/reconcile/reconcile.go
@@ -20,6 +20,8 @@
 	Value []byte
 	// Expected is the revision that the key must have; 0 expects no value.
 	Expected platform.Revision
+	// Delete removes the key in place of writing the value.
+	Delete bool
 }
 
 // Reconciler drives the records under one key or key prefix of the store.
--- /dev/null
+++ b/rollouts/detector.go
@@ -0,0 +1,53 @@
+package rollouts
+
+import "math"
+
+// maxSliceRatio bounds the ratio of one slice, so that a single burst of
+// failures is not enough for a verdict.
+const maxSliceRatio = 50
+
+// firstWeight is the part of the weight for evidence from the very start.
+const firstWeight = 0.5
+
+// oddsTested are the odds ratios that the test looks for.
+var oddsTested = [...]float64{3, 10, 50}
+
+// detector accumulates the evidence of one measure on one route.
+type detector struct {
+	evidence [len(oddsTested)]float64
+	// weightLeft is what is left of the weights, which sum to 1.
+	weightLeft float64
+	nextWeight float64
+	laterOne   float64
+}
+
+// newDetector returns a detector for about the given number of slices.
+func newDetector(slices int) detector {
+	return detector{
+		weightLeft: 1,
+		nextWeight: firstWeight,
+		laterOne:   (1 - firstWeight) / float64(max(slices, 1)),
+	}
+}
+
+// add takes in one slice.
+func (d *detector) add(t table2x2) {
+	weight := min(d.nextWeight, d.weightLeft)
+	d.weightLeft -= weight
+	d.nextWeight = d.laterOne
+	t = t.scaled()
+	for i, theta := range oddsTested {
+		ratio := min(math.Exp(t.logLikelihoodRatio(theta)), maxSliceRatio)
+		d.evidence[i] = (d.evidence[i] + weight) * ratio
+	}
+}
+
+// value returns the evidence against the new version. If the versions are
+// alike, it ever exceeds x with a probability of at most 1/x.
+func (d *detector) value() float64 {
+	sum := 0.0
+	for _, e := range d.evidence {
+		sum += e
+	}
+	return sum / float64(len(d.evidence))
+}
--- /dev/null
+++ b/rollouts/judge.go
@@ -0,0 +1,205 @@
+package rollouts
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+const (
+	// sliceTime is the least length of a slice.
+	sliceTime = 250 * time.Millisecond
+	// FalseAlarm bounds the probability that a version that is like the old
+	// one is ever stopped in one roll-out, over all instances and routes.
+	FalseAlarm = 0.01
+	// measures is the number of measures for each route.
+	measures = 2
+	// suspicionPart is the part of the evidence for a verdict, on a logarithmic
+	// scale, from which a roll-out does not grow.
+	suspicionPart = 0.5
+	// minBaseline is the number of answers of the old version that the bound
+	// of slow answers is read from.
+	minBaseline = 20
+	// maxBaseline is the number from which the older half is dropped.
+	maxBaseline = 2000
+	// usualPart is the part of the old version's answers that is taken as usual.
+	usualPart = 0.9
+	// slowFactor and slowMargin make the bound of slow answers from the usual one.
+	slowFactor   = 2
+	slowMarginMs = 5
+)
+
+// Measure names what a verdict rests on.
+type Measure string
+
+// The measures of a version.
+const (
+	MeasureFailures Measure = "failures"
+	MeasureLatency  Measure = "latency"
+)
+
+// Finding is the evidence on which a version is stopped.
+type Finding struct {
+	Route   string
+	Measure Measure
+	// Old and New are the counts since the judge began.
+	Old Counts
+	New Counts
+}
+
+// String describes the finding for operators.
+func (f *Finding) String() string {
+	return fmt.Sprintf("%s on route %s: new version failed %d of %d, old version %d of %d",
+		f.Measure, f.Route, f.New.Failures, f.New.Requests, f.Old.Failures, f.Old.Requests)
+}
+
+// Judge compares the versions of one generation of a roll-out. It is pure and
+// is used by one goroutine.
+type Judge struct {
+	threshold float64
+	slices    int
+	routes    map[string]*routeTest
+	finding   *Finding
+}
+
+// routeTest is the evidence on one route.
+type routeTest struct {
+	strata   map[string]*stratum
+	old      Counts
+	new      Counts
+	baseline Counts
+	failures detector
+	latency  detector
+}
+
+// NewJudge returns a judge for a roll-out with the deadline. The whole fleet
+// has the given number of judges and routes; this one gets the counts of the
+// given number of instances.
+func NewJudge(deadline time.Duration, routes, judges, instances int) *Judge {
+	tests := max(routes, 1) * measures * max(judges, 1)
+	return &Judge{
+		threshold: float64(tests) / FalseAlarm,
+		slices:    int(deadline/sliceTime) * max(instances, 1),
+		routes:    map[string]*routeTest{},
+	}
+}
+
+// Sample is what one instance has counted on one route. Counts only rise.
+type Sample struct {
+	Instance string
+	Route    string
+	// Step is the step of the roll-out that the instance applies. Requests
+	// before and after a step are not compared with each other.
+	Step uint64
+	Old  Counts
+	New  Counts
+}
+
+// Add takes in a sample and returns a finding once there is enough evidence.
+// It then returns the same one for ever.
+func (j *Judge) Add(now time.Time, sample Sample) *Finding {
+	if j.finding != nil {
+		return j.finding
+	}
+	test := j.route(sample.Route)
+	s := test.stratum(sample.Instance)
+	s.take(now, sample)
+	if !s.complete(now) {
+		return nil
+	}
+	test.add(s.old, s.new)
+	s.restart(now)
+	j.finding = j.find(sample.Route, test)
+	return j.finding
+}
+
+// Suspects says whether there is some evidence against the new version, though
+// not enough for a finding.
+func (j *Judge) Suspects() bool {
+	bound := math.Pow(j.threshold, suspicionPart)
+	for _, t := range j.routes {
+		if t.failures.value() >= bound || t.latency.value() >= bound {
+			return true
+		}
+	}
+	return j.finding != nil
+}
+
+func (j *Judge) route(name string) *routeTest {
+	test := j.routes[name]
+	if test == nil {
+		test = &routeTest{
+			strata:   map[string]*stratum{},
+			failures: newDetector(j.slices),
+			latency:  newDetector(j.slices),
+		}
+		j.routes[name] = test
+	}
+	return test
+}
+
+func (j *Judge) find(route string, test *routeTest) *Finding {
+	measure := MeasureFailures
+	if test.failures.value() < j.threshold {
+		measure = MeasureLatency
+		if test.latency.value() < j.threshold {
+			return nil
+		}
+	}
+	return &Finding{Route: route, Measure: measure, Old: test.old, New: test.new}
+}
+
+func (t *routeTest) stratum(instance string) *stratum {
+	s := t.strata[instance]
+	if s == nil {
+		s = &stratum{}
+		t.strata[instance] = s
+	}
+	return s
+}
+
+// add tests one slice.
+func (t *routeTest) add(before, after Counts) {
+	t.old = t.old.Plus(before)
+	t.new = t.new.Plus(after)
+	t.failures.add(table2x2{
+		newRequests: after.Requests,
+		oldRequests: before.Requests,
+		newEvents:   after.Failures,
+		oldEvents:   before.Failures,
+	})
+	if bucket, ok := t.slowBucket(); ok {
+		t.latency.add(table2x2{
+			newRequests: after.answered(),
+			oldRequests: before.answered(),
+			newEvents:   after.slower(bucket),
+			oldEvents:   before.slower(bucket),
+		})
+	}
+	t.extendBaseline(before)
+}
+
+// slowBucket returns the highest bucket of answers that are not slow, read
+// from the old version's answers in earlier slices.
+func (t *routeTest) slowBucket() (int, bool) {
+	total := t.baseline.answered()
+	if total < minBaseline {
+		return 0, false
+	}
+	usual := 0
+	for float64(t.baseline.slower(usual)) > (1-usualPart)*float64(total) {
+		usual++
+	}
+	bound := max(slowFactor*bucketBound(usual), bucketBound(usual)+slowMarginMs)
+	return int(math.Ceil(2*math.Log2(bound) - 1e-9)), true
+}
+
+func (t *routeTest) extendBaseline(before Counts) {
+	t.baseline = t.baseline.Plus(before)
+	if t.baseline.answered() < maxBaseline {
+		return
+	}
+	for i := range t.baseline.Latency {
+		t.baseline.Latency[i] /= 2
+	}
+}
--- /dev/null
+++ b/splitting/snapshot.go
@@ -0,0 +1,149 @@
+package splitting
+
+import "samphireferry.example/ferry/invariant"
+
+// VersionShare asks for a split of a service between two versions.
+type VersionShare struct {
+	// Name and Generation identify the roll-out; a change starts new counts.
+	Name       string
+	Generation uint64
+	Service    string
+	From       string
+	To         string
+	// Share is the part of the requests for To, between 0 and 1.
+	Share float64
+	// Routes are the names of the routes of the service.
+	Routes []string
+}
+
+// DomainShare asks for a split of a service between two failure domains.
+type DomainShare struct {
+	// Name and Generation identify the move; a change starts new counts.
+	Name       string
+	Generation uint64
+	Service    string
+	From       string
+	To         string
+	// Share is the part of the requests of From that go to To.
+	Share float64
+}
+
+// VersionSplit splits the requests of one service between two versions.
+type VersionSplit struct {
+	Rollout string
+	From    string
+	To      string
+	byRoute map[string]*Splitter
+}
+
+// Next chooses the version of one request of the route. A route that is not
+// known gets the old version.
+func (v *VersionSplit) Next(route string) (version string, isNew bool) {
+	s := v.byRoute[route]
+	if s == nil || !s.Next() {
+		return v.From, false
+	}
+	return v.To, true
+}
+
+// DomainSplit splits the requests of one service and source failure domain.
+type DomainSplit struct {
+	Move     string
+	To       string
+	splitter *Splitter
+}
+
+type source struct {
+	service string
+	domain  string
+}
+
+// Snapshot is an immutable set of splits for traffic goroutines.
+type Snapshot struct {
+	versions map[string]*VersionSplit
+	domains  map[source][]*DomainSplit
+}
+
+// Version returns the version split of the service, or nil when it has none.
+// A nil Snapshot has no splits.
+func (s *Snapshot) Version(service string) *VersionSplit {
+	if s == nil {
+		return nil
+	}
+	return s.versions[service]
+}
+
+// Domain chooses the failure domain of one request of the service that would
+// otherwise be served in the domain from.
+func (s *Snapshot) Domain(service, from string) (domain string, moved bool) {
+	if s == nil {
+		return from, false
+	}
+	for _, split := range s.domains[source{service, from}] {
+		if split.splitter.Next() {
+			return split.To, true
+		}
+	}
+	return from, false
+}
+
+type splitterKey struct {
+	kind       string
+	name       string
+	generation uint64
+	route      string
+}
+
+// Registry builds snapshots and keeps the counts from one to the next. It is
+// used by the control goroutine only.
+type Registry struct {
+	checker   *invariant.Checker
+	splitters map[splitterKey]*Splitter
+}
+
+// NewRegistry returns an empty registry. The checker may be nil.
+func NewRegistry(checker *invariant.Checker) *Registry {
+	return &Registry{checker: checker, splitters: map[splitterKey]*Splitter{}}
+}
+
+// Build returns a snapshot of the shares. The shares also take force at once
+// in earlier snapshots; splits that are no longer asked for get the share 0.
+func (r *Registry) Build(versions []VersionShare, domains []DomainShare) *Snapshot {
+	kept := map[splitterKey]*Splitter{}
+	snapshot := &Snapshot{versions: map[string]*VersionSplit{}, domains: map[source][]*DomainSplit{}}
+	for _, v := range versions {
+		split := &VersionSplit{Rollout: v.Name, From: v.From, To: v.To, byRoute: map[string]*Splitter{}}
+		for _, route := range v.Routes {
+			key := splitterKey{"version", v.Name, v.Generation, route}
+			split.byRoute[route] = r.keep(kept, key, v.Share)
+		}
+		snapshot.versions[v.Service] = split
+	}
+	for _, d := range domains {
+		key := splitterKey{"domain", d.Name, d.Generation, ""}
+		from := source{d.Service, d.From}
+		split := &DomainSplit{Move: d.Name, To: d.To, splitter: r.keep(kept, key, d.Share)}
+		snapshot.domains[from] = append(snapshot.domains[from], split)
+	}
+	r.retire(kept)
+	return snapshot
+}
+
+func (r *Registry) keep(kept map[splitterKey]*Splitter, key splitterKey, share float64) *Splitter {
+	s := r.splitters[key]
+	if s == nil {
+		s = NewSplitter(r.checker)
+	}
+	s.SetShare(share)
+	kept[key] = s
+	return s
+}
+
+func (r *Registry) retire(kept map[splitterKey]*Splitter) {
+	for key, s := range r.splitters {
+		if kept[key] == nil {
+			s.SetShare(0)
+		}
+	}
+	r.splitters = kept
+}
