--- /dev/null
+++ b/config/static/parse.go
@@ -0,0 +1,51 @@
+package static
+
+import (
+	"bytes"
+	"flag"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/tailscale/hujson"
+)
+
+// Parse reads the settings of the program with the name from its arguments,
+// the environment and the file that the flag -config names. It returns
+// flag.ErrHelp after -help, and otherwise one error for each bad setting.
+func Parse(program string, args []string, output io.Writer) (*Settings, error) {
+	settings := &Settings{}
+	fs := flag.NewFlagSet(program, flag.ContinueOnError)
+	fs.SetOutput(output)
+	settings.flags(fs)
+	fs.String("config", "", "file of settings, JSON with comments")
+	err := ff.Parse(fs, args,
+		ff.WithEnvVarPrefix(EnvPrefix),
+		ff.WithConfigFileFlag("config"),
+		ff.WithConfigFileParser(ParseCommentedJSON),
+	)
+	if err != nil {
+		return nil, err
+	}
+	if fs.NArg() > 0 {
+		return nil, errors.Newf("unexpected argument %q", fs.Arg(0))
+	}
+	if settings.ShowVersion {
+		return settings, nil
+	}
+	settings.fillDefaults()
+	return settings, settings.Validate()
+}
+
+// ParseCommentedJSON is an ff.ConfigFileParser for JSON with comments.
+func ParseCommentedJSON(r io.Reader, set func(name, value string) error) error {
+	data, err := io.ReadAll(r)
+	if err != nil {
+		return errors.Wrap(err, "settings file")
+	}
+	standard, err := hujson.Standardize(data)
+	if err != nil {
+		return errors.Wrap(err, "settings file")
+	}
+	return ff.JSONParser(bytes.NewReader(standard), set)
+}
--- /dev/null
+++ b/config/static/validate.go
@@ -0,0 +1,142 @@
+package static
+
+import (
+	"cmp"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap/zapcore"
+)
+
+func (s *Settings) fillDefaults() {
+	s.Advertise = cmp.Or(s.Advertise, s.Listen)
+	s.RPCAdvertise = cmp.Or(s.RPCAdvertise, s.RPCListen)
+	s.Name = cmp.Or(s.Name, s.Advertise)
+}
+
+// Validate returns one error for all settings that are missing, out of range
+// or in conflict with each other, or nil.
+func (s *Settings) Validate() error {
+	return errors.Join(
+		s.checkIdentity(),
+		s.checkAddresses(),
+		s.checkPlatform(),
+		s.checkTLS(),
+		s.checkLimits(),
+	)
+}
+
+func (s *Settings) checkIdentity() error {
+	if s.Region == "" {
+		return errors.New("region: missing")
+	}
+	if s.FailureDomain == "" {
+		return errors.New("failure-domain: missing")
+	}
+	_, err := zapcore.ParseLevel(s.LogLevel)
+	return errors.Wrap(err, "log-level")
+}
+
+func (s *Settings) checkAddresses() error {
+	return errors.Join(
+		checkAddress("listen", s.Listen),
+		checkAddress("advertise", s.Advertise),
+		checkAddress("rpc-listen", s.RPCListen),
+		checkAddress("rpc-advertise", s.RPCAdvertise),
+		checkAddress("operator-listen", s.OperatorListen),
+		checkSeeds(s.Seeds),
+		checkDistinct(s.Listen, s.RPCListen),
+	)
+}
+
+func checkAddress(name, text string) error {
+	if text == "" {
+		return errors.Newf("%s: missing", name)
+	}
+	_, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return errors.Newf("%s: %q is not an IP address and port such as \"10.0.0.1:8080\"", name, text)
+	}
+	return nil
+}
+
+func checkSeeds(seeds []string) error {
+	var all error
+	for _, seed := range seeds {
+		all = errors.Join(all, checkAddress("seeds", seed))
+	}
+	return all
+}
+
+func checkDistinct(listen, rpcListen string) error {
+	address, err := netip.ParseAddrPort(listen)
+	if err != nil || address.Port() == 0 || listen != rpcListen {
+		return nil
+	}
+	return errors.New("listen and rpc-listen are the same address")
+}
+
+func (s *Settings) checkPlatform() error {
+	if s.Platform == "" {
+		if len(s.Seeds) == 0 {
+			return errors.New("platform: missing, and no seeds are given")
+		}
+		return nil
+	}
+	parsed, err := url.Parse(s.Platform)
+	if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+		return errors.Newf("platform: %q is not an http or https URL", s.Platform)
+	}
+	return nil
+}
+
+func (s *Settings) checkTLS() error {
+	given := 0
+	for _, text := range []string{s.TLSCert, s.TLSKey, s.TLSCA} {
+		if text != "" {
+			given++
+		}
+	}
+	if given != 0 && given != 3 {
+		return errors.New("tls-cert, tls-key and tls-ca: give all three or none")
+	}
+	if given == 3 || s.AllowPlaintext {
+		return nil
+	}
+	address, err := netip.ParseAddrPort(s.RPCListen)
+	if err == nil && !address.Addr().IsLoopback() {
+		return errors.New("rpc-listen: other than loopback needs tls-cert, tls-key and tls-ca, or allow-plaintext")
+	}
+	return nil
+}
+
+func (s *Settings) checkLimits() error {
+	return errors.Join(
+		checkRange("max-header", int64(s.MaxHeader), 1<<10, 1<<20),
+		checkRange("max-connections", int64(s.MaxConnections), 1, 1_000_000),
+		checkDuration("header-timeout", s.HeaderTimeout, 100*time.Millisecond, time.Minute),
+		checkDuration("body-timeout", s.BodyTimeout, 100*time.Millisecond, 10*time.Minute),
+		checkDuration("idle-timeout", s.IdleTimeout, time.Second, time.Hour),
+		checkDuration("leave-delay", s.LeaveDelay, 0, time.Minute),
+		checkDuration("shutdown-timeout", s.ShutdownTimeout, time.Second, 24*time.Hour),
+		checkDuration("heartbeat-interval", s.HeartbeatInterval, 20*time.Millisecond, 5*time.Second),
+		checkDuration("key-retention", s.KeyRetention, time.Minute, 24*time.Hour),
+		checkDuration("list-ttl", s.ListTTL, time.Second, time.Minute),
+	)
+}
+
+func checkRange(name string, value, least, most int64) error {
+	if value < least || value > most {
+		return errors.Newf("%s: %d is not between %d and %d", name, value, least, most)
+	}
+	return nil
+}
+
+func checkDuration(name string, value, least, most time.Duration) error {
+	if value < least || value > most {
+		return errors.Newf("%s: %s is not between %s and %s", name, value, least, most)
+	}
+	return nil
+}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -32,6 +32,10 @@
 	Body io.Reader
 	// ContentLength is the length of the body in bytes, or -1 when not known.
 	ContentLength int64
+	// Attempt numbers the attempts of the request, from 0.
+	Attempt int
+	// Avoid names the upstreams on which an earlier attempt failed.
+	Avoid []string
 }
 
 // AtMostOnce says whether the request must not run twice.
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -19,6 +19,11 @@
 	BadRequest
 	// BodyTooLarge is a request body over the configured size in bytes.
 	BodyTooLarge
+	// BodyTooLargeSent is a body of unknown length that grew over the configured
+	// size after a part of it had been sent to an upstream.
+	BodyTooLargeSent
+	// BodyCut is a request body that ended before it was whole.
+	BodyCut
 	// SlowSender is a caller that sent its body slower than the timeout allows.
 	SlowSender
 	// UnknownRoute is a host, path or method that no route matches.
@@ -130,6 +135,8 @@
 	Internal:               {"internal", http.StatusInternalServerError, Unknown, RetrySameKey, shortRetry, "internal error"},
 	BadRequest:             {"bad_request", http.StatusBadRequest, NotRun, RetryNever, 0, "the request is not valid"},
 	BodyTooLarge:           {"body_too_large", http.StatusRequestEntityTooLarge, NotRun, RetryNever, 0, "the request body is too large"},
+	BodyTooLargeSent:       {"body_too_large_sent", http.StatusRequestEntityTooLarge, Unknown, RetryNever, 0, "the request body is too large"},
+	BodyCut:                {"body_cut", http.StatusBadRequest, Unknown, RetrySameKey, 0, "the request body ended early"},
 	SlowSender:             {"slow_sender", http.StatusRequestTimeout, Unknown, RetrySameKey, shortRetry, "the request body arrived too slowly"},
 	UnknownRoute:           {"unknown_route", http.StatusNotFound, NotRun, RetryNever, 0, "no route matches the request"},
 	KeyMissing:             {"key_missing", http.StatusUnauthorized, NotRun, RetryNever, 0, "the route needs a key"},
--- a/routing/table.go
+++ b/routing/table.go
@@ -113,6 +113,10 @@
 	Routes    []*Route
 	// Regions maps a failure domain to its region.
 	Regions map[string]string
+	// KeyHeaders and KeyParameters are the headers and query parameters that
+	// carry a key on any route.
+	KeyHeaders    []string
+	KeyParameters []string
 
 	keys       map[KeyHash]*Key
 	customers  map[string]*Customer
@@ -244,6 +248,7 @@
 			return err
 		}
 		t.Routes = append(t.Routes, r)
+		t.addKeyPlaces(r)
 	}
 	slices.SortFunc(t.Routes, compareRoutes)
 	for i, r := range t.Routes {
@@ -258,6 +263,15 @@
 	return nil
 }
 
+func (t *Table) addKeyPlaces(r *Route) {
+	if r.KeyHeader != "" && !slices.Contains(t.KeyHeaders, r.KeyHeader) {
+		t.KeyHeaders = append(t.KeyHeaders, r.KeyHeader)
+	}
+	if r.KeyQuery != "" && !slices.Contains(t.KeyParameters, r.KeyQuery) {
+		t.KeyParameters = append(t.KeyParameters, r.KeyQuery)
+	}
+}
+
 func (t *Table) compileRoute(r *dynamic.Route) (*Route, error) {
 	service := t.services[r.Service]
 	if service == nil {
