--- a/dispatch/body.go
+++ b/dispatch/body.go
@@ -8,8 +8,8 @@
 	"samphireferry.example/ferry/errkind"
 )
 
-// maxReplayBody bounds the request body, in bytes, that is kept in memory so
-// that an idempotent request can be sent again.
+// maxReplayBody bounds the request body, in bytes, that is read before the
+// first attempt and kept, so that another attempt can send it again.
 const maxReplayBody = 64 << 10
 
 // attemptBody gives each attempt its request body. A body that is kept in
@@ -25,26 +25,16 @@
 		return &attemptBody{}, nil
 	}
 	small := request.ContentLength > 0 && request.ContentLength <= maxReplayBody
-	if request.AtMostOnce() || !small {
+	if !small {
 		return &attemptBody{once: &trackedReader{source: request.Body}}, nil
 	}
 	kept, err := io.ReadAll(request.Body)
 	if err != nil {
-		return nil, bodyError(err)
+		return nil, errkind.Wrap(err, errkind.BodyIncomplete, "")
 	}
 	return &attemptBody{kept: kept, isKept: true}, nil
 }
 
-// bodyError keeps the kind of a failed read of the caller's body. No upstream
-// has received the request at that point, but the kinds of the caller package
-// that it carries do not claim so.
-func bodyError(err error) error {
-	if errkind.Of(err) == errkind.Internal {
-		return errkind.Wrap(err, errkind.BodyCut, "")
-	}
-	return err
-}
-
 func (b *attemptBody) next() io.Reader {
 	if b.isKept {
 		return bytes.NewReader(b.kept)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/cockroachdb/errors"
 
@@ -112,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if a.request.AtMostOnce() {
+	if a.request.AtMostOnce() || a.request.Method == http.MethodHead {
 		return answer, nil
 	}
 	return readAhead(answer)
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -22,6 +22,9 @@
 	// BodyTooLargeSent is a body of unknown length that grew over the configured
 	// size after a part of it had been sent to an upstream.
 	BodyTooLargeSent
+	// BodyIncomplete is a body that failed to arrive before anything was sent
+	// to an upstream.
+	BodyIncomplete
 	// BodyCut is a request body that ended before it was whole.
 	BodyCut
 	// SlowSender is a caller that sent its body slower than the timeout allows.
@@ -136,6 +139,7 @@
 	BadRequest:             {"bad_request", http.StatusBadRequest, NotRun, RetryNever, 0, "the request is not valid"},
 	BodyTooLarge:           {"body_too_large", http.StatusRequestEntityTooLarge, NotRun, RetryNever, 0, "the request body is too large"},
 	BodyTooLargeSent:       {"body_too_large_sent", http.StatusRequestEntityTooLarge, Unknown, RetryNever, 0, "the request body is too large"},
+	BodyIncomplete:         {"body_incomplete", http.StatusBadRequest, NotRun, RetryLater, 0, "the request body did not arrive whole"},
 	BodyCut:                {"body_cut", http.StatusBadRequest, Unknown, RetrySameKey, 0, "the request body ended early"},
 	SlowSender:             {"slow_sender", http.StatusRequestTimeout, Unknown, RetrySameKey, shortRetry, "the request body arrived too slowly"},
 	UnknownRoute:           {"unknown_route", http.StatusNotFound, NotRun, RetryNever, 0, "no route matches the request"},
