Tests of the caller server and of retries by outcome

Cause: the table of refusals and the retry rule had no test yet. Change: a table of refusals through the caller server; a table of retries.

--- /dev/null
+++ b/caller/traffic_test.go
@@ -0,0 +1,247 @@
+package caller
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"samphireferry.example/ferry/config/dynamic"
+	"samphireferry.example/ferry/dispatch"
+	"samphireferry.example/ferry/errkind"
+	"samphireferry.example/ferry/routing"
+	"samphireferry.example/ferry/telemetry"
+)
+
+// fakes stands for the rest of the entry instance.
+type fakes struct {
+	table    *routing.Table
+	admitErr error
+	age      time.Duration
+	sent     []*dispatch.Request
+	sentBody string
+	answer   func() (*dispatch.Answer, error)
+	claimErr error
+	recorded *Recorded
+	settled  []string
+}
+
+func (f *fakes) Table() *routing.Table                          { return f.table }
+func (f *fakes) Admit(context.Context, *routing.Customer) error { return f.admitErr }
+func (f *fakes) StoreAge() time.Duration                        { return f.age }
+func (f *fakes) EntryInstances(address netip.Addr) EntryInstanceList {
+	return EntryInstanceList{TTLSeconds: 5}
+}
+
+func (f *fakes) Dispatch(_ context.Context, request *dispatch.Request) (*dispatch.Answer, error) {
+	f.sent = append(f.sent, request)
+	if request.Body != nil {
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return nil, errkind.Wrap(err, errkind.UpstreamFailed, "")
+		}
+		f.sentBody = string(body)
+	}
+	return f.answer()
+}
+
+func (f *fakes) Claim(context.Context, *routing.Customer, string, []byte) (Claim, *Recorded, error) {
+	if f.claimErr != nil {
+		return nil, nil, f.claimErr
+	}
+	if f.recorded != nil {
+		return nil, f.recorded, nil
+	}
+	return f, nil, nil
+}
+
+func (f *fakes) NotRun()         { f.settled = append(f.settled, "not-run") }
+func (f *fakes) Ran(r *Recorded) { f.settled = append(f.settled, "ran:"+string(r.Body)) }
+func (f *fakes) Unknown()        { f.settled = append(f.settled, "unknown") }
+func (f *fakes) ok() (*dispatch.Answer, error) {
+	header := http.Header{"Content-Type": {"text/plain"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}, "Ferry-Outcome": {"forged"}}
+	return &dispatch.Answer{Status: 201, Header: header, Body: io.NopCloser(strings.NewReader("done")), ContentLength: 4}, nil
+}
+
+func (f *fakes) fails(kind errkind.Kind) func() (*dispatch.Answer, error) {
+	return func() (*dispatch.Answer, error) { return nil, errkind.New(kind, "") }
+}
+
+func testTable(t *testing.T) *routing.Table {
+	t.Helper()
+	sum := func(key string) string {
+		hash := routing.HashKey(key)
+		return hex.EncodeToString(hash[:])
+	}
+	table, err := routing.Compile(&dynamic.Config{Version: 1, Set: dynamic.Set{
+		Customers: []dynamic.Customer{{Name: "a", Rate: 10, Burst: 10}, {Name: "b", Rate: 10, Burst: 10}},
+		Keys: []dynamic.Key{
+			{Name: "a1", Customer: "a", SHA256: sum("key-a")},
+			{Name: "a2", Customer: "a", SHA256: sum("key-gone"), Withdrawn: true},
+			{Name: "b1", Customer: "b", SHA256: sum("key-b")},
+		},
+		Services: []dynamic.Service{{Name: "lookup"}, {Name: "ledger"}},
+		Routes: []dynamic.Route{
+			{Name: "read", Service: "lookup", PathPrefix: "/read", Kind: dynamic.Idempotent, MaxBody: 100},
+			{Name: "open", Service: "lookup", PathPrefix: "/open", Kind: dynamic.Idempotent, Open: true, OpenCustomer: "a"},
+			{Name: "own", Service: "lookup", PathPrefix: "/own", Kind: dynamic.Idempotent, Customers: []string{"b"}},
+			{Name: "strict", Service: "lookup", PathPrefix: "/strict", Kind: dynamic.Idempotent, WhenCutOff: dynamic.CutOffRefuse},
+			{Name: "file", Service: "ledger", PathPrefix: "/file", Kind: dynamic.AtMostOnce},
+		},
+	}})
+	assert.NilError(t, err)
+	return table
+}
+
+func newTestServer(f *fakes) *Server {
+	return NewServer(DefaultSettings(), Services{
+		Tables: f, Admitter: f, Freshness: f, Dispatcher: f, Claims: f, EntryInstances: f,
+		Metrics: telemetry.New(), Log: zap.NewNop(),
+	})
+}
+
+func TestRefusalsAreAnsweredFromTheTable(t *testing.T) {
+	refuse := func(kind errkind.Kind) error { return errkind.New(kind, "") }
+	cases := map[string]struct {
+		path, key, idempotencyKey, body string
+		change                          func(f *fakes)
+		want                            errkind.Kind
+		dispatched                      bool
+		settled                         string
+	}{
+		"no configuration":   {path: "/read", change: func(f *fakes) { f.table = nil }, want: errkind.NoConfiguration},
+		"no route":           {path: "/none", key: "key-a", want: errkind.UnknownRoute},
+		"segment boundary":   {path: "/readx", key: "key-a", want: errkind.UnknownRoute},
+		"dot segments":       {path: "/read/../own/x", key: "key-a", want: errkind.BadRequest},
+		"encoded separator":  {path: "/read/..%2fown", key: "key-a", want: errkind.BadRequest},
+		"key in the path":    {path: "/read/key-a", key: "key-a", want: errkind.BadRequest},
+		"no key":             {path: "/read", want: errkind.KeyMissing},
+		"unknown key":        {path: "/read", key: "key-x", want: errkind.KeyUnknown},
+		"withdrawn key":      {path: "/read", key: "key-gone", want: errkind.KeyWithdrawn},
+		"wrong key on open":  {path: "/open", key: "key-x", want: errkind.KeyUnknown},
+		"other customer":     {path: "/own", key: "key-a", want: errkind.CustomerNotAllowed},
+		"cut off":            {path: "/strict", key: "key-a", change: func(f *fakes) { f.age = time.Hour }, want: errkind.KeyUnverified},
+		"body too large":     {path: "/read", key: "key-a", body: strings.Repeat("x", 101), want: errkind.BodyTooLarge},
+		"over the rate":      {path: "/read", key: "key-a", change: func(f *fakes) { f.admitErr = refuse(errkind.RateExceeded) }, want: errkind.RateExceeded},
+		"no idempotency key": {path: "/file", key: "key-a", want: errkind.IdempotencyKeyMissing},
+		"in progress": {path: "/file", key: "key-a", idempotencyKey: "h.1", want: errkind.IdempotencyInProgress,
+			change: func(f *fakes) { f.claimErr = refuse(errkind.IdempotencyInProgress) }},
+		"upstream failed": {path: "/read", key: "key-a", want: errkind.UpstreamFailed, dispatched: true,
+			change: func(f *fakes) { f.answer = f.fails(errkind.UpstreamFailed) }},
+		"filing not run": {path: "/file", key: "key-a", idempotencyKey: "h.1", want: errkind.Overloaded, dispatched: true,
+			settled: "not-run", change: func(f *fakes) { f.answer = f.fails(errkind.Overloaded) }},
+		"filing unknown": {path: "/file", key: "key-a", idempotencyKey: "h.1", want: errkind.UpstreamTimeout, dispatched: true,
+			settled: "unknown", change: func(f *fakes) { f.answer = f.fails(errkind.UpstreamTimeout) }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := &fakes{table: testTable(t)}
+			f.answer = f.ok
+			if c.change != nil {
+				c.change(f)
+			}
+			s := newTestServer(f)
+			r := httptest.NewRequest("POST", c.path, strings.NewReader(c.body))
+			setHeader(r, "Authorization", "Bearer ", c.key)
+			setHeader(r, HeaderIdempotencyKey, "", c.idempotencyKey)
+			w := httptest.NewRecorder()
+			s.ServeHTTP(w, r)
+
+			row := c.want.Row()
+			var problem Problem
+			assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &problem), w.Body.String())
+			assert.Equal(t, problem.Kind, row.Name)
+			assert.Equal(t, w.Code, row.Status)
+			assert.Equal(t, w.Header().Get(HeaderOutcome), string(row.Outcome))
+			assert.Equal(t, w.Header().Get(HeaderRetry), string(row.Retry))
+			assert.Equal(t, s.services.Metrics.Refusals(c.want), uint64(1))
+			assert.Equal(t, len(f.sent) > 0, c.dispatched)
+			assert.Equal(t, strings.Join(f.settled, ","), c.settled)
+		})
+	}
+}
+
+func setHeader(r *http.Request, name, prefix, value string) {
+	if value != "" {
+		r.Header.Set(name, prefix+value)
+	}
+}
+
+func TestFilingIsServedAndRecorded(t *testing.T) {
+	f := &fakes{table: testTable(t)}
+	f.answer = f.ok
+	s := newTestServer(f)
+	r := httptest.NewRequest("POST", "/file/x?a=1&b=key-a", strings.NewReader("vote"))
+	r.Header.Set("Authorization", "Bearer key-a")
+	r.Header.Set(HeaderIdempotencyKey, "home.1")
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+
+	assert.Equal(t, w.Code, 201)
+	assert.Equal(t, w.Body.String(), "done")
+	assert.Equal(t, w.Header().Get(HeaderOutcome), "ran")
+	assert.Equal(t, w.Header().Get("X-Hop"), "")
+	assert.Equal(t, strings.Join(f.settled, ","), "ran:done")
+	request := f.sent[0]
+	assert.Equal(t, request.Customer.Name, "a")
+	assert.Equal(t, request.RawQuery, "a=1")
+	assert.Equal(t, request.Header.Get("Authorization"), "")
+	assert.Equal(t, f.sentBody, "vote")
+}
+
+func TestRepeatIsAnsweredFromTheRecord(t *testing.T) {
+	f := &fakes{table: testTable(t), recorded: &Recorded{Status: 201, Header: http.Header{"X-A": {"1"}}, Body: []byte("done")}}
+	s := newTestServer(f)
+	r := httptest.NewRequest("POST", "/file/x", nil)
+	r.Header.Set("Authorization", "Bearer key-a")
+	r.Header.Set(HeaderIdempotencyKey, "home.1")
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+	assert.Equal(t, w.Code, 201)
+	assert.Equal(t, w.Body.String(), "done")
+	assert.Equal(t, len(f.sent), 0)
+}
+
+func TestCutAnswerIsVisible(t *testing.T) {
+	f := &fakes{table: testTable(t)}
+	f.answer = func() (*dispatch.Answer, error) {
+		body := io.MultiReader(strings.NewReader("do"), errorReader{errkind.New(errkind.AnswerTruncated, "")})
+		return &dispatch.Answer{Status: 200, Header: http.Header{}, Body: io.NopCloser(body), ContentLength: -1}, nil
+	}
+	server := httptest.NewServer(newTestServer(f))
+	defer server.Close()
+	r, err := http.NewRequest("POST", server.URL+"/file/x", nil)
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer key-a")
+	r.Header.Set(HeaderIdempotencyKey, "home.1")
+	response, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	assert.ErrorContains(t, err, "unexpected EOF")
+	server.Close()
+	assert.Equal(t, strings.Join(f.settled, ","), "unknown")
+}
+
+type errorReader struct{ err error }
+
+func (e errorReader) Read([]byte) (int, error) { return 0, e.err }
+
+func TestEntryInstancesAreListed(t *testing.T) {
+	f := &fakes{table: testTable(t)}
+	w := httptest.NewRecorder()
+	newTestServer(f).ServeHTTP(w, httptest.NewRequest("GET", "/v1/entry-instances", nil))
+	assert.Equal(t, w.Code, 200)
+	var list EntryInstanceList
+	assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &list))
+	assert.Equal(t, list.TTLSeconds, 5)
+}
--- /dev/null
+++ b/dispatch/dispatcher_test.go
@@ -0,0 +1,126 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"samphireferry.example/ferry/errkind"
+	"samphireferry.example/ferry/routing"
+	"samphireferry.example/ferry/telemetry"
+)
+
+// scriptedTarget answers each attempt with the next step of a script.
+type scriptedTarget struct {
+	steps  []step
+	bodies []string
+}
+
+type step struct {
+	kind errkind.Kind
+	// body is the answer when ok is set; its declared length is length.
+	ok     bool
+	body   string
+	length int64
+	// unread leaves the request body untouched.
+	unread bool
+}
+
+func (s *scriptedTarget) Send(_ context.Context, request *Request, _ string) (*Answer, error) {
+	next := s.steps[0]
+	s.steps = s.steps[1:]
+	sent := ""
+	if request.Body != nil && !next.unread {
+		body, _ := io.ReadAll(request.Body)
+		sent = string(body)
+	}
+	s.bodies = append(s.bodies, sent)
+	if !next.ok {
+		return nil, errkind.New(next.kind, "")
+	}
+	body := io.NopCloser(strings.NewReader(next.body))
+	return &Answer{Status: 200, Header: http.Header{}, Body: body, ContentLength: next.length}, nil
+}
+
+type fixedChooser struct {
+	choice Choice
+}
+
+func (c fixedChooser) Choose(*Request) Choice { return c.choice }
+
+type fixedBudget bool
+
+func (fixedBudget) Earn()         {}
+func (b fixedBudget) Spend() bool { return bool(b) }
+
+func TestRetriesFollowTheOutcome(t *testing.T) {
+	done := step{ok: true, body: "done", length: 4}
+	fails := func(kind errkind.Kind) step { return step{kind: kind} }
+	cases := map[string]struct {
+		atMostOnce bool
+		noBudget   bool
+		length     int64
+		steps      []step
+		want       errkind.Kind
+		ok         bool
+		attempts   int
+	}{
+		"first answer":                  {steps: []step{done}, ok: true, attempts: 1},
+		"read after failure":            {steps: []step{fails(errkind.UpstreamFailed), done}, ok: true, attempts: 2},
+		"read after truncated answer":   {steps: []step{{ok: true, body: "do", length: 4}, done}, ok: true, attempts: 2},
+		"read after foreign answer":     {steps: []step{fails(errkind.AnswerMismatched), done}, ok: true, attempts: 2},
+		"read without budget":           {noBudget: true, steps: []step{fails(errkind.UpstreamFailed)}, want: errkind.UpstreamFailed, attempts: 1},
+		"shed without budget":           {noBudget: true, steps: []step{fails(errkind.Overloaded), done}, ok: true, attempts: 2},
+		"filing after failure":          {atMostOnce: true, steps: []step{fails(errkind.UpstreamFailed)}, want: errkind.UpstreamFailed, attempts: 1},
+		"filing after timeout":          {atMostOnce: true, steps: []step{fails(errkind.UpstreamTimeout)}, want: errkind.UpstreamTimeout, attempts: 1},
+		"filing after foreign answer":   {atMostOnce: true, steps: []step{fails(errkind.AnswerMismatched)}, want: errkind.AnswerMismatched, attempts: 1},
+		"filing after not-run":          {atMostOnce: true, steps: []step{fails(errkind.NoUpstream), done}, ok: true, attempts: 2},
+		"large body that was read":      {length: 1 << 20, steps: []step{fails(errkind.Overloaded)}, want: errkind.Overloaded, attempts: 1},
+		"large body that was not read":  {length: 1 << 20, steps: []step{{kind: errkind.Overloaded, unread: true}, done}, ok: true, attempts: 2},
+		"caller's fault is not retried": {steps: []step{fails(errkind.BodyCut)}, want: errkind.BodyCut, attempts: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			target := &scriptedTarget{steps: c.steps}
+			chooser := fixedChooser{Choice{Version: "v1", Targets: []Target{target, target, target}}}
+			d := NewDispatcher(chooser, fixedBudget(!c.noBudget), telemetry.New())
+			length := int64(len("vote"))
+			if c.length > 0 {
+				length = c.length
+			}
+			request := &Request{Route: &routing.Route{AtMostOnce: c.atMostOnce}, Method: "POST", Body: strings.NewReader("vote"), ContentLength: length}
+			answer, err := d.Dispatch(context.Background(), request)
+			assert.Equal(t, len(target.bodies), c.attempts)
+			if !c.ok {
+				assert.Equal(t, errkind.Of(err), c.want)
+				return
+			}
+			assert.NilError(t, err)
+			body, err := io.ReadAll(answer.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, string(body), "done")
+			assert.Equal(t, target.bodies[len(target.bodies)-1], "vote")
+		})
+	}
+}
+
+func TestFallbackVersionIsTriedAfterRefusals(t *testing.T) {
+	canary := &scriptedTarget{steps: []step{{kind: errkind.NoUpstream}}}
+	stable := &scriptedTarget{steps: []step{{ok: true, body: "done", length: 4}}}
+	chooser := fixedChooser{Choice{Version: "v2", Targets: []Target{canary}, Fallback: "v1", FallbackTargets: []Target{stable}}}
+	d := NewDispatcher(chooser, fixedBudget(true), telemetry.New())
+	_, err := d.Dispatch(context.Background(), &Request{Route: &routing.Route{AtMostOnce: true}})
+	assert.NilError(t, err)
+}
+
+func TestPassedDeadlineIsNotRun(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), -1)
+	defer cancel()
+	d := NewDispatcher(fixedChooser{Choice{Targets: []Target{&scriptedTarget{}}}}, fixedBudget(true), telemetry.New())
+	_, err := d.Dispatch(ctx, &Request{Route: &routing.Route{AtMostOnce: true}})
+	assert.Equal(t, errkind.Of(err), errkind.DeadlineExceeded)
+}
