Upstream attempts, pool of slots and upstream stand-in

Cause: the whole path needs an attempt on an upstream, a lease on a slot and something to answer. Ruled out: leaving replays to net/http, which repeats a request on its own when it has no body or an Idempotency-Key header; a second transport for at-most-once requests, since binding an attempt to its connection covers every method. Change: upstream.Client.Send, balancing.Pool with Acquire and Release, standin/upstream as an http.Handler with faults and a ledger. Conclusion: answers come back whole over the stand-in (TestSendReturnsTheWholeAnswer); faults, fairness and load are not yet tested.

--- /dev/null
+++ b/balancing/limit.go
@@ -0,0 +1,177 @@
+package balancing
+
+import (
+	"math"
+	"time"
+)
+
+// The adaptive limit of one upstream.
+const (
+	// shedFactor and failFactor multiply the limit after a refusal or failure.
+	shedFactor = 0.75
+	failFactor = 0.9
+	// lowerInterval is the least time between two reductions.
+	lowerInterval = 100 * time.Millisecond
+	// firstShedBackoff doubles with each refusal in a row up to lastShedBackoff.
+	firstShedBackoff = 20 * time.Millisecond
+	lastShedBackoff  = 1 * time.Second
+	// latencyRatio is the growth of latency over its long-term average that
+	// lowers the limit, to no less than latencyFloor of the slots.
+	latencyRatio      = 3
+	latencyFloor      = 0.5
+	latencyMinSamples = 64
+	// The weights of a new sample in the two averages of the latency.
+	shortWeight = 1.0 / 8
+	longWeight  = 1.0 / 256
+	// loadMaxAge is the age after which a load report is ignored, and loadFloor
+	// the part of the slots that no load report takes away.
+	loadMaxAge = 2 * time.Second
+	loadFloor  = 0.5
+	// trustLoss and trustGain change the trust in load reports for each request
+	// that contradicts them and for each that does not.
+	trustLoss = 0.02
+	trustGain = 0.002
+	// minTrust is the trust below which load reports are ignored.
+	minTrust = 0.5
+	// contradictionRatio is the latency, as a multiple of the long-term average,
+	// up to which an upstream is not busy.
+	contradictionRatio = 1.5
+)
+
+// limiter holds the number of requests that an upstream may have at once.
+type limiter struct {
+	slots int
+	limit float64
+
+	rampStart time.Time
+	ramp      time.Duration
+
+	lowered   time.Time
+	shedUntil time.Time
+	sheds     int
+
+	shortLatency float64
+	longLatency  float64
+	samples      int
+
+	// foreign is the number of slots that a load report shows in use by others.
+	foreign  float64
+	loadAt   time.Time
+	distrust float64
+}
+
+func newLimiter(slots int) limiter { return limiter{slots: slots, limit: float64(slots)} }
+
+// resize follows a change of the configured slots.
+func (l *limiter) resize(slots int) {
+	if slots > l.slots && l.limit >= float64(l.slots) {
+		l.limit = float64(slots)
+	}
+	l.slots = slots
+	l.limit = min(l.limit, float64(slots))
+}
+
+// startRamp lowers the limit to 1 and lets it rise to the slots over the ramp.
+func (l *limiter) startRamp(now time.Time, ramp time.Duration) {
+	l.rampStart = now
+	l.ramp = ramp
+}
+
+// current returns the number of requests that may run at once. It is between 1
+// and the slots, or 0 while the upstream refuses requests.
+func (l *limiter) current(now time.Time) int {
+	if l.slots < 1 || now.Before(l.shedUntil) {
+		return 0
+	}
+	limit := min(l.limit, l.rampLimit(now), l.loadLimit(now))
+	return max(1, int(limit))
+}
+
+func (l *limiter) rampLimit(now time.Time) float64 {
+	elapsed := now.Sub(l.rampStart)
+	if l.ramp == 0 || elapsed >= l.ramp {
+		return float64(l.slots)
+	}
+	part := max(0, float64(elapsed)/float64(l.ramp))
+	return 1 + float64(l.slots-1)*part
+}
+
+func (l *limiter) loadLimit(now time.Time) float64 {
+	if l.loadAt.IsZero() || now.Sub(l.loadAt) > loadMaxAge || 1-l.distrust < minTrust {
+		return float64(l.slots)
+	}
+	floor := math.Ceil(float64(l.slots) * loadFloor)
+	return max(floor, float64(l.slots)-math.Floor(l.foreign))
+}
+
+// report takes a load report: the used part of the slots, and the requests that
+// this instance had running there.
+func (l *limiter) report(load float64, own int, at time.Time) {
+	l.foreign = max(0, load*float64(l.slots)-float64(own))
+	l.loadAt = at
+}
+
+// succeed takes an answer that came after the latency.
+func (l *limiter) succeed(inUse int, latency time.Duration, now time.Time) {
+	l.sheds = 0
+	l.observe(latency.Seconds())
+	busy := float64(inUse) >= l.limit-1
+	if busy && l.slow() {
+		l.lower(failFactor, max(1, float64(l.slots)*latencyFloor), now)
+		return
+	}
+	if busy {
+		l.limit = min(float64(l.slots), l.limit+1/l.limit)
+	}
+	l.judgeReport(latency.Seconds(), now)
+}
+
+func (l *limiter) observe(seconds float64) {
+	l.samples++
+	if l.samples == 1 {
+		l.shortLatency, l.longLatency = seconds, seconds
+		return
+	}
+	long := max(longWeight, 1/float64(l.samples))
+	l.shortLatency += (seconds - l.shortLatency) * shortWeight
+	l.longLatency += (seconds - l.longLatency) * long
+}
+
+func (l *limiter) slow() bool {
+	return l.samples >= latencyMinSamples && l.shortLatency > latencyRatio*l.longLatency
+}
+
+// judgeReport compares a load report that lowers the limit with an answer: an
+// upstream that has no room for this instance's requests does not answer them
+// as fast as ever.
+func (l *limiter) judgeReport(seconds float64, now time.Time) {
+	fresh := !l.loadAt.IsZero() && now.Sub(l.loadAt) <= loadMaxAge
+	if fresh && l.foreign >= 1 && seconds <= contradictionRatio*l.longLatency {
+		l.distrust = min(1, l.distrust+trustLoss)
+		return
+	}
+	l.distrust = max(0, l.distrust-trustGain)
+}
+
+// shed takes a refusal that came while inUse requests were running.
+func (l *limiter) shed(inUse int, now time.Time) {
+	l.sheds++
+	backoff := firstShedBackoff << min(l.sheds-1, 10)
+	l.shedUntil = now.Add(min(backoff, lastShedBackoff))
+	l.limit = min(l.limit, float64(max(inUse, 1)))
+	l.lower(shedFactor, 1, now)
+}
+
+// fail takes a failed request.
+func (l *limiter) fail(now time.Time) { l.lower(failFactor, 1, now) }
+
+func (l *limiter) lower(factor, floor float64, now time.Time) {
+	if now.Sub(l.lowered) < lowerInterval {
+		return
+	}
+	l.lowered = now
+	l.limit = min(l.limit, max(floor, l.limit*factor))
+}
+
+// rampDone says whether no ramp is running.
+func (l *limiter) rampDone(now time.Time) bool { return now.Sub(l.rampStart) >= l.ramp }
--- /dev/null
+++ b/balancing/pool.go
@@ -0,0 +1,234 @@
+package balancing
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"samphireferry.example/ferry/invariant"
+	"samphireferry.example/ferry/routing"
+)
+
+// The invariants of a Pool.
+const (
+	InvariantSlots   invariant.Name = "upstream_in_use_within_slots"
+	InvariantDrained invariant.Name = "no_lease_on_drained_upstream"
+	InvariantCount   invariant.Name = "upstream_in_use_not_negative"
+)
+
+// Defaults of PoolOptions.
+const (
+	defaultQueueTimeout = 200 * time.Millisecond
+	defaultRamp         = 10 * time.Second
+	minQueueLength      = 16
+	queuePerSlot        = 4
+)
+
+// PoolOptions are the settings of a Pool. Zero values stand for the defaults.
+type PoolOptions struct {
+	// QueueTimeout bounds the wait for a slot. Default 200 ms.
+	QueueTimeout time.Duration
+	// QueueLength bounds the number of waiting requests. Default 4 for each
+	// slot, but at least 16.
+	QueueLength int
+	// Ramp is the time over which a cold upstream gets its full limit.
+	// Default 10 s.
+	Ramp time.Duration
+	// Now is the clock. Default time.Now.
+	Now func() time.Time
+	// Rand breaks ties between upstreams. Default a fixed seed.
+	Rand *rand.Rand
+	// Checker receives violations of invariants; it may be nil.
+	Checker *invariant.Checker
+}
+
+// Pool holds the upstreams of one service version that this instance owns. It
+// is safe for concurrent use.
+type Pool struct {
+	options PoolOptions
+
+	mu      sync.Mutex
+	members []*member
+	byName  map[string]*member
+	queue   *fairQueue
+	slots   int
+	inUse   int
+	// service is a moving average of the slot time of a request, in seconds.
+	service float64
+	free    []*grant
+}
+
+// NewPool returns a pool without upstreams.
+func NewPool(options PoolOptions) *Pool {
+	options.QueueTimeout = cmp.Or(options.QueueTimeout, defaultQueueTimeout)
+	options.Ramp = cmp.Or(options.Ramp, defaultRamp)
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.Rand == nil {
+		options.Rand = rand.New(rand.NewPCG(1, 1))
+	}
+	return &Pool{options: options, byName: map[string]*member{}, queue: newFairQueue()}
+}
+
+// Update sets the upstreams of the pool. Those that stay keep what is known of
+// them. Running requests of those that go are not affected.
+func (p *Pool) Update(upstreams []*routing.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.byName
+	p.byName = make(map[string]*member, len(upstreams))
+	p.members = make([]*member, 0, len(upstreams))
+	p.slots = 0
+	for _, u := range upstreams {
+		m := keepOrNew(old[u.Name], u)
+		p.byName[u.Name] = m
+		p.members = append(p.members, m)
+		p.slots += u.Slots
+	}
+	for name, m := range old {
+		m.removed = p.byName[name] != m
+	}
+	p.serveQueue(p.options.Now())
+}
+
+// keepOrNew returns the member for the upstream. One whose address or version
+// has changed is another upstream.
+func keepOrNew(old *member, u *routing.Upstream) *member {
+	if old == nil || old.upstream.Address != u.Address || old.upstream.Version != u.Version {
+		return &member{upstream: u, limiter: newLimiter(u.Slots)}
+	}
+	old.limiter.resize(u.Slots)
+	old.upstream = u
+	return old
+}
+
+// MarkCold starts the ramp of an upstream that is new, moved or restarted.
+func (p *Pool) MarkCold(upstream string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.byName[upstream]; m != nil {
+		m.limiter.startRamp(p.options.Now(), p.options.Ramp)
+	}
+}
+
+// SetLeaving sets the upstreams that the platform lists as leaving.
+func (p *Pool) SetLeaving(names map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.members {
+		m.health.leaving = names[m.upstream.Name]
+	}
+	p.serveQueue(p.options.Now())
+}
+
+// Observe takes the result of a probe.
+func (p *Pool) Observe(result ProbeResult) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.byName[result.Upstream]
+	if m == nil {
+		return
+	}
+	now := p.options.Now()
+	wasDown := m.health.probeFailed && now.Sub(m.health.succeeded) > evidenceAge
+	m.health.probeFailed = !result.Healthy
+	m.health.draining = result.Draining
+	if result.Load >= 0 {
+		m.limiter.report(result.Load, m.inUse, result.At)
+	}
+	if result.Healthy && (result.Cold && m.limiter.rampDone(now) || wasDown) {
+		m.limiter.startRamp(now, p.options.Ramp)
+	}
+	p.serveQueue(now)
+}
+
+// PoolLoad is the state of a pool at one moment.
+type PoolLoad struct {
+	// Slots of the upstreams that take requests, and those in use.
+	Slots int
+	InUse int
+	// Queued is the number of waiting requests.
+	Queued int
+}
+
+// Load returns the state of the pool.
+func (p *Pool) Load() PoolLoad {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.options.Now()
+	load := PoolLoad{InUse: p.inUse, Queued: p.queue.length}
+	for _, m := range p.members {
+		load.Slots += m.allowed(now)
+	}
+	return load
+}
+
+// pick returns the usable upstream with the least relative use, or nil.
+// usable is false when no upstream would take a request even if it were idle.
+func (p *Pool) pick(now time.Time) (best *member, usable bool) {
+	bestUse := 1.0
+	n := len(p.members)
+	start := 0
+	if n > 1 {
+		start = p.options.Rand.IntN(n)
+	}
+	for i := range n {
+		m := p.members[(start+i)%n]
+		allowed := m.allowed(now)
+		usable = usable || allowed > 0 || !m.stopped() && now.Before(m.limiter.shedUntil)
+		if allowed <= m.inUse {
+			continue
+		}
+		use := float64(m.inUse) / float64(allowed)
+		if use < bestUse {
+			best, bestUse = m, use
+		}
+	}
+	if usable {
+		return best, true
+	}
+	return p.pickLastResort(now)
+}
+
+// pickLastResort returns an upstream against which only its probe speaks.
+func (p *Pool) pickLastResort(now time.Time) (*member, bool) {
+	usable := false
+	for _, m := range p.members {
+		if m.stopped() || !m.health.lastResort() || m.limiter.current(now) == 0 {
+			continue
+		}
+		usable = true
+		if m.inUse == 0 {
+			return m, true
+		}
+	}
+	return nil, usable
+}
+
+func (p *Pool) lease(m *member, t Ticket, f *flow, cost float64, now time.Time) Lease {
+	p.options.Checker.Check(!m.stopped(), InvariantDrained, m.upstream.Name)
+	m.inUse++
+	p.inUse++
+	if m.inUse > m.upstream.Slots {
+		p.options.Checker.Check(false, InvariantSlots, fmt.Sprintf("%s: %d of %d", m.upstream.Name, m.inUse, m.upstream.Slots))
+	}
+	if f != nil {
+		f.leases++
+	}
+	g := p.newGrant()
+	g.member, g.flow, g.started = m, f, now
+	g.cost, g.weight = cost, t.weight()
+	return Lease{Upstream: m.upstream, grant: g, generation: g.generation}
+}
+
+func (p *Pool) newGrant() *grant {
+	if n := len(p.free); n > 0 {
+		g := p.free[n-1]
+		p.free = p.free[:n-1]
+		return g
+	}
+	return &grant{pool: p, generation: 1}
+}
--- /dev/null
+++ b/standin/upstream/probes.go
@@ -0,0 +1,87 @@
+package upstream
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	peer "samphireferry.example/ferry/upstream"
+)
+
+// maxSamples bounds the history from which lagging probes are answered.
+const maxSamples = 4096
+
+// sample is the state at one moment.
+type sample struct {
+	at       time.Time
+	inUse    int
+	draining bool
+}
+
+// record keeps the state for lagging probes. The caller holds the lock.
+func (u *Upstream) record(now time.Time) {
+	if u.faults.Probes.Lag == 0 {
+		u.samples = u.samples[:0]
+	}
+	if len(u.samples) == maxSamples {
+		u.samples = append(u.samples[:0], u.samples[maxSamples/2:]...)
+	}
+	u.samples = append(u.samples, sample{now, u.inUse, u.draining})
+}
+
+// reported returns the state that the probes show, and their faults.
+func (u *Upstream) reported() (sample, ProbeFault) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	fault := u.faults.Probes
+	if fault.Lag == 0 {
+		return sample{now, u.inUse, u.draining}, fault
+	}
+	u.record(now)
+	shown := sample{}
+	for _, s := range u.samples {
+		if now.Sub(s.at) >= fault.Lag.Std() {
+			shown = s
+		}
+	}
+	return shown, fault
+}
+
+func (u *Upstream) serveHealth(w http.ResponseWriter, r *http.Request) {
+	s, fault := u.reported()
+	if fault.Silent {
+		<-r.Context().Done()
+		return
+	}
+	if fault.Health == "failed" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, peer.HealthReport{Draining: s.draining, Cold: u.cold()})
+}
+
+func (u *Upstream) serveLoad(w http.ResponseWriter, r *http.Request) {
+	s, fault := u.reported()
+	if fault.Silent {
+		<-r.Context().Done()
+		return
+	}
+	load := 0.0
+	if u.options.Slots > 0 {
+		load = float64(s.inUse) / float64(u.options.Slots)
+	}
+	if fault.Load != nil {
+		load = *fault.Load
+	}
+	writeJSON(w, peer.LoadReport{Load: load})
+}
+
+func (u *Upstream) serveLedger(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, u.ledger.Snapshot())
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
