--- /dev/null
+++ b/standin/platform/lease.go
@@ -0,0 +1,117 @@
+package platform
+
+import (
+	"context"
+	"time"
+
+	"samphireferry.example/ferry/platform"
+)
+
+// lease is one granted lease. It lapses when its timer fires.
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+	timer   *time.Timer
+}
+
+// GrantLease implements platform.Store.
+func (p *Platform) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	faults, err := p.begin(ctx, platform.CallGrantLease)
+	if err != nil {
+		return 0, err
+	}
+	id := p.grant(ttl)
+	if p.answerLost(faults) {
+		return 0, platform.ErrUnavailable
+	}
+	return id, nil
+}
+
+func (p *Platform) grant(ttl time.Duration) platform.LeaseID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.nextLease++
+	id := p.nextLease
+	p.leases[id] = &lease{
+		ttl:     ttl,
+		expires: time.Now().Add(ttl),
+		timer:   time.AfterFunc(ttl, func() { p.lapse(id) }),
+	}
+	return id
+}
+
+// KeepAlive implements platform.Store.
+func (p *Platform) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+	faults, err := p.begin(ctx, platform.CallKeepAlive)
+	if err != nil {
+		return err
+	}
+	err = p.renew(id)
+	if p.answerLost(faults) {
+		return platform.ErrUnavailable
+	}
+	return err
+}
+
+func (p *Platform) renew(id platform.LeaseID) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.liveLease(id)
+	if l == nil {
+		return platform.ErrLeaseExpired
+	}
+	l.expires = time.Now().Add(l.ttl)
+	l.timer.Reset(l.ttl)
+	return nil
+}
+
+// RevokeLease implements platform.Store.
+func (p *Platform) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+	faults, err := p.begin(ctx, platform.CallRevokeLease)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	if l := p.leases[id]; l != nil {
+		p.end(id, l)
+	}
+	p.mu.Unlock()
+	if p.answerLost(faults) {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+// liveLease returns the lease, or nil when it has lapsed. The mutex is held.
+func (p *Platform) liveLease(id platform.LeaseID) *lease {
+	l := p.leases[id]
+	if l == nil {
+		return nil
+	}
+	if !time.Now().Before(l.expires) {
+		p.end(id, l)
+		return nil
+	}
+	return l
+}
+
+// lapse ends the lease when its time is over. A timer that fired early, or just
+// before a renewal, is set again.
+func (p *Platform) lapse(id platform.LeaseID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.liveLease(id); l != nil {
+		l.timer.Reset(time.Until(l.expires))
+	}
+}
+
+// end removes the lease and its keys. The mutex is held.
+func (p *Platform) end(id platform.LeaseID, l *lease) {
+	l.timer.Stop()
+	delete(p.leases, id)
+	for key, h := range p.keys {
+		if s := h.newest(); s.lease == id && !s.entry.Deleted {
+			p.write(key, nil, 0, true)
+		}
+	}
+}
