--- /dev/null
+++ b/daemon/local.go
@@ -0,0 +1,135 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"samphireferry.example/ferry/balancing"
+	"samphireferry.example/ferry/dispatch"
+	"samphireferry.example/ferry/errkind"
+	"samphireferry.example/ferry/rollouts"
+	"samphireferry.example/ferry/upstream"
+)
+
+// localTarget sends requests to the upstreams that this instance owns.
+type localTarget struct {
+	views  *views
+	client *upstream.Client
+}
+
+// Send implements dispatch.Target.
+func (t *localTarget) Send(ctx context.Context, request *dispatch.Request, version string) (*dispatch.Answer, error) {
+	v := t.views.load()
+	service := request.Route.Service
+	pool := v.pools[poolKey{service.Name, version}]
+	if pool == nil {
+		return nil, errkind.New(errkind.NoUpstream, "this entry instance owns no upstream of the version")
+	}
+	lease, err := pool.Acquire(ctx, balancing.Ticket{
+		Customer:   request.Customer.Name,
+		Weight:     request.Customer.Weight,
+		Deferrable: service.Deferrable,
+	})
+	if err != nil {
+		return nil, err
+	}
+	u := &use{
+		lease:    lease,
+		recorder: v.recorders.Service(service.Name),
+		route:    request.Route.Name,
+		version:  version,
+		start:    time.Now(),
+	}
+	answer, err := t.client.Send(ctx, lease.Upstream, service, request)
+	if err != nil {
+		u.failed(err)
+		return nil, err
+	}
+	u.latency = time.Since(u.start)
+	u.status = answer.Status
+	answer.Version = version
+	answer.Body = &leasedBody{body: answer.Body, use: u}
+	return answer, nil
+}
+
+// use is one use of a slot. It ends once, with what the request showed.
+type use struct {
+	lease    balancing.Lease
+	recorder *rollouts.Recorder
+	route    string
+	version  string
+	start    time.Time
+	latency  time.Duration
+	status   int
+	once     sync.Once
+}
+
+func (u *use) failed(err error) {
+	u.once.Do(func() {
+		if u.latency == 0 {
+			u.latency = time.Since(u.start)
+		}
+		u.lease.Release(resultOf(err))
+		u.recorder.Record(u.route, u.version, rollouts.Classify(0, err), u.latency)
+	})
+}
+
+func (u *use) answered() {
+	u.once.Do(func() {
+		result := balancing.ResultOK
+		if u.status >= 500 {
+			result = balancing.ResultError
+		}
+		u.lease.Release(result)
+		u.recorder.Record(u.route, u.version, rollouts.Classify(u.status, nil), u.latency)
+	})
+}
+
+// abandoned ends the use of an answer that was not read to its end.
+func (u *use) abandoned() {
+	u.once.Do(func() { u.lease.Release(balancing.ResultCanceled) })
+}
+
+// resultOf returns what the error of an attempt shows about the upstream.
+func resultOf(err error) balancing.Result {
+	kind := errkind.Of(err)
+	switch kind {
+	case errkind.NoUpstream:
+		return balancing.ResultUnreachable
+	case errkind.Overloaded:
+		return balancing.ResultShed
+	case errkind.CallerGone, errkind.DeadlineExceeded, errkind.BodyCut, errkind.SlowSender,
+		errkind.BodyTooLargeSent, errkind.Leaving:
+		return balancing.ResultCanceled
+	default:
+		return balancing.ResultFailed
+	}
+}
+
+// leasedBody ends the use of a slot when the answer has been read or closed.
+type leasedBody struct {
+	body io.ReadCloser
+	use  *use
+}
+
+// Read implements io.Reader.
+func (b *leasedBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.use.answered()
+	} else if err != nil {
+		b.use.failed(err)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *leasedBody) Close() error {
+	err := b.body.Close()
+	b.use.abandoned()
+	return err
+}
--- /dev/null
+++ b/daemon/view.go
@@ -0,0 +1,56 @@
+package daemon
+
+import (
+	"sync/atomic"
+	"time"
+
+	"samphireferry.example/ferry/balancing"
+	"samphireferry.example/ferry/membership"
+	"samphireferry.example/ferry/rollouts"
+	"samphireferry.example/ferry/routing"
+	"samphireferry.example/ferry/splitting"
+	"samphireferry.example/ferry/steering"
+)
+
+// poolKey names the upstreams of one version of a service.
+type poolKey struct {
+	service string
+	version string
+}
+
+// view is what traffic goroutines know of the control state. It is immutable,
+// apart from the pools, which are safe for concurrent use.
+type view struct {
+	// table is nil until the instance has a configuration.
+	table *routing.Table
+	peers *membership.Peers
+	// pools hold the upstreams that this instance owns.
+	pools     map[poolKey]*balancing.Pool
+	blocks    *steering.Blocks
+	splits    *splitting.Snapshot
+	recorders *rollouts.Recorders
+	// storeHeard is when word from the store last arrived by any path.
+	storeHeard time.Time
+	leaving    bool
+}
+
+// views holds the newest view.
+type views struct {
+	current atomic.Pointer[view]
+}
+
+func newViews() *views {
+	v := &views{}
+	v.current.Store(&view{})
+	return v
+}
+
+func (v *views) load() *view { return v.current.Load() }
+
+func (v *views) store(next *view) { v.current.Store(next) }
+
+// Table implements caller.Tables.
+func (v *views) Table() *routing.Table { return v.load().table }
+
+// StoreAge implements caller.Freshness.
+func (v *views) StoreAge() time.Duration { return time.Since(v.load().storeHeard) }
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -34,8 +34,6 @@
 	ContentLength int64
 	// Attempt numbers the attempts of the request, from 0.
 	Attempt int
-	// Avoid names the upstreams on which an earlier attempt failed.
-	Avoid []string
 }
 
 // AtMostOnce says whether the request must not run twice.
