Entry instances talk to each other: connections, membership, relay

Cause: the whole path needs instances that know each other, can call each other and can pass a request to the owner of an upstream.

Ruled out: gRPC's own client keep-alive alone for silent connections. Its least interval is 10 s, and a middle box that acknowledges data defeats the TCP user timeout. The pool therefore probes a connection while a call waits and nothing is read from it.

--- /dev/null
+++ b/entryinstance/pool.go
@@ -0,0 +1,207 @@
+package entryinstance
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"samphireferry.example/ferry/rpc/entrypb"
+)
+
+// ErrClosed says that the pool, or the connection, has been closed.
+var ErrClosed = errors.New("connection closed")
+
+// Dialer opens a connection to an IP address and port.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// Pool holds one connection for each peer address. It is safe for concurrent
+// use.
+type Pool struct {
+	config Config
+	creds  credentials.TransportCredentials
+	dial   Dialer
+	silent atomic.Uint64
+	// ctx ends when the pool is closed.
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu     sync.RWMutex
+	closed bool
+	conns  map[string]*connection
+}
+
+// NewPool returns an empty pool. It fails if the TLS material cannot be used.
+func NewPool(config Config) (*Pool, error) {
+	return NewPoolWithDialer(config, dialTCP)
+}
+
+// NewPoolWithDialer returns an empty pool that opens connections with dial.
+func NewPoolWithDialer(config Config, dial Dialer) (*Pool, error) {
+	config = config.withDefaults()
+	creds, err := config.clientCredentials()
+	if err != nil {
+		return nil, err
+	}
+	p := &Pool{config: config, creds: creds, dial: dial, conns: map[string]*connection{}}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	return p, nil
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: connectTimeout}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Client returns the client of the peer at the IP address and port. The client
+// may be kept; each call uses the connection that is current then. A peer that
+// cannot be reached fails the call. An address that is not an IP address and
+// port is refused here.
+func (p *Pool) Client(rpcAddress string) (entrypb.EntryClient, error) {
+	if _, err := netip.ParseAddrPort(rpcAddress); err != nil {
+		return nil, errors.Newf("%q is not an IP address and port", rpcAddress)
+	}
+	return entrypb.NewEntryClient(&peerConn{pool: p, address: rpcAddress}), nil
+}
+
+// Confirm returns nil if data came from the address within the last maxAge, or
+// if the peer answers a probe now. It is for calls that must not be sent into
+// a silent connection; nothing of such a call has been sent when it fails.
+func (p *Pool) Confirm(ctx context.Context, rpcAddress string, maxAge time.Duration) error {
+	c, err := p.begin(rpcAddress)
+	if err != nil {
+		return err
+	}
+	defer c.end()
+	if heard := c.lastHeard(); !heard.IsZero() && time.Since(heard) < maxAge {
+		return nil
+	}
+	return c.probe(ctx)
+}
+
+// LastHeard returns when data last came from the address over its current
+// connection, or the zero time.
+func (p *Pool) LastHeard(rpcAddress string) time.Time {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	if c := p.conns[rpcAddress]; c != nil {
+		return c.lastHeard()
+	}
+	return time.Time{}
+}
+
+// SilentConnections returns how many connections were found silent.
+func (p *Pool) SilentConnections() uint64 { return p.silent.Load() }
+
+// Forget closes the connection to the address, if there is one. Its calls end.
+func (p *Pool) Forget(rpcAddress string) {
+	p.mu.Lock()
+	c := p.conns[rpcAddress]
+	delete(p.conns, rpcAddress)
+	p.mu.Unlock()
+	if c != nil {
+		c.close()
+	}
+}
+
+// Close closes all connections. Running calls end.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.conns = map[string]*connection{}
+	p.cancel()
+}
+
+// begin returns the current connection to the address with one more call
+// counted on it.
+func (p *Pool) begin(address string) (*connection, error) {
+	for {
+		c, err := p.current(address)
+		if err != nil {
+			return nil, status.Error(codes.Unavailable, err.Error())
+		}
+		if c.begin() {
+			return c, nil
+		}
+		p.remove(c)
+	}
+}
+
+func (p *Pool) current(address string) (*connection, error) {
+	p.mu.RLock()
+	c, closed := p.conns[address], p.closed
+	p.mu.RUnlock()
+	if closed {
+		return nil, ErrClosed
+	}
+	if c != nil {
+		return c, nil
+	}
+	return p.open(address)
+}
+
+func (p *Pool) open(address string) (*connection, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, ErrClosed
+	}
+	if c := p.conns[address]; c != nil {
+		return c, nil
+	}
+	c, err := newConnection(p, address)
+	if err != nil {
+		return nil, err
+	}
+	p.conns[address] = c
+	return c, nil
+}
+
+// remove takes the connection out of the pool without closing it.
+func (p *Pool) remove(c *connection) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns[c.address] == c {
+		delete(p.conns, c.address)
+	}
+}
+
+func (p *Pool) dialOptions(c *connection) []grpc.DialOption {
+	return []grpc.DialOption{
+		grpc.WithTransportCredentials(p.creds),
+		grpc.WithContextDialer(c.dialTracked),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithNoProxy(),
+		grpc.WithIdleTimeout(p.config.IdleTimeout),
+		grpc.WithInitialWindowSize(StreamWindowBytes),
+		grpc.WithInitialConnWindowSize(ConnectionWindowBytes),
+		grpc.WithDefaultCallOptions(
+			grpc.MaxCallRecvMsgSize(MaxMessageBytes),
+			grpc.MaxCallSendMsgSize(MaxMessageBytes),
+		),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{
+				BaseDelay:  backoffBase,
+				Multiplier: backoffFactor,
+				Jitter:     backoffJitter,
+				MaxDelay:   backoffMax,
+			},
+			MinConnectTimeout: connectTimeout,
+		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{
+			Time:    p.config.KeepaliveTime,
+			Timeout: p.config.KeepaliveTimeout,
+		}),
+	}
+}
--- /dev/null
+++ b/entryinstance/server.go
@@ -0,0 +1,121 @@
+package entryinstance
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/health"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"samphireferry.example/ferry/rpc/entrypb"
+)
+
+// ErrPlaintext says that a server without TLS was to bind an address that is
+// not a loopback one.
+var ErrPlaintext = errors.New("without TLS the port for entry instances binds loopback addresses only; set TLS, or allow plain text")
+
+// Server serves the entry-instance protocol.
+type Server struct {
+	config Config
+	grpc   *grpc.Server
+}
+
+// NewServer returns a server of the handler. It fails if the TLS material
+// cannot be used.
+func NewServer(config Config, handler entrypb.EntryServer) (*Server, error) {
+	config = config.withDefaults()
+	creds, err := config.serverCredentials()
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{config: config}
+	s.grpc = grpc.NewServer(
+		grpc.Creds(creds),
+		grpc.MaxRecvMsgSize(MaxMessageBytes),
+		grpc.MaxSendMsgSize(MaxMessageBytes),
+		grpc.InitialWindowSize(StreamWindowBytes),
+		grpc.InitialConnWindowSize(ConnectionWindowBytes),
+		grpc.MaxConcurrentStreams(MaxStreams),
+		grpc.ConnectionTimeout(connectTimeout),
+		grpc.KeepaliveParams(keepalive.ServerParameters{
+			Time:    config.KeepaliveTime,
+			Timeout: config.KeepaliveTimeout,
+		}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+			MinTime:             minPingInterval,
+			PermitWithoutStream: true,
+		}),
+		grpc.UnaryInterceptor(authorizeHeartbeat),
+	)
+	entrypb.RegisterEntryServer(s.grpc, handler)
+	healthpb.RegisterHealthServer(s.grpc, health.NewServer())
+	return s, nil
+}
+
+// Listen binds the address. It returns ErrPlaintext for an address that the
+// configuration does not allow.
+func Listen(config Config, address string) (net.Listener, error) {
+	if err := config.checkAddress(address); err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", address)
+	return listener, errors.Wrap(err, "port for entry instances")
+}
+
+// checkAddress refuses plain text outside of loopback addresses.
+func (c Config) checkAddress(address string) error {
+	bind, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return errors.Newf("%q is not an IP address and port", address)
+	}
+	if c.TLS != nil || c.AllowPlaintext || bind.Addr().IsLoopback() {
+		return nil
+	}
+	return errors.Wrap(ErrPlaintext, address)
+}
+
+// Serve accepts connections until Shutdown or Close. It returns ErrPlaintext
+// for a TCP listener whose address the configuration does not allow.
+func (s *Server) Serve(listener net.Listener) error {
+	if tcp, ok := listener.Addr().(*net.TCPAddr); ok {
+		if err := s.config.checkAddress(tcp.AddrPort().String()); err != nil {
+			return err
+		}
+	}
+	return s.grpc.Serve(listener)
+}
+
+// Shutdown stops accepting calls and waits until the running ones have ended
+// or ctx is done; then it closes the connections.
+func (s *Server) Shutdown(ctx context.Context) {
+	stopped := make(chan struct{})
+	go func() {
+		s.grpc.GracefulStop()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-ctx.Done():
+		s.grpc.Stop()
+		<-stopped
+	}
+}
+
+// Close closes all connections at once.
+func (s *Server) Close() { s.grpc.Stop() }
+
+// authorizeHeartbeat refuses a heartbeat in the name of another instance.
+func authorizeHeartbeat(ctx context.Context, req any, _ *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
+	if state, ok := req.(*entrypb.State); ok {
+		if err := AuthorizeName(ctx, state.GetIdentity().GetName()); err != nil {
+			return nil, status.Error(codes.PermissionDenied, err.Error())
+		}
+	}
+	return next(ctx, req)
+}
--- /dev/null
+++ b/entryinstance/tls.go
@@ -0,0 +1,118 @@
+package entryinstance
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/peer"
+)
+
+// PeerName is the DNS name in the certificate of every entry instance.
+const PeerName = "entry-instance"
+
+// instanceSuffix ends the DNS name that binds a certificate to one instance.
+const instanceSuffix = "." + PeerName
+
+// TLS is the PEM material of one entry instance.
+type TLS struct {
+	// CertPEM is the certificate chain, leaf first.
+	CertPEM []byte
+	// KeyPEM is the private key of the leaf.
+	KeyPEM []byte
+	// CAPEM holds the authorities that sign the certificates of peers.
+	CAPEM []byte
+}
+
+// load checks the material and returns the certificate and the authorities.
+func (t *TLS) load() (tls.Certificate, *x509.CertPool, error) {
+	cert, err := tls.X509KeyPair(t.CertPEM, t.KeyPEM)
+	if err != nil {
+		return cert, nil, errors.Wrap(err, "TLS certificate and key")
+	}
+	authorities := x509.NewCertPool()
+	if !authorities.AppendCertsFromPEM(t.CAPEM) {
+		return cert, nil, errors.New("TLS authority: no certificate in the PEM data")
+	}
+	leaf, err := x509.ParseCertificate(cert.Certificate[0])
+	if err != nil {
+		return cert, nil, errors.Wrap(err, "TLS certificate")
+	}
+	if err := leaf.VerifyHostname(PeerName); err != nil {
+		return cert, nil, errors.Newf("TLS certificate: it lacks the DNS name %q", PeerName)
+	}
+	return cert, authorities, nil
+}
+
+func (c Config) serverCredentials() (credentials.TransportCredentials, error) {
+	if c.TLS == nil {
+		return insecure.NewCredentials(), nil
+	}
+	cert, authorities, err := c.TLS.load()
+	if err != nil {
+		return nil, err
+	}
+	return credentials.NewTLS(&tls.Config{
+		MinVersion:       tls.VersionTLS13,
+		Certificates:     []tls.Certificate{cert},
+		ClientAuth:       tls.RequireAndVerifyClientCert,
+		ClientCAs:        authorities,
+		VerifyConnection: verifyPeer,
+	}), nil
+}
+
+func (c Config) clientCredentials() (credentials.TransportCredentials, error) {
+	if c.TLS == nil {
+		return insecure.NewCredentials(), nil
+	}
+	cert, authorities, err := c.TLS.load()
+	if err != nil {
+		return nil, err
+	}
+	return credentials.NewTLS(&tls.Config{
+		MinVersion:       tls.VersionTLS13,
+		Certificates:     []tls.Certificate{cert},
+		RootCAs:          authorities,
+		ServerName:       PeerName,
+		VerifyConnection: verifyPeer,
+	}), nil
+}
+
+// verifyPeer refuses a verified certificate that is not an entry instance's.
+func verifyPeer(state tls.ConnectionState) error {
+	if len(state.PeerCertificates) == 0 {
+		return errors.New("the peer has no certificate")
+	}
+	if err := state.PeerCertificates[0].VerifyHostname(PeerName); err != nil {
+		return errors.Newf("the certificate of the peer lacks the DNS name %q", PeerName)
+	}
+	return nil
+}
+
+// AuthorizeName checks the instance name that a received message claims. It
+// returns an error if the sender's certificate is bound to other names.
+// Without TLS every name is accepted.
+func AuthorizeName(ctx context.Context, name string) error {
+	p, ok := peer.FromContext(ctx)
+	if !ok {
+		return nil
+	}
+	info, ok := p.AuthInfo.(credentials.TLSInfo)
+	if !ok || len(info.State.PeerCertificates) == 0 {
+		return nil
+	}
+	return authorizeName(info.State.PeerCertificates[0].DNSNames, name)
+}
+
+func authorizeName(dnsNames []string, name string) error {
+	bound := slices.ContainsFunc(dnsNames, func(n string) bool { return strings.HasSuffix(n, instanceSuffix) })
+	if !bound || slices.Contains(dnsNames, name+instanceSuffix) {
+		return nil
+	}
+	return errors.Newf("the certificate of the peer is not that of instance %q", name)
+}
--- /dev/null
+++ b/membership/snapshot.go
@@ -0,0 +1,107 @@
+package membership
+
+import (
+	"slices"
+	"time"
+)
+
+// Snapshot returns what is known now. It returns the same snapshot as before
+// if nothing has changed.
+func (r *Registry) Snapshot(now time.Time) *Peers {
+	r.tick(now)
+	r.chooseContacts(now)
+	changed := r.publish(now)
+	if r.snapshot != nil && !changed && !r.indexDirty {
+		return r.snapshot
+	}
+	all := make([]*Peer, 0, len(r.members))
+	if r.snapshot != nil && !r.indexDirty {
+		for _, old := range r.snapshot.All {
+			all = append(all, r.members[old.Name].published)
+		}
+		r.snapshot = &Peers{Self: r.self(), All: all, index: r.snapshot.index}
+		return r.snapshot
+	}
+	for _, m := range r.members {
+		all = append(all, m.published)
+	}
+	slices.SortFunc(all, comparePeers)
+	r.indexDirty = false
+	r.snapshot = &Peers{Self: r.self(), All: all, index: newIndex(all)}
+	return r.snapshot
+}
+
+// publish renews the Peer of each member that has changed, and says whether
+// any has.
+func (r *Registry) publish(now time.Time) bool {
+	interval := r.Interval()
+	changed := false
+	for _, m := range r.members {
+		peer := m.peer(m.health(now, r.resumed, interval))
+		if m.published == nil || *m.published != peer {
+			m.published = &peer
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (r *Registry) self() Peer {
+	self := r.config.Self
+	return Peer{
+		Name:          self.GetName(),
+		Incarnation:   self.GetIncarnation(),
+		Address:       self.GetAddress(),
+		RPCAddress:    self.GetRpcAddress(),
+		FailureDomain: self.GetFailureDomain(),
+		Region:        self.GetRegion(),
+		Listed:        true,
+	}
+}
+
+// Evidence is what this instance knows about whether another one is gone.
+type Evidence struct {
+	// Listed says whether the newest list has the instance. It is meaningful
+	// only if ListTime is not zero.
+	Listed bool
+	// AbsentSince is when a list first lacked the instance, for one that is not
+	// listed. For an instance that was never listed it is the time of the
+	// first list.
+	AbsentSince time.Time
+	// ListTime is when the newest list was read; zero if none was. Absence is
+	// shown from AbsentSince until ListTime, not until now.
+	ListTime time.Time
+	// LastHeard is when a heartbeat of any incarnation last came; zero if never.
+	LastHeard time.Time
+}
+
+// AbsentFor returns how long the lists have lacked the instance; 0 if it is
+// listed or no list was read.
+func (e Evidence) AbsentFor() time.Duration {
+	if e.Listed || e.ListTime.IsZero() {
+		return 0
+	}
+	return e.ListTime.Sub(e.AbsentSince)
+}
+
+// Evidence returns what is known about whether the named instance is gone.
+func (r *Registry) Evidence(name string) Evidence {
+	e := Evidence{ListTime: r.lastList, AbsentSince: r.firstList}
+	m := r.members[name]
+	if m == nil {
+		return e
+	}
+	e.Listed = m.listed
+	e.LastHeard = m.lastHeard
+	if !m.listed && !m.absentSince.IsZero() {
+		e.AbsentSince = m.absentSince
+	}
+	if m.listed {
+		e.AbsentSince = time.Time{}
+	}
+	return e
+}
+
+// Replaced says whether the incarnation is known to be gone because another
+// one has answered at its address or under its name.
+func (r *Registry) Replaced(incarnation string) bool { return r.replaced[incarnation] }
--- /dev/null
+++ b/relay/client.go
@@ -0,0 +1,173 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"samphireferry.example/ferry/dispatch"
+	"samphireferry.example/ferry/entryinstance"
+	"samphireferry.example/ferry/errkind"
+	"samphireferry.example/ferry/invariant"
+	"samphireferry.example/ferry/rpc/entrypb"
+)
+
+// confirmAge is the age of the last sign of life up to which a connection is
+// trusted with an at-most-once request.
+const confirmAge = time.Second
+
+// OneHop is the invariant that a relayed request is not relayed again.
+const OneHop invariant.Name = "relay_one_hop"
+
+// Connections gives clients for peers; *entryinstance.Pool is one.
+type Connections interface {
+	// Client returns the client of the peer at the RPC address.
+	Client(rpcAddress string) (entrypb.EntryClient, error)
+	// Confirm returns nil if the peer was heard from within maxAge, or answers now.
+	Confirm(ctx context.Context, rpcAddress string, maxAge time.Duration) error
+}
+
+// Client sends requests to the owners of upstreams. It is safe for concurrent
+// use.
+type Client struct {
+	connections Connections
+	invariants  *invariant.Checker
+}
+
+// NewClient returns a client that uses the connections.
+func NewClient(connections Connections, invariants *invariant.Checker) *Client {
+	return &Client{connections: connections, invariants: invariants}
+}
+
+// Send relays the request to the instance at the RPC address, to be run on the
+// given version of its service. Every error is an *errkind.Error.
+//
+// The body is read from another goroutine. After Send has returned an error no
+// further Read of it starts, but one that runs may still do so for a while. A
+// part of the body may have been read even if the owner refused the request;
+// whoever sends it again needs a body that can be read again.
+func (c *Client) Send(ctx context.Context, rpcAddress string, req *dispatch.Request, version string) (*dispatch.Answer, error) {
+	if !c.invariants.Check(!IsRelayed(ctx), OneHop, req.ID) {
+		return nil, errkind.New(errkind.NoUpstream, "a relayed request is not relayed again")
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, unsent(ctx, err)
+	}
+	client, err := c.connections.Client(rpcAddress)
+	if err != nil {
+		return nil, unsent(ctx, err)
+	}
+	callCtx := ctx
+	if req.AtMostOnce() {
+		if err := c.connections.Confirm(ctx, rpcAddress, confirmAge); err != nil {
+			return nil, unsent(ctx, err)
+		}
+		callCtx = entryinstance.KeepOnSilence(ctx)
+	}
+	callCtx, cancel := context.WithCancelCause(callCtx)
+	stream, err := client.Relay(callCtx)
+	if err != nil {
+		cancel(nil)
+		return nil, unsent(ctx, err)
+	}
+	answer, err := exchange(callCtx, stream, req, version, cancel)
+	if err != nil {
+		cancel(nil)
+		return nil, sent(ctx, context.Cause(callCtx), err)
+	}
+	return answer, nil
+}
+
+// exchange sends the request and waits for the head of the answer. The cancel
+// function ends the stream; the answer's body calls it when it is done.
+func exchange(ctx context.Context, stream entrypb.Entry_RelayClient, req *dispatch.Request, version string, cancel context.CancelCauseFunc) (*dispatch.Answer, error) {
+	head := &entrypb.RelayRequest{Head: encodeHead(ctx, req, version), End: req.Body == nil}
+	if err := stream.Send(head); err != nil && !errors.Is(err, io.EOF) {
+		return nil, err
+	}
+	if req.Body != nil {
+		go sendBody(ctx, stream, req.Body, cancel)
+	}
+	first, err := stream.Recv()
+	if err != nil {
+		return nil, err
+	}
+	if refusal := first.GetRefusal(); refusal != nil {
+		return nil, decodeRefusal(refusal)
+	}
+	if first.GetAnswer() == nil {
+		return nil, errors.New("the answer has no head")
+	}
+	body := &answerBody{stream: stream, cancel: cancel, rest: first.GetChunk(), ended: first.GetEnd()}
+	return &dispatch.Answer{
+		Status:        int(first.GetAnswer().GetStatus()),
+		Header:        decodeHeader(first.GetAnswer().GetHeaders()),
+		Body:          body,
+		ContentLength: first.GetAnswer().GetContentLength(),
+		Upstream:      first.GetAnswer().GetUpstream(),
+		Version:       version,
+	}, nil
+}
+
+// sendBody sends the body in chunks. A body that fails ends the stream, so
+// that the owner never takes a part of it for the whole.
+func sendBody(ctx context.Context, stream entrypb.Entry_RelayClient, body io.Reader, cancel context.CancelCauseFunc) {
+	for ctx.Err() == nil {
+		chunk := make([]byte, chunkBytes)
+		n, err := body.Read(chunk)
+		end := errors.Is(err, io.EOF)
+		if err != nil && !end {
+			cancel(bodyError(err))
+			return
+		}
+		if n == 0 && !end {
+			continue
+		}
+		if stream.Send(&entrypb.RelayRequest{Chunk: chunk[:n], End: end}) != nil || end {
+			return
+		}
+	}
+}
+
+// unsent returns the error of a request of which nothing was sent.
+func unsent(ctx context.Context, cause error) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return errkind.Wrap(cause, errkind.DeadlineExceeded, "")
+	}
+	if ctx.Err() != nil {
+		return errkind.Wrap(cause, errkind.CallerGone, "")
+	}
+	return errkind.Wrap(cause, errkind.NoUpstream, "the entry instance that owns the upstream cannot be reached")
+}
+
+// bodyError returns the error of a request whose body failed. A part of it has
+// been sent, so a kind that promises not-run is not kept.
+func bodyError(cause error) *errkind.Error {
+	if kind := errkind.Of(cause); kind != errkind.Internal && kind.Row().Outcome != errkind.NotRun {
+		return errkind.Wrap(cause, kind, "")
+	}
+	return errkind.Wrap(cause, errkind.CallerGone, "the request body broke off")
+}
+
+// sent returns the error of a request that may have reached its owner. Ended
+// is the cause with which this instance ended the stream, if it did.
+func sent(ctx context.Context, ended, cause error) error {
+	for _, err := range []error{cause, ended} {
+		if e, ok := lo.ErrorsAs[*errkind.Error](err); ok {
+			return e
+		}
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded), status.Code(cause) == codes.DeadlineExceeded:
+		return errkind.Wrap(cause, errkind.UpstreamTimeout, "")
+	case ctx.Err() != nil:
+		return errkind.Wrap(cause, errkind.CallerGone, "")
+	default:
+		return errkind.Wrap(cause, errkind.UpstreamFailed, "the connection to the entry instance that owns the upstream broke")
+	}
+}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,275 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/goleak"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"gotest.tools/v3/assert"
+
+	"samphireferry.example/ferry/config/dynamic"
+	"samphireferry.example/ferry/dispatch"
+	"samphireferry.example/ferry/entryinstance"
+	"samphireferry.example/ferry/errkind"
+	"samphireferry.example/ferry/invariant"
+	"samphireferry.example/ferry/routing"
+	"samphireferry.example/ferry/rpc/entrypb"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func testTable(t testing.TB) *routing.Table {
+	table, err := routing.Compile(&dynamic.Config{Set: dynamic.Set{
+		Customers: []dynamic.Customer{{Name: "mit", Rate: 10, Burst: 10}, {Name: "ulaval", Rate: 10, Burst: 10}},
+		Services:  []dynamic.Service{{Name: "ledger"}, {Name: "lookup"}},
+		Routes: []dynamic.Route{
+			{Name: "file", Service: "ledger", PathPrefix: "/file", Kind: dynamic.AtMostOnce, Customers: []string{"mit"}},
+			{Name: "read", Service: "lookup", PathPrefix: "/read", Kind: dynamic.Idempotent},
+		},
+	}})
+	assert.NilError(t, err)
+	return table
+}
+
+// owner serves relayed requests with the functions of a test.
+type owner struct {
+	entrypb.UnimplementedEntryServer
+	relay func(stream entrypb.Entry_RelayServer) error
+}
+
+func (o *owner) Relay(stream entrypb.Entry_RelayServer) error { return o.relay(stream) }
+
+// startOwner serves Relay on loopback. It returns a client, the address, and a
+// function that kills the owner.
+func startOwner(t testing.TB, relay func(stream entrypb.Entry_RelayServer) error) (*Client, string, func()) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server, err := entryinstance.NewServer(entryinstance.Config{}, &owner{relay: relay})
+	assert.NilError(t, err)
+	go func() { _ = server.Serve(listener) }()
+	pool, err := entryinstance.NewPool(entryinstance.Config{})
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		pool.Close()
+		server.Close()
+	})
+	return NewClient(pool, &invariant.Checker{}), listener.Addr().String(), server.Close
+}
+
+func testRequest(table *routing.Table, route string, body io.Reader) *dispatch.Request {
+	return &dispatch.Request{
+		ID:            "r1",
+		Route:         table.Route(route),
+		Customer:      table.Customer("mit"),
+		Method:        http.MethodPost,
+		Path:          "/file/a%20b",
+		RawQuery:      "q=\xe9",
+		Host:          "ledger.example",
+		Header:        http.Header{"X-Name": {"caf\xe9", "2"}, "Te": {"x"}},
+		Body:          body,
+		ContentLength: -1,
+	}
+}
+
+func TestWholeExchange(t *testing.T) {
+	table := testTable(t)
+	want := bytes.Repeat([]byte("0123456789"), 200_000)
+	handler := func(ctx context.Context, req *dispatch.Request, version string) (*dispatch.Answer, error) {
+		_, hasDeadline := ctx.Deadline()
+		assert.Check(t, hasDeadline && IsRelayed(ctx))
+		assert.Check(t, req.Route == table.Route("file") && req.Customer == table.Customer("mit") && version == "v2")
+		sent := testRequest(table, "file", nil)
+		assert.Check(t, req.Path == sent.Path && req.RawQuery == sent.RawQuery && req.Host == sent.Host && req.Method == sent.Method)
+		assert.DeepEqual(t, req.Header, sent.Header)
+		// The body is echoed, so that both directions are under way at once.
+		return &dispatch.Answer{Status: 201, Header: http.Header{"X-Made": {"1"}}, Body: io.NopCloser(req.Body), ContentLength: -1, Upstream: "u1"}, nil
+	}
+	client, address, _ := startOwner(t, NewServer(func() *routing.Table { return table }, handler).Serve)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	answer, err := client.Send(ctx, address, testRequest(table, "file", bytes.NewReader(want)), "v2")
+	assert.NilError(t, err)
+	got, err := io.ReadAll(answer.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(got, want))
+	assert.Equal(t, answer.Status, 201)
+	assert.Equal(t, answer.Header.Get("X-Made"), "1")
+	assert.Equal(t, answer.Upstream, "u1")
+	assert.Equal(t, answer.Version, "v2")
+	assert.NilError(t, answer.Body.Close())
+}
+
+// cutBody fails after its text.
+type cutBody struct{ io.Reader }
+
+func (c cutBody) Read(p []byte) (int, error) {
+	n, err := c.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = errkind.New(errkind.AnswerTruncated, "")
+	}
+	return n, err
+}
+
+func TestFaults(t *testing.T) {
+	table := testTable(t)
+	refuse := func(refusal *entrypb.RelayRefusal) func(entrypb.Entry_RelayServer) error {
+		return func(stream entrypb.Entry_RelayServer) error {
+			return stream.Send(&entrypb.RelayResponse{Refusal: refusal})
+		}
+	}
+	handle := func(table *routing.Table, answer *dispatch.Answer, err error) func(entrypb.Entry_RelayServer) error {
+		return NewServer(func() *routing.Table { return table }, func(context.Context, *dispatch.Request, string) (*dispatch.Answer, error) {
+			return answer, err
+		}).Serve
+	}
+	otherCustomer := testRequest(table, "file", nil)
+	otherCustomer.Customer = table.Customer("ulaval")
+	tests := []struct {
+		name  string
+		req   *dispatch.Request
+		relay func(stream entrypb.Entry_RelayServer) error
+		want  errkind.Kind
+	}{
+		{"owner refuses unrun", nil, handle(table, nil, errkind.New(errkind.Overloaded, "")), errkind.Overloaded},
+		{"owner's upstream failed", nil, handle(table, nil, errkind.New(errkind.UpstreamFailed, "")), errkind.UpstreamFailed},
+		{"owner fails with another error", nil, handle(table, nil, errors.New("x")), errkind.Internal},
+		{"owner without configuration", nil, handle(nil, nil, nil), errkind.NoConfiguration},
+		{"owner does not admit the customer", otherCustomer, handle(table, nil, nil), errkind.NoUpstream},
+		{"unrun kind without the flag", nil, refuse(&entrypb.RelayRefusal{Kind: "overloaded"}), errkind.UpstreamFailed},
+		{"flag without an unrun kind", nil, refuse(&entrypb.RelayRefusal{Kind: "upstream_failed", NotRun: true}), errkind.UpstreamFailed},
+		{"kind of a newer version, unrun", nil, refuse(&entrypb.RelayRefusal{Kind: "new", NotRun: true}), errkind.NoUpstream},
+		{"kind of a newer version", nil, refuse(&entrypb.RelayRefusal{Kind: "new"}), errkind.UpstreamFailed},
+		{"stream ends without an answer", nil, func(entrypb.Entry_RelayServer) error { return nil }, errkind.UpstreamFailed},
+		{"stream fails", nil, func(entrypb.Entry_RelayServer) error { return status.Error(codes.Unavailable, "") }, errkind.UpstreamFailed},
+		{"deadline passes", nil, func(s entrypb.Entry_RelayServer) error { <-s.Context().Done(); return nil }, errkind.UpstreamTimeout},
+		{"answer is cut", nil, handle(table, &dispatch.Answer{Status: 200, Body: io.NopCloser(cutBody{strings.NewReader("part")})}, nil), errkind.AnswerTruncated},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			client, address, _ := startOwner(t, test.relay)
+			req := test.req
+			if req == nil {
+				req = testRequest(table, "file", nil)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+			defer cancel()
+			answer, err := client.Send(ctx, address, req, "v1")
+			if err == nil {
+				_, err = io.ReadAll(answer.Body)
+				answer.Body.Close()
+			}
+			assert.Equal(t, errkind.Of(err), test.want, "%v", err)
+		})
+	}
+}
+
+func TestNothingSent(t *testing.T) {
+	table := testTable(t)
+	relay := func(entrypb.Entry_RelayServer) error {
+		t.Error("the request was sent")
+		return nil
+	}
+	expired, cancel := context.WithTimeout(context.Background(), 0)
+	defer cancel()
+	tests := []struct {
+		name string
+		ctx  context.Context
+		down bool
+		want errkind.Kind
+	}{
+		{"owner is down", context.Background(), true, errkind.NoUpstream},
+		{"deadline has passed", expired, false, errkind.DeadlineExceeded},
+		{"relayed once already", WithRelayed(context.Background()), false, errkind.NoUpstream},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			client, address, kill := startOwner(t, relay)
+			if test.down {
+				kill()
+			}
+			_, err := client.Send(test.ctx, address, testRequest(table, "file", nil), "v1")
+			assert.Equal(t, errkind.Of(err), test.want, "%v", err)
+			assert.Equal(t, test.want.Row().Outcome, errkind.NotRun)
+			assert.Equal(t, client.invariants.Total() == 1, IsRelayed(test.ctx))
+		})
+	}
+}
+
+// TestOwnerDies kills the owner while it holds a request, and expects an
+// unknown outcome, and a cut answer never to look whole.
+func TestOwnerDies(t *testing.T) {
+	table := testTable(t)
+	for _, answered := range []bool{false, true} {
+		reached := make(chan struct{})
+		client, address, kill := startOwner(t, func(stream entrypb.Entry_RelayServer) error {
+			if answered {
+				_ = stream.Send(&entrypb.RelayResponse{Answer: &entrypb.RelayAnswer{Status: 200}, Chunk: []byte("part")})
+			}
+			close(reached)
+			<-stream.Context().Done()
+			return nil
+		})
+		go func() {
+			<-reached
+			kill()
+		}()
+		answer, err := client.Send(context.Background(), address, testRequest(table, "file", nil), "v1")
+		want := errkind.UpstreamFailed
+		if answered {
+			want = errkind.AnswerTruncated
+			assert.NilError(t, err)
+			_, err = io.ReadAll(answer.Body)
+			answer.Body.Close()
+		}
+		assert.Equal(t, errkind.Of(err), want, "%v", err)
+	}
+}
+
+// blockedBody blocks until it is closed.
+type blockedBody struct{ closed chan struct{} }
+
+func (b blockedBody) Read([]byte) (int, error) {
+	<-b.closed
+	return 0, io.ErrClosedPipe
+}
+
+// TestRefusedBeforeBody expects a refusal while the body has not come yet, and
+// that a body that fails is not taken for a whole one.
+func TestRefusedBeforeBody(t *testing.T) {
+	table := testTable(t)
+	var mu sync.Mutex
+	var bodyError error
+	finished := make(chan struct{}, 1)
+	handler := func(_ context.Context, req *dispatch.Request, version string) (*dispatch.Answer, error) {
+		if version == "full" {
+			return nil, errkind.New(errkind.Overloaded, "")
+		}
+		_, err := io.ReadAll(req.Body)
+		mu.Lock()
+		bodyError = err
+		mu.Unlock()
+		finished <- struct{}{}
+		return nil, errkind.New(errkind.UpstreamFailed, "")
+	}
+	client, address, _ := startOwner(t, NewServer(func() *routing.Table { return table }, handler).Serve)
+	body := blockedBody{closed: make(chan struct{})}
+	_, err := client.Send(context.Background(), address, testRequest(table, "file", body), "full")
+	assert.Equal(t, errkind.Of(err), errkind.Overloaded)
+	close(body.closed)
+	_, err = client.Send(context.Background(), address, testRequest(table, "file", body), "v1")
+	assert.Equal(t, errkind.Of(err), errkind.CallerGone)
+	<-finished
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Assert(t, bodyError != nil)
+}
--- /dev/null
+++ b/relay/server.go
@@ -0,0 +1,128 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"samphireferry.example/ferry/dispatch"
+	"samphireferry.example/ferry/errkind"
+	"samphireferry.example/ferry/routing"
+	"samphireferry.example/ferry/rpc/entrypb"
+)
+
+// Handler runs the request on an upstream of this instance, or refuses it. The
+// context is marked by WithRelayed and ends with the sender's deadline or when
+// the sender gives up. A refusal is an *errkind.Error whose kind says truly
+// whether the request has run.
+type Handler func(ctx context.Context, req *dispatch.Request, version string) (*dispatch.Answer, error)
+
+// Server takes relayed requests.
+type Server struct {
+	table   func() *routing.Table
+	handler Handler
+}
+
+// NewServer returns a server that looks routes and customers up in the table
+// that the function returns; it may return nil while there is none.
+func NewServer(table func() *routing.Table, handler Handler) *Server {
+	return &Server{table: table, handler: handler}
+}
+
+// Serve handles one relayed request.
+func (s *Server) Serve(stream entrypb.Entry_RelayServer) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	head := first.GetHead()
+	if head == nil {
+		return status.Error(codes.InvalidArgument, "the first message has no head")
+	}
+	ctx, cancel := requestContext(stream.Context(), head)
+	defer cancel()
+	req, err := s.request(head)
+	if err != nil {
+		return stream.Send(&entrypb.RelayResponse{Refusal: encodeRefusal(err)})
+	}
+	if !first.GetEnd() {
+		req.Body = &requestBody{stream: stream, rest: first.GetChunk()}
+	}
+	answer, err := s.handler(ctx, req, head.GetVersion())
+	if err != nil {
+		return stream.Send(&entrypb.RelayResponse{Refusal: encodeRefusal(err)})
+	}
+	defer answer.Body.Close()
+	return sendAnswer(stream, answer)
+}
+
+func requestContext(ctx context.Context, head *entrypb.RelayHead) (context.Context, context.CancelFunc) {
+	ctx = WithRelayed(ctx)
+	if head.GetDeadlineMs() == 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(head.GetDeadlineMs())*time.Millisecond)
+}
+
+// request resolves the names of the head. It refuses a request that this
+// instance, with its own configuration, would treat in another way than the
+// sender does.
+func (s *Server) request(head *entrypb.RelayHead) (*dispatch.Request, error) {
+	table := s.table()
+	if table == nil {
+		return nil, errkind.New(errkind.NoConfiguration, "")
+	}
+	route := table.Route(head.GetRoute())
+	customer := table.Customer(head.GetCustomer())
+	switch {
+	case route == nil || route.Service.Name != head.GetService():
+		return nil, errkind.New(errkind.NoUpstream, "the owner of the upstream does not have the route")
+	case route.AtMostOnce != head.GetAtMostOnce():
+		return nil, errkind.New(errkind.NoUpstream, "the owner of the upstream has another kind for the route")
+	case customer == nil || !route.Admits(customer):
+		return nil, errkind.New(errkind.NoUpstream, "the owner of the upstream does not admit the customer")
+	}
+	return &dispatch.Request{
+		ID:            head.GetRequestId(),
+		Route:         route,
+		Customer:      customer,
+		Method:        decodeText(head.GetMethod()),
+		Path:          decodeText(head.GetPath()),
+		RawQuery:      decodeText(head.GetQuery()),
+		Host:          decodeText(head.GetHost()),
+		Header:        decodeHeader(head.GetHeaders()),
+		ContentLength: head.GetContentLength(),
+	}, nil
+}
+
+// sendAnswer sends the head, the body and the end mark. A body that is cut
+// gets no end mark.
+func sendAnswer(stream entrypb.Entry_RelayServer, answer *dispatch.Answer) error {
+	head := &entrypb.RelayAnswer{
+		Status:        uint32(answer.Status),
+		Headers:       encodeHeader(answer.Header),
+		ContentLength: answer.ContentLength,
+		Upstream:      answer.Upstream,
+	}
+	if err := stream.Send(&entrypb.RelayResponse{Answer: head}); err != nil {
+		return err
+	}
+	for {
+		chunk := make([]byte, chunkBytes)
+		n, err := answer.Body.Read(chunk)
+		end := errors.Is(err, io.EOF)
+		if err != nil && !end {
+			return status.Error(codes.Aborted, "the answer of the upstream was cut")
+		}
+		if n == 0 && !end {
+			continue
+		}
+		if err := stream.Send(&entrypb.RelayResponse{Chunk: chunk[:n], End: end}); err != nil || end {
+			return err
+		}
+	}
+}
