Share table and admission: division of rates over instances, loans of tokens

Ruled out: dividing by floor(burst x parts / whole), which gives customers with small bursts nothing at every member; assigning holders for small customers beside the parts, which needs a second limit/held rule for each customer. Instead the parts are places on a line, and a token belongs to the member whose range covers its place: disjoint ranges make the sum exact for every mix of table versions.

Change: packages sharetable (record, division, driver, member) and admission (buckets, waiting, lending).

Conclusion: API stands; only the division has been tested so far.

--- /dev/null
+++ b/admission/bucket.go
@@ -0,0 +1,120 @@
+package admission
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"samphireferry.example/ferry/invariant"
+	"samphireferry.example/ferry/sharetable"
+)
+
+// InvariantRoom says that the tokens and the reserved room of a bucket are
+// within its burst.
+const InvariantRoom invariant.Name = "bucket_within_burst"
+
+// rounding is the error, in tokens, that sums of floating-point numbers may have.
+const rounding = 1e-6
+
+// Bucket is the token bucket of one customer at one entry instance. A bucket
+// stays the same while its customer is configured, so that it can be kept in
+// a routing table.
+type Bucket struct {
+	customer string
+
+	mu    sync.Mutex
+	share sharetable.Share
+	// level is the number of tokens; reserved is the room kept for loans.
+	level    float64
+	reserved float64
+	// at is the time of the last refill.
+	at time.Time
+
+	demand  demand
+	waiting []*Waiter
+	// spendAsked is the number of spend tokens in outstanding loans.
+	spendAsked int
+}
+
+// Customer returns the name of the customer.
+func (b *Bucket) Customer() string { return b.customer }
+
+// refill adds the tokens of the time since the last refill. The caller holds
+// the lock.
+func (b *Bucket) refill(now time.Time) {
+	elapsed := now.Sub(b.at)
+	if elapsed <= 0 {
+		return
+	}
+	b.at = now
+	room := max(0, float64(b.share.Burst)-b.reserved)
+	b.level = min(room, b.level+b.share.Rate*elapsed.Seconds())
+}
+
+// configure changes the share. A smaller burst cuts the tokens first, then the
+// reserved room.
+func (b *Bucket) configure(now time.Time, share sharetable.Share) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	b.share = share
+	burst := float64(share.Burst)
+	b.level = min(b.level, burst)
+	b.reserved = min(b.reserved, burst-b.level)
+}
+
+// empty removes all tokens and forgets all loans.
+func (b *Bucket) empty(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.level = 0
+	b.reserved = 0
+	b.spendAsked = 0
+	b.at = now
+}
+
+// take removes one token if there is one.
+func (b *Bucket) take() bool {
+	if b.level < 1 {
+		return false
+	}
+	b.level--
+	return true
+}
+
+// reserve keeps room for a loan.
+func (b *Bucket) reserve(tokens float64) { b.reserved += tokens }
+
+// deposit puts granted tokens into the room that was reserved for them and
+// gives up the rest of that room.
+func (b *Bucket) deposit(granted, reserved float64) {
+	room := min(reserved, b.reserved)
+	b.reserved -= room
+	b.level += min(max(granted, 0), room)
+}
+
+// within says whether the bucket keeps its invariant.
+func (b *Bucket) within() bool {
+	return b.level >= -rounding && b.reserved >= -rounding &&
+		b.level+b.reserved <= float64(b.share.Burst)+rounding
+}
+
+// retryAfter returns the time until the bucket has a whole token by itself.
+// Without a rate of its own it is the time in which the customer as a whole
+// gets one.
+func (b *Bucket) retryAfter() time.Duration {
+	rate := b.share.Rate
+	missing := 1 - b.level
+	if rate <= 0 {
+		rate = b.share.Customer.Rate
+		missing = 1
+	}
+	if rate <= 0 {
+		return maxRetryAfter
+	}
+	seconds := min(missing/rate, maxRetryAfter.Seconds())
+	return time.Duration(math.Ceil(seconds * float64(time.Second)))
+}
+
+// maxRetryAfter is the longest delay that a refusal advises.
+const maxRetryAfter = 1 * time.Hour
--- /dev/null
+++ b/admission/doc.go
@@ -0,0 +1,37 @@
+// Package admission decides whether a request is within its customer's rate,
+// and lends tokens between entry instances.
+//
+// # The bound
+//
+// Each entry instance has one token bucket for each customer, with the rate
+// and burst of its share (package sharetable). A request takes one whole token
+// or is refused. Over any window W the requests of a customer that all
+// instances together admit are at most burst + rate x W, because:
+//
+//   - the shares in use never add up to more than the whole,
+//   - tokens in a bucket plus the room that is reserved in it never exceed its
+//     burst; a smaller burst cuts them at once,
+//   - a bucket is empty after a start, a takeover and a pause, and a larger
+//     share adds no tokens by itself,
+//   - a loan moves tokens: the lender takes them out before it answers.
+//
+// The instant of an admission is the instant at which its token leaves a
+// bucket, at whichever instance.
+//
+// # Loans
+//
+// An instance whose demand exceeds its share asks others for tokens, nearest
+// first, in messages that cover many customers. Reserve tokens are asked ahead
+// of need, into room that the borrower has reserved in its bucket. Spend
+// tokens are asked for requests that wait at that moment; they count as spent
+// when they leave the lender, and what the borrower cannot use at once is
+// dropped. A lost, late or repeated answer loses tokens and never doubles
+// them: an answer counts once, and only while its loan is outstanding. A
+// lender keeps back what its own demand is about to need.
+//
+// # Limits
+//
+// A process that is suspended between the check of a request and the removal
+// of its token takes that token when it resumes: one request for each
+// goroutine that was inside Admit.
+package admission
--- /dev/null
+++ b/admission/exchange.go
@@ -0,0 +1,60 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// DefaultPlanInterval is the time between two plans of loans.
+const DefaultPlanInterval = 20 * time.Millisecond
+
+// Sender carries loan requests to other entry instances.
+type Sender interface {
+	// Lend sends the request to its peer and returns the answer. It must not
+	// repeat the request.
+	Lend(ctx context.Context, request LoanRequest) ([]Grant, error)
+}
+
+// Exchange sends the loan requests that a Limiter plans.
+type Exchange struct {
+	limiter  *Limiter
+	sender   Sender
+	interval time.Duration
+	running  sync.WaitGroup
+}
+
+// NewExchange returns an exchange that plans at the interval, and at once when
+// requests wait. An interval of 0 means DefaultPlanInterval.
+func NewExchange(limiter *Limiter, sender Sender, interval time.Duration) *Exchange {
+	return &Exchange{limiter: limiter, sender: sender, interval: orDefault(interval, DefaultPlanInterval)}
+}
+
+// Run plans and sends until ctx ends, and returns when every message has ended.
+func (e *Exchange) Run(ctx context.Context) {
+	ticker := time.NewTicker(e.interval)
+	defer ticker.Stop()
+	defer e.running.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-e.limiter.Wanted():
+		}
+		for _, request := range e.limiter.PlanLoans(time.Now()) {
+			e.running.Go(func() { e.send(ctx, request) })
+		}
+	}
+}
+
+func (e *Exchange) send(ctx context.Context, request LoanRequest) {
+	ctx, cancel := context.WithTimeout(ctx, e.limiter.settings.LoanTimeout)
+	defer cancel()
+	grants, err := e.sender.Lend(ctx, request)
+	if err != nil {
+		e.limiter.LoanLost(time.Now(), request.ID)
+		return
+	}
+	e.limiter.Granted(time.Now(), request.ID, grants)
+}
