--- /dev/null
+++ b/cmd/ferry-entry/main.go
@@ -0,0 +1,10 @@
+// Command ferry-entry is one entry instance.
+package main
+
+import (
+	"os"
+
+	"samphireferry.example/ferry/daemon"
+)
+
+func main() { os.Exit(daemon.Main("ferry-entry", os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/daemon/control.go
@@ -0,0 +1,245 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"samphireferry.example/ferry/admission"
+	"samphireferry.example/ferry/controllease"
+	"samphireferry.example/ferry/membership"
+	"samphireferry.example/ferry/moves"
+	"samphireferry.example/ferry/platform"
+	"samphireferry.example/ferry/reconcile"
+	"samphireferry.example/ferry/rollouts"
+	"samphireferry.example/ferry/routing"
+	"samphireferry.example/ferry/sharetable"
+	"samphireferry.example/ferry/splitting"
+)
+
+// control is the control state of one instance. Only the control goroutine
+// touches it.
+type control struct {
+	parts *parts
+	loop  *loop
+	// ctx ends when the instance stops; background calls use it.
+	ctx context.Context
+
+	registry *membership.Registry
+	member   *sharetable.Member
+	moves    *moves.Driver
+	rollouts *rollouts.Controller
+	splits   *splitting.Registry
+	pools    *poolSet
+
+	shareDriver *sharetable.Driver
+	executor    *reconcile.Executor
+	lease       *controllease.Lease
+	leaseRunner *controllease.Runner
+
+	table *routing.Table
+	// configData and shareData are the stored forms, for peers.
+	configData []byte
+	shareData  []byte
+	storeHeard time.Time
+	// listed are the caller addresses in the platform's list, read at listRead.
+	listed   map[string]bool
+	listRead time.Time
+	// fetches holds when records were last asked for, by rpc address.
+	fetches map[string]time.Time
+	leaving bool
+	// dirty says that the view must be published anew.
+	dirty bool
+}
+
+func newControl(ctx context.Context, p *parts, l *loop) *control {
+	now := time.Now()
+	c := &control{
+		parts: p,
+		loop:  l,
+		ctx:   ctx,
+		registry: membership.NewRegistry(membership.Config{
+			Self:     p.identity,
+			Seeds:    p.settings.Seeds,
+			Interval: p.settings.HeartbeatInterval,
+		}, now),
+		member: sharetable.NewMember(sharetable.MemberSettings{
+			Name:        p.identity.GetAddress(),
+			Incarnation: p.identity.GetIncarnation(),
+			Checker:     p.invariants,
+		}, now),
+		moves:    moves.NewDriver(p.invariants),
+		rollouts: rollouts.NewController(p.invariants),
+		splits:   splitting.NewRegistry(p.invariants),
+		pools:    newPoolSet(p),
+		fetches:  map[string]time.Time{},
+		shareDriver: sharetable.NewDriver(sharetable.DriverSettings{
+			Checker: p.invariants,
+			Log:     p.log,
+		}),
+	}
+	c.pools.setPeers(c.registry.Snapshot(now))
+	c.addControlWork()
+	return c
+}
+
+// addControlWork prepares what this instance does while it holds the control
+// lease.
+func (c *control) addControlWork() {
+	p := c.parts
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	c.lease = controllease.New(controllease.Options{Rand: random})
+	c.leaseRunner = controllease.NewRunner(c.lease, p.store, p.identity.GetIncarnation(),
+		func(r controllease.Result) { c.loop.post(leaseResult{r}) }, p.metrics)
+	c.executor = reconcile.NewExecutor(reconcile.Options{
+		Store:   p.store,
+		Held:    c.leaseRunner.Held,
+		Post:    func(r reconcile.Result) { c.loop.post(writeResult{r}) },
+		Rand:    random,
+		Metrics: p.metrics,
+	})
+	c.executor.Add(platform.KeyShares, c.shareDriver)
+	c.executor.Add(platform.PrefixMoves, c.moves)
+	c.executor.Add(platform.PrefixRollouts, c.rollouts.Driver())
+}
+
+// leaseResult is the outcome of a call for the control lease.
+type leaseResult struct{ result controllease.Result }
+
+func (e leaseResult) apply(c *control, now time.Time) { c.leaseRunner.Handle(now, e.result) }
+
+// writeResult is the outcome of a call of the executor.
+type writeResult struct{ result reconcile.Result }
+
+func (e writeResult) apply(c *control, now time.Time) { c.executor.HandleResult(now, e.result) }
+
+// background runs a call outside the control goroutine; the event that it
+// returns, if any, is applied to the control state.
+func (c *control) background(timeout time.Duration, call func(ctx context.Context) event) {
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, timeout)
+		defer cancel()
+		if e := call(ctx); e != nil {
+			c.loop.post(e)
+		}
+	}()
+}
+
+// tick does what time alone makes due.
+func (c *control) tick(now time.Time) {
+	paused := c.member.Tick(now)
+	if c.parts.limiter.Tick(now) || paused {
+		c.parts.log.Warn("control goroutine was paused; rate shares must be confirmed again")
+		c.applyShares(now)
+	}
+	c.sendHeartbeats(now)
+	c.sendLoans(now)
+	c.moves.Tick(now)
+	if c.rollouts.Tick(now) || c.shifting() {
+		c.dirty = true
+	}
+	c.updatePeers(now)
+	c.doControlWork(now)
+	c.parts.state.Store(c.state(now))
+}
+
+// shifting says whether the splits change with time.
+func (c *control) shifting() bool {
+	return c.table != nil && len(c.table.Set.Moves)+len(c.table.Set.Rollouts) > 0
+}
+
+// doControlWork drives the records in the store, if this instance holds the
+// control lease.
+func (c *control) doControlWork(now time.Time) {
+	c.lease.SetMembers(len(c.pools.peers.All) + 1)
+	c.leaseRunner.Tick(c.ctx, now)
+	c.setShareView(now)
+	c.setShiftInputs()
+	c.executor.Step(c.ctx, now)
+}
+
+// updatePeers takes over what the registry knows.
+func (c *control) updatePeers(now time.Time) {
+	peers := c.registry.Snapshot(now)
+	if peers == c.pools.peers {
+		return
+	}
+	c.pools.setPeers(peers)
+	c.parts.limiter.SetPeers(lenders(peers))
+	c.rollouts.SetInstances(len(peers.All) + 1)
+	c.dirty = true
+}
+
+// publish makes the control state visible to traffic goroutines.
+func (c *control) publish(now time.Time) {
+	if !c.dirty {
+		return
+	}
+	c.dirty = false
+	next := &view{
+		table:      c.table,
+		peers:      c.pools.peers,
+		pools:      c.pools.all,
+		recorders:  c.rollouts.Recorders(),
+		storeHeard: c.storeHeard,
+		leaving:    c.leaving,
+	}
+	if c.table != nil {
+		next.splits = c.splits.Build(c.rollouts.Shares(now), c.moves.Shares(now, c.table.Set.Moves))
+	}
+	c.parts.views.store(next)
+}
+
+// setTable puts a configuration in force.
+func (c *control) setTable(now time.Time, table *routing.Table) {
+	c.table = table
+	c.registry.SetRegions(table.Regions)
+	c.moves.Configure(table.Version, table.Set.Moves)
+	c.rollouts.Configure(table.Version, table.Set.Rollouts, routeNames(table))
+	c.pools.setTable(table)
+	c.applyShares(now)
+	c.dirty = true
+	c.parts.log.Info("configuration in force", zap.Uint64("version", table.Version))
+}
+
+// applyShares puts the rate shares in force and acknowledges them.
+func (c *control) applyShares(now time.Time) {
+	if c.table == nil {
+		return
+	}
+	shares := c.member.Divide(customersOf(c.table))
+	c.parts.limiter.Configure(now, shares, c.member.Confirmed())
+	if t := c.member.Table(); t != nil {
+		c.member.Applied(t.Version)
+	}
+}
+
+func customersOf(table *routing.Table) []sharetable.Customer {
+	customers := make([]sharetable.Customer, 0, len(table.Customers))
+	for _, c := range table.Customers {
+		customers = append(customers, sharetable.Customer{Name: c.Name, Rate: c.Rate, Burst: c.Burst})
+	}
+	return customers
+}
+
+func routeNames(table *routing.Table) map[string][]string {
+	names := map[string][]string{}
+	for _, r := range table.Routes {
+		names[r.Service.Name] = append(names[r.Service.Name], r.Name)
+	}
+	return names
+}
+
+// lenders returns the peers that can be asked for loans, with their distance.
+func lenders(peers *membership.Peers) []admission.Peer {
+	var all []admission.Peer
+	for _, p := range peers.All {
+		if !p.Usable() {
+			continue
+		}
+		all = append(all, admission.Peer{Name: p.Address, Distance: distanceTo(peers, p)})
+	}
+	return all
+}
--- /dev/null
+++ b/daemon/instance.go
@@ -0,0 +1,182 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/do/v2"
+	"go.uber.org/zap"
+
+	"samphireferry.example/ferry/caller"
+	"samphireferry.example/ferry/config/static"
+	"samphireferry.example/ferry/entryinstance"
+	"samphireferry.example/ferry/invariant"
+	"samphireferry.example/ferry/telemetry"
+)
+
+// Instance is one entry instance. Provision starts it, Cleanup ends it.
+type Instance struct {
+	settings *static.Settings
+	log      *zap.Logger
+	injector do.Injector
+	parts    *parts
+	loop     *loop
+	callers  *caller.Server
+	peers    *entryinstance.Server
+
+	callerListener   net.Listener
+	peerListener     net.Listener
+	operatorListener net.Listener
+	operator         *http.Server
+
+	stop    context.CancelFunc
+	running sync.WaitGroup
+}
+
+// New returns an instance that is not started. It fails if the settings cannot
+// be used, for example because of bad TLS material.
+func New(settings *static.Settings, log *zap.Logger) (*Instance, error) {
+	injector := newInjector(settings, log)
+	p, err := do.Invoke[*parts](injector)
+	if err != nil {
+		return nil, err
+	}
+	callers, err := do.Invoke[*caller.Server](injector)
+	if err != nil {
+		return nil, err
+	}
+	peers, err := do.Invoke[*entryinstance.Server](injector)
+	if err != nil {
+		return nil, err
+	}
+	return &Instance{
+		settings: settings,
+		log:      log,
+		injector: injector,
+		parts:    p,
+		loop:     do.MustInvoke[*loop](injector),
+		callers:  callers,
+		peers:    peers,
+	}, nil
+}
+
+// Provision binds the addresses and starts to serve. Binding the address of an
+// earlier process proves that it is gone.
+func (i *Instance) Provision() error {
+	err := i.listen()
+	if err != nil {
+		i.closeListeners()
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	i.stop = cancel
+	control := newControl(ctx, i.parts, i.loop)
+	i.running.Go(func() { i.loop.run(ctx, control) })
+	i.running.Go(func() { control.watchStore(ctx) })
+	i.running.Go(func() { control.readList(ctx) })
+	i.running.Go(func() { i.servePeers() })
+	i.serveOperator()
+	i.callers.Provision(i.callerListener)
+	i.log.Info("entry instance started",
+		zap.String("address", i.CallerAddress()),
+		zap.String("operator_address", i.OperatorAddress()),
+		zap.String("incarnation", i.parts.identity.GetIncarnation()))
+	return nil
+}
+
+func (i *Instance) listen() error {
+	var err error
+	i.callerListener, err = net.Listen("tcp", i.settings.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	i.peerListener, err = entryinstance.Listen(do.MustInvoke[entryinstance.Config](i.injector), i.settings.RPCListen)
+	if err != nil {
+		return errors.Wrap(err, "rpc-listen")
+	}
+	i.operatorListener, err = net.Listen("tcp", i.settings.OperatorListen)
+	return errors.Wrap(err, "operator-listen")
+}
+
+func (i *Instance) closeListeners() {
+	for _, l := range []net.Listener{i.callerListener, i.peerListener, i.operatorListener} {
+		if l != nil {
+			l.Close()
+		}
+	}
+}
+
+func (i *Instance) servePeers() {
+	err := i.peers.Serve(i.peerListener)
+	if err != nil {
+		i.log.Error("server for entry instances stopped", errorField(err))
+	}
+}
+
+func (i *Instance) serveOperator() {
+	i.operator = &http.Server{Handler: i.operatorHandler(), ReadHeaderTimeout: i.settings.HeaderTimeout}
+	i.running.Go(func() {
+		err := i.operator.Serve(i.operatorListener)
+		if !errors.Is(err, http.ErrServerClosed) {
+			i.log.Error("operator server stopped", errorField(err))
+		}
+	})
+}
+
+func (i *Instance) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		i.parts.metrics.WritePrometheus(w)
+	})
+	return mux
+}
+
+// CallerAddress returns the bound address for callers.
+func (i *Instance) CallerAddress() string { return i.callerListener.Addr().String() }
+
+// OperatorAddress returns the bound address of the status API and the metrics.
+func (i *Instance) OperatorAddress() string { return i.operatorListener.Addr().String() }
+
+// Metrics returns the counters of the instance.
+func (i *Instance) Metrics() *telemetry.Metrics { return i.parts.metrics }
+
+// Invariants returns the checker of the instance.
+func (i *Instance) Invariants() *invariant.Checker { return i.parts.invariants }
+
+// cleanupTimeout bounds what follows after the requests have ended.
+const cleanupTimeout = 5 * time.Second
+
+// Cleanup ends the instance gracefully: callers and peers learn that it leaves,
+// running requests end, then everything is closed. It returns an error when
+// requests were cut because the context ended.
+func (i *Instance) Cleanup(ctx context.Context) error {
+	i.loop.post(leave{})
+	err := i.callers.Cleanup(ctx)
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), cleanupTimeout)
+	defer cancel()
+	i.peers.Shutdown(stopping)
+	_ = i.operator.Shutdown(stopping)
+	i.stop()
+	i.running.Wait()
+	i.parts.peers.Close()
+	i.parts.upstreams.Close()
+	i.log.Info("entry instance stopped")
+	return err
+}
+
+// leave marks the instance as leaving.
+type leave struct{}
+
+func (leave) apply(c *control, now time.Time) {
+	c.leaving = true
+	c.dirty = true
+	c.lease.Resign()
+	c.parts.state.Store(c.state(now))
+	c.registry.Leaving(now)
+	c.sendHeartbeats(now)
+}
--- /dev/null
+++ b/daemon/pools.go
@@ -0,0 +1,126 @@
+package daemon
+
+import (
+	"samphireferry.example/ferry/balancing"
+	"samphireferry.example/ferry/membership"
+	"samphireferry.example/ferry/routing"
+	"samphireferry.example/ferry/rpc/entrypb"
+)
+
+// poolSet keeps the pools of the upstreams that this instance owns.
+type poolSet struct {
+	parts *parts
+	table *routing.Table
+	peers *membership.Peers
+	// all is replaced, never changed, so that views can share it.
+	all map[poolKey]*balancing.Pool
+	// owned are the upstreams of all pools.
+	owned   []*routing.Upstream
+	leaving map[string]bool
+}
+
+func newPoolSet(p *parts) *poolSet {
+	return &poolSet{parts: p, peers: &membership.Peers{}, all: map[poolKey]*balancing.Pool{}}
+}
+
+func (s *poolSet) setTable(table *routing.Table) {
+	s.table = table
+	s.update()
+}
+
+func (s *poolSet) setPeers(peers *membership.Peers) {
+	s.peers = peers
+	s.update()
+}
+
+// setLeaving takes the names of the upstreams that the platform lists as leaving.
+func (s *poolSet) setLeaving(names map[string]bool) {
+	s.leaving = names
+	for _, pool := range s.all {
+		pool.SetLeaving(names)
+	}
+}
+
+// observe passes the result of a probe to the pool of the upstream.
+func (s *poolSet) observe(result balancing.ProbeResult) {
+	for _, u := range s.owned {
+		if u.Name == result.Upstream {
+			s.all[poolKey{u.Service, u.Version}].Observe(result)
+			return
+		}
+	}
+}
+
+// update divides the upstreams among the live instances anew.
+func (s *poolSet) update() {
+	if s.table == nil {
+		return
+	}
+	instances := liveInstances(s.peers)
+	next := map[poolKey]*balancing.Pool{}
+	s.owned = nil
+	for _, service := range s.table.Services {
+		owned := balancing.Owned(s.peers.Self.Name, service.Upstreams, instances)
+		s.owned = append(s.owned, owned...)
+		for _, version := range service.Versions {
+			key := poolKey{service.Name, version}
+			next[key] = s.pool(key, service)
+			next[key].Update(ofVersion(owned, version))
+		}
+	}
+	s.all = next
+	s.parts.upstreams.Retain(s.owned)
+}
+
+func (s *poolSet) pool(key poolKey, service *routing.Service) *balancing.Pool {
+	if pool := s.all[key]; pool != nil {
+		return pool
+	}
+	pool := balancing.NewPool(balancing.PoolOptions{
+		QueueTimeout: service.QueueTimeout,
+		Checker:      s.parts.invariants,
+	})
+	pool.SetLeaving(s.leaving)
+	return pool
+}
+
+// loads describes the pools in a heartbeat.
+func (s *poolSet) loads() []*entrypb.ServiceLoad {
+	var loads []*entrypb.ServiceLoad
+	for key, pool := range s.all {
+		load := pool.Load()
+		if load.Slots == 0 && load.InUse == 0 {
+			continue
+		}
+		loads = append(loads, &entrypb.ServiceLoad{
+			Service: key.service,
+			Version: key.version,
+			Slots:   uint32(load.Slots),
+			InUse:   uint32(load.InUse),
+		})
+	}
+	return loads
+}
+
+func ofVersion(upstreams []*routing.Upstream, version string) []*routing.Upstream {
+	var matching []*routing.Upstream
+	for _, u := range upstreams {
+		if u.Version == version {
+			matching = append(matching, u)
+		}
+	}
+	return matching
+}
+
+// liveInstances returns the instances that can own upstreams: this one and all
+// that are neither silent nor leaving.
+func liveInstances(peers *membership.Peers) []balancing.Instance {
+	self := peers.Self
+	instances := []balancing.Instance{{Name: self.Name, FailureDomain: self.FailureDomain, Region: self.Region}}
+	for _, p := range peers.All {
+		if p.Health != membership.Silent && !p.Leaving {
+			instances = append(instances, balancing.Instance{Name: p.Name, FailureDomain: p.FailureDomain, Region: p.Region})
+		}
+	}
+	return instances
+}
--- /dev/null
+++ b/daemon/shares.go
@@ -0,0 +1,169 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"samphireferry.example/ferry/admission"
+	"samphireferry.example/ferry/membership"
+	"samphireferry.example/ferry/rpc/entrypb"
+	"samphireferry.example/ferry/sharetable"
+)
+
+// heardShares takes in the share table version of a peer.
+func (c *control) heardShares(now time.Time, answer sharetable.Answer) {
+	confirmed := c.member.Confirmed()
+	c.member.Heard(answer)
+	c.shareDriver.Ack(now, answer)
+	if c.member.Confirmed() != confirmed {
+		c.applyShares(now)
+	}
+}
+
+// adoptShares takes in a stored share table from any source.
+func (c *control) adoptShares(now time.Time, data []byte) {
+	table, err := sharetable.Decode(data)
+	if err != nil {
+		c.parts.log.Error("share table cannot be read", errorField(err))
+		return
+	}
+	confirmed := c.member.Confirmed()
+	if c.member.Adopt(table) {
+		c.shareData = data
+	} else if c.member.Confirmed() == confirmed {
+		return
+	}
+	c.applyShares(now)
+	c.dirty = true
+}
+
+// setShareView tells the driver which instances are there.
+func (c *control) setShareView(now time.Time) {
+	peers := c.pools.peers
+	candidates := []sharetable.Candidate{{
+		Name:         c.parts.identity.GetAddress(),
+		Incarnation:  c.parts.identity.GetIncarnation(),
+		WitnessGroup: c.witnessGroup(c.parts.identity.GetFailureDomain(), c.parts.identity.GetRegion()),
+		Listed:       c.listed[c.parts.identity.GetAddress()],
+		Reachable:    true,
+		Leaving:      c.leaving,
+	}}
+	for _, p := range peers.All {
+		if p.Incarnation == "" {
+			continue
+		}
+		candidates = append(candidates, sharetable.Candidate{
+			Name:         p.Address,
+			Incarnation:  p.Incarnation,
+			WitnessGroup: c.witnessGroup(p.FailureDomain, p.Region),
+			Listed:       p.Listed,
+			Reachable:    p.Usable(),
+			Leaving:      p.Leaving,
+		})
+	}
+	listRead := !c.listRead.IsZero() && now.Sub(c.listRead) < 3*listInterval
+	c.shareDriver.SetMembers(now, sharetable.View{Candidates: candidates, ListRead: listRead})
+	c.shareDriver.Ack(now, sharetable.Answer{
+		Name:        c.parts.identity.GetAddress(),
+		Incarnation: c.parts.identity.GetIncarnation(),
+		Applied:     c.member.Acknowledged(),
+		Leaving:     c.leaving,
+		AskedAt:     now,
+	})
+}
+
+// loanTimeout bounds one loan request; the limiter gives up earlier.
+const loanTimeout = 500 * time.Millisecond
+
+// sendLoans asks peers for the tokens that the customers here lack.
+func (c *control) sendLoans(now time.Time) {
+	for _, request := range c.parts.limiter.PlanLoans(now) {
+		peer := c.peerByAddress(request.Peer)
+		if peer == nil {
+			c.parts.limiter.LoanLost(now, request.ID)
+			continue
+		}
+		message := loanMessage(c.parts.identity, c.member.Acknowledged(), request)
+		address := peer.RPCAddress
+		c.background(loanTimeout, func(ctx context.Context) event {
+			c.borrow(ctx, address, request.ID, message)
+			return nil
+		})
+	}
+}
+
+// borrow makes one loan request. The limiter takes answers from any goroutine.
+func (c *control) borrow(ctx context.Context, address string, id uint64, message *entrypb.LendRequest) {
+	client, err := c.parts.peers.Client(address)
+	if err != nil {
+		c.parts.limiter.LoanLost(time.Now(), id)
+		return
+	}
+	response, err := client.Lend(ctx, message)
+	if err != nil {
+		c.parts.limiter.LoanLost(time.Now(), id)
+		return
+	}
+	c.parts.limiter.Granted(time.Now(), id, grantsOf(response))
+}
+
+func loanMessage(self *entrypb.Identity, version uint64, request admission.LoanRequest) *entrypb.LendRequest {
+	message := &entrypb.LendRequest{
+		Borrower:     self.GetName(),
+		Incarnation:  self.GetIncarnation(),
+		ShareVersion: version,
+	}
+	for _, item := range request.Items {
+		message.Requests = append(message.Requests, &entrypb.TokenRequest{
+			Customer: item.Customer,
+			Reserve:  item.Reserve,
+			Spend:    item.Spend,
+		})
+	}
+	return message
+}
+
+func grantsOf(response *entrypb.LendResponse) []admission.Grant {
+	grants := make([]admission.Grant, 0, len(response.GetGrants()))
+	for _, g := range response.GetGrants() {
+		grants = append(grants, admission.Grant{
+			Customer:  g.GetCustomer(),
+			Reserve:   g.GetReserve(),
+			Spend:     g.GetSpend(),
+			Remaining: g.GetRemaining(),
+		})
+	}
+	return grants
+}
+
+func itemsOf(request *entrypb.LendRequest) []admission.Item {
+	items := make([]admission.Item, 0, len(request.GetRequests()))
+	for _, r := range request.GetRequests() {
+		items = append(items, admission.Item{
+			Customer: r.GetCustomer(),
+			Reserve:  r.GetReserve(),
+			Spend:    r.GetSpend(),
+		})
+	}
+	return items
+}
+
+// witnessGroup names the instances that vouch for each other's tables: those of
+// the region in a small fleet, where a failure domain may have a single
+// instance, and those of the failure domain in a large one.
+func (c *control) witnessGroup(domain, region string) string {
+	if len(c.pools.peers.All) < membership.FullMeshLimit {
+		return "region/" + region
+	}
+	return "domain/" + domain
+}
+
+// peerByAddress returns the peer with the caller address, or nil.
+func (c *control) peerByAddress(address string) *membership.Peer {
+	for _, p := range c.pools.peers.All {
+		if p.Address == address {
+			return p
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/shifts.go
@@ -0,0 +1,69 @@
+package daemon
+
+import (
+	"time"
+
+	"samphireferry.example/ferry/membership"
+	"samphireferry.example/ferry/moves"
+	"samphireferry.example/ferry/rollouts"
+	"samphireferry.example/ferry/rpc/entrypb"
+	"samphireferry.example/ferry/shift"
+)
+
+// setShiftInputs tells the drivers of moves and roll-outs what the heartbeats
+// say about loads and applied steps.
+func (c *control) setShiftInputs() {
+	if !c.shifting() {
+		return
+	}
+	sum := newLoadSum(time.Now())
+	sum.add(c.pools.peers.Self.FailureDomain, c.pools.loads(), time.Now())
+	applied := shift.AppliedSteps(c.steps())
+	for _, p := range c.pools.peers.All {
+		if p.State == nil || p.Health == membership.Silent {
+			continue
+		}
+		sum.add(p.FailureDomain, p.State.GetLoads(), p.LastHeard)
+		lowest(applied, p.State.GetAppliedSteps())
+	}
+	c.moves.SetInputs(moves.Inputs{Loads: sum.byDomain, Applied: applied})
+	c.rollouts.Driver().SetInputs(rollouts.Inputs{Loads: sum.byVersion, Applied: applied})
+}
+
+// lowest lowers each step to that of one more instance.
+func lowest(steps shift.AppliedSteps, other map[string]uint64) {
+	for key, step := range steps {
+		steps[key] = min(step, other[key])
+	}
+}
+
+// loadSum adds the loads of all instances up.
+type loadSum struct {
+	now       time.Time
+	byDomain  map[moves.Target]shift.Load
+	byVersion map[rollouts.Target]shift.Load
+}
+
+func newLoadSum(now time.Time) *loadSum {
+	return &loadSum{now: now, byDomain: map[moves.Target]shift.Load{}, byVersion: map[rollouts.Target]shift.Load{}}
+}
+
+func (s *loadSum) add(domain string, loads []*entrypb.ServiceLoad, heard time.Time) {
+	age := s.now.Sub(heard)
+	for _, load := range loads {
+		target := moves.Target{Service: load.GetService(), FailureDomain: domain}
+		s.byDomain[target] = plus(s.byDomain[target], load, age)
+		version := rollouts.Target{Service: load.GetService(), Version: load.GetVersion()}
+		s.byVersion[version] = plus(s.byVersion[version], load, age)
+	}
+}
+
+func plus(sum shift.Load, load *entrypb.ServiceLoad, age time.Duration) shift.Load {
+	sum.Slots += int(load.GetSlots())
+	sum.InUse += int(load.GetInUse())
+	sum.Age = max(sum.Age, age)
+	if load.GetSlots() > 0 {
+		sum.Healthy++
+	}
+	return sum
+}
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -9,7 +9,6 @@
 	"samphireferry.example/ferry/rollouts"
 	"samphireferry.example/ferry/routing"
 	"samphireferry.example/ferry/splitting"
-	"samphireferry.example/ferry/steering"
 )
 
 // poolKey names the upstreams of one version of a service.
@@ -26,7 +25,6 @@
 	peers *membership.Peers
 	// pools hold the upstreams that this instance owns.
 	pools     map[poolKey]*balancing.Pool
-	blocks    *steering.Blocks
 	splits    *splitting.Snapshot
 	recorders *rollouts.Recorders
 	// storeHeard is when word from the store last arrived by any path.
--- /dev/null
+++ b/daemon/wiring.go
@@ -0,0 +1,196 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/samber/do/v2"
+	"go.uber.org/zap"
+
+	"samphireferry.example/ferry/admission"
+	"samphireferry.example/ferry/caller"
+	"samphireferry.example/ferry/config/static"
+	"samphireferry.example/ferry/dispatch"
+	"samphireferry.example/ferry/entryinstance"
+	"samphireferry.example/ferry/invariant"
+	"samphireferry.example/ferry/platform"
+	"samphireferry.example/ferry/relay"
+	"samphireferry.example/ferry/rpc/entrypb"
+	"samphireferry.example/ferry/telemetry"
+	"samphireferry.example/ferry/upstream"
+)
+
+// newInjector returns the container that makes each part of an instance on
+// first use.
+func newInjector(settings *static.Settings, log *zap.Logger) do.Injector {
+	i := do.New()
+	do.ProvideValue(i, settings)
+	do.ProvideValue(i, log)
+	do.ProvideValue(i, telemetry.New())
+	do.ProvideValue(i, newViews())
+	do.ProvideValue(i, newLoop())
+	do.Provide(i, provideInvariants)
+	do.Provide(i, provideIdentity)
+	do.Provide(i, providePlatform)
+	do.Provide(i, providePeerConfig)
+	do.Provide(i, providePeers)
+	do.Provide(i, provideUpstreams)
+	do.Provide(i, provideLimiter)
+	do.Provide(i, provideParts)
+	do.Provide(i, provideLocal)
+	do.Provide(i, provideRelay)
+	do.Provide(i, provideDispatcher)
+	do.Provide(i, provideEntryServer)
+	do.Provide(i, provideCallerServer)
+	return i
+}
+
+func provideInvariants(i do.Injector) (*invariant.Checker, error) {
+	checker := &invariant.Checker{Log: do.MustInvoke[*zap.Logger](i)}
+	do.MustInvoke[*telemetry.Metrics](i).WatchInvariants(checker)
+	return checker, nil
+}
+
+func provideIdentity(i do.Injector) (*entrypb.Identity, error) {
+	settings := do.MustInvoke[*static.Settings](i)
+	return &entrypb.Identity{
+		Name:          settings.Name,
+		Incarnation:   uuid.NewString(),
+		Address:       settings.Advertise,
+		RpcAddress:    settings.RPCAdvertise,
+		FailureDomain: settings.FailureDomain,
+		Region:        settings.Region,
+	}, nil
+}
+
+func providePlatform(i do.Injector) (*platform.Client, error) {
+	settings := do.MustInvoke[*static.Settings](i)
+	return platform.NewClient(platform.ClientOptions{
+		URL:     settings.Platform,
+		Seed:    uint64(time.Now().UnixNano()),
+		Metrics: do.MustInvoke[*telemetry.Metrics](i),
+	})
+}
+
+func providePeerConfig(i do.Injector) (entryinstance.Config, error) {
+	settings := do.MustInvoke[*static.Settings](i)
+	config := entryinstance.Config{
+		AllowPlaintext: settings.AllowPlaintext,
+		Invariants:     do.MustInvoke[*invariant.Checker](i),
+	}
+	if settings.TLSCert != "" {
+		config.TLS = &entryinstance.TLS{
+			CertPEM: []byte(settings.TLSCert),
+			KeyPEM:  []byte(settings.TLSKey),
+			CAPEM:   []byte(settings.TLSCA),
+		}
+	}
+	return config, nil
+}
+
+func providePeers(i do.Injector) (*entryinstance.Pool, error) {
+	return entryinstance.NewPool(do.MustInvoke[entryinstance.Config](i))
+}
+
+func provideUpstreams(do.Injector) (*upstream.Client, error) {
+	return upstream.New(upstream.Options{}), nil
+}
+
+func provideLimiter(i do.Injector) (*admission.Limiter, error) {
+	checker := do.MustInvoke[*invariant.Checker](i)
+	return admission.NewLimiter(admission.Settings{Checker: checker}, time.Now()), nil
+}
+
+func provideParts(i do.Injector) (*parts, error) {
+	client, err := do.Invoke[*platform.Client](i)
+	if err != nil {
+		return nil, err
+	}
+	peers, err := do.Invoke[*entryinstance.Pool](i)
+	if err != nil {
+		return nil, err
+	}
+	return &parts{
+		settings:   do.MustInvoke[*static.Settings](i),
+		identity:   do.MustInvoke[*entrypb.Identity](i),
+		log:        do.MustInvoke[*zap.Logger](i),
+		metrics:    do.MustInvoke[*telemetry.Metrics](i),
+		invariants: do.MustInvoke[*invariant.Checker](i),
+		views:      do.MustInvoke[*views](i),
+		store:      client,
+		lister:     client,
+		peers:      peers,
+		upstreams:  do.MustInvoke[*upstream.Client](i),
+		limiter:    do.MustInvoke[*admission.Limiter](i),
+	}, nil
+}
+
+func provideLocal(i do.Injector) (*localTarget, error) {
+	return &localTarget{views: do.MustInvoke[*views](i), client: do.MustInvoke[*upstream.Client](i)}, nil
+}
+
+func provideRelay(i do.Injector) (*relay.Client, error) {
+	peers, err := do.Invoke[*entryinstance.Pool](i)
+	if err != nil {
+		return nil, err
+	}
+	return relay.NewClient(peers, do.MustInvoke[*invariant.Checker](i)), nil
+}
+
+func provideDispatcher(i do.Injector) (*dispatch.Dispatcher, error) {
+	relays, err := do.Invoke[*relay.Client](i)
+	if err != nil {
+		return nil, err
+	}
+	choose := &chooser{
+		views: do.MustInvoke[*views](i),
+		local: do.MustInvoke[*localTarget](i),
+		relay: relays,
+	}
+	return dispatch.NewDispatcher(choose, newRetryBudget(), do.MustInvoke[*telemetry.Metrics](i)), nil
+}
+
+func provideEntryServer(i do.Injector) (*entryinstance.Server, error) {
+	p, err := do.Invoke[*parts](i)
+	if err != nil {
+		return nil, err
+	}
+	handler := &entryServer{
+		parts: p,
+		loop:  do.MustInvoke[*loop](i),
+		relay: relay.NewServer(p.views.Table, do.MustInvoke[*localTarget](i).Send),
+	}
+	return entryinstance.NewServer(do.MustInvoke[entryinstance.Config](i), handler)
+}
+
+func provideCallerServer(i do.Injector) (*caller.Server, error) {
+	p, err := do.Invoke[*parts](i)
+	if err != nil {
+		return nil, err
+	}
+	dispatcher, err := do.Invoke[*dispatch.Dispatcher](i)
+	if err != nil {
+		return nil, err
+	}
+	return caller.NewServer(callerSettings(p.settings), caller.Services{
+		Tables:         p.views,
+		Admitter:       &admitter{limiter: p.limiter},
+		Freshness:      p.views,
+		Dispatcher:     dispatcher,
+		Claims:         noClaims{},
+		EntryInstances: &entryList{parts: p},
+		Metrics:        p.metrics,
+		Log:            p.log,
+	}), nil
+}
+
+func callerSettings(s *static.Settings) caller.Settings {
+	settings := caller.DefaultSettings()
+	settings.MaxHeaderBytes = int(s.MaxHeader)
+	settings.MaxConnections = s.MaxConnections
+	settings.HeaderTimeout = s.HeaderTimeout
+	settings.BodyTimeout = s.BodyTimeout
+	settings.IdleTimeout = s.IdleTimeout
+	settings.LeaveDelay = s.LeaveDelay
+	return settings
+}
