--- /dev/null
+++ b/config/dynamic/check_services.go
@@ -0,0 +1,72 @@
+package dynamic
+
+import (
+	"net/netip"
+	"strings"
+)
+
+func (c *checker) checkServices() {
+	for i, service := range c.set.Services {
+		o := c.object(KindService, i, service.Name)
+		o.checkPath("health_path", service.HealthPath)
+		o.checkPath("load_path", service.LoadPath)
+	}
+	for i, version := range c.set.Versions {
+		o := c.object(KindVersion, i, versionName(version))
+		o.refer("service", KindService, version.Service)
+	}
+	c.checkUpstreams()
+}
+
+func (o object) checkPath(field, path string) {
+	o.require(path == "" || strings.HasPrefix(path, "/"), field, "%q does not start with \"/\"", path)
+}
+
+func (c *checker) checkUpstreams() {
+	seen := map[netip.AddrPort]string{}
+	for i, upstream := range c.set.Upstreams {
+		o := c.object(KindUpstream, i, upstream.Name)
+		if o.refer("service", KindService, upstream.Service) {
+			o.referVersion("version", upstream.Service, upstream.Version)
+		}
+		o.refer("failure_domain", KindFailureDomain, upstream.FailureDomain)
+		o.require(upstream.Slots >= 1, "slots", "must be at least 1")
+		o.require(upstream.Connections >= 0, "connections", "must not be negative")
+		fewer := upstream.Connections > 0 && upstream.Connections < upstream.Slots
+		o.require(!fewer, "connections", "fewer than the %d slots", upstream.Slots)
+		address, ok := o.parseAddress(upstream.Address)
+		if !ok {
+			continue
+		}
+		if other, taken := seen[address]; taken {
+			o.fault("address", "upstream %q has the same address", other)
+		}
+		seen[address] = upstream.Name
+	}
+}
+
+// referVersion checks that a field names a version of the service.
+func (o object) referVersion(field, service, version string) bool {
+	switch {
+	case version == "":
+		o.fault(field, "missing")
+	case !o.names[KindVersion][service+"/"+version]:
+		o.fault(field, "service %q has no version %q", service, version)
+	default:
+		return true
+	}
+	return false
+}
+
+func (o object) parseAddress(text string) (netip.AddrPort, bool) {
+	address, err := netip.ParseAddrPort(text)
+	switch {
+	case err != nil || address.Port() == 0:
+		o.fault("address", "%q is not an IP address and port such as \"10.0.0.1:8080\"", text)
+	case address.Addr().IsUnspecified() || address.Addr().IsMulticast():
+		o.fault("address", "%q is not the address of one host", text)
+	default:
+		return address, true
+	}
+	return netip.AddrPort{}, false
+}
--- a/config/dynamic/fault.go
+++ b/config/dynamic/fault.go
@@ -5,26 +5,6 @@
 	"strings"
 )
 
-// Kind names the list of a Set in which an object stands, as in the files.
-type Kind string
-
-// The kinds of objects.
-const (
-	KindRegion        Kind = "regions"
-	KindFailureDomain Kind = "failure_domains"
-	KindLink          Kind = "links"
-	KindCustomer      Kind = "customers"
-	KindKey           Kind = "keys"
-	KindService       Kind = "services"
-	KindVersion       Kind = "versions"
-	KindUpstream      Kind = "upstreams"
-	KindRoute         Kind = "routes"
-	KindClientBlock   Kind = "client_blocks"
-	KindDrain         Kind = "drains"
-	KindMove          Kind = "moves"
-	KindRollout       Kind = "rollouts"
-)
-
 // Position is a place in a file. The zero value is unknown.
 type Position struct {
 	File string `json:"file,omitempty"`
--- a/config/dynamic/parse.go
+++ b/config/dynamic/parse.go
@@ -21,22 +21,6 @@
 // listParser reads one list of a file into the Set.
 type listParser func(p *parser, value hujson.Value)
 
-var listParsers = map[Kind]listParser{
-	KindRegion:        parseList(KindRegion, func(s *Set) *[]Region { return &s.Regions }),
-	KindFailureDomain: parseList(KindFailureDomain, func(s *Set) *[]FailureDomain { return &s.FailureDomains }),
-	KindLink:          parseList(KindLink, func(s *Set) *[]Link { return &s.Links }),
-	KindCustomer:      parseList(KindCustomer, func(s *Set) *[]Customer { return &s.Customers }),
-	KindKey:           parseList(KindKey, func(s *Set) *[]Key { return &s.Keys }),
-	KindService:       parseList(KindService, func(s *Set) *[]Service { return &s.Services }),
-	KindVersion:       parseList(KindVersion, func(s *Set) *[]Version { return &s.Versions }),
-	KindUpstream:      parseList(KindUpstream, func(s *Set) *[]Upstream { return &s.Upstreams }),
-	KindRoute:         parseList(KindRoute, func(s *Set) *[]Route { return &s.Routes }),
-	KindClientBlock:   parseList(KindClientBlock, func(s *Set) *[]ClientBlock { return &s.ClientBlocks }),
-	KindDrain:         parseList(KindDrain, func(s *Set) *[]Drain { return &s.Drains }),
-	KindMove:          parseList(KindMove, func(s *Set) *[]Move { return &s.Moves }),
-	KindRollout:       parseList(KindRollout, func(s *Set) *[]Rollout { return &s.Rollouts }),
-}
-
 func (p *parser) parseFile(file File) {
 	p.file = file
 	value, err := hujson.Parse(file.Data)
@@ -52,7 +36,7 @@
 	seen := map[string]bool{}
 	for _, member := range object.Members {
 		name := memberName(member)
-		parse, known := listParsers[Kind(name)]
+		parse, known := parserOf(name)
 		switch {
 		case !known:
 			p.add(Fault{Position: p.at(member.Name.StartOffset), Message: "unknown kind of objects \"" + name + "\""})
--- a/units/units.go
+++ b/units/units.go
@@ -75,9 +75,13 @@
 // Share is a part of a whole between 0 and 1, written as "10%" or "0.5%".
 type Share float64
 
+// percentDigits leaves out the rounding error of the multiplication by 100, so
+// that a share that is written and read back keeps its value.
+const percentDigits = 15
+
 // MarshalText returns the share in percent.
 func (s Share) MarshalText() ([]byte, error) {
-	return []byte(strconv.FormatFloat(float64(s)*100, 'g', -1, 64) + "%"), nil
+	return []byte(strconv.FormatFloat(float64(s)*100, 'g', percentDigits, 64) + "%"), nil
 }
 
 // UnmarshalText reads a share in percent.
