--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -180,3 +180,6 @@
 	c.registry.Leaving(now)
 	c.sendHeartbeats(now)
 }
+
+// Home returns the first part of idempotency keys whose home is the instance.
+func (i *Instance) Home() string { return i.parts.identity.GetIncarnation() }
