--- a/membership/peer.go
+++ b/membership/peer.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"samphireferry.example/ferry/rpc/entrypb"
@@ -60,6 +62,23 @@
 // Usable says whether new work may be sent to the peer.
 func (p *Peer) Usable() bool { return p.Health == Alive && !p.Leaving }
 
+const (
+	incarnationSeparator = "_"
+	incarnationBase      = 36
+)
+
+// NewIncarnation returns the incarnation of a process that starts under the
+// name. The number must be random: two processes never use the same one.
+func NewIncarnation(name string, random uint64) string {
+	return name + incarnationSeparator + strconv.FormatUint(random, incarnationBase)
+}
+
+// nameOf returns the name in an incarnation made by NewIncarnation.
+func nameOf(incarnation string) string {
+	i := strings.LastIndex(incarnation, incarnationSeparator)
+	return incarnation[:max(i, 0)]
+}
+
 // Peers is an immutable snapshot of the other entry instances.
 type Peers struct {
 	// Self describes the instance that owns the registry.
@@ -116,9 +135,18 @@
 // ByName returns the peer with the name, or nil.
 func (p *Peers) ByName(name string) *Peer { return p.at(p.index.byName, name) }
 
-// ByIncarnation returns the peer with the incarnation, or nil.
+// ByIncarnation returns the peer with the incarnation, or nil. A peer that is
+// known from the platform's list only, without its incarnation, is found by
+// the name that NewIncarnation has put into it.
 func (p *Peers) ByIncarnation(incarnation string) *Peer {
-	return p.at(p.index.byIncarnation, incarnation)
+	if peer := p.at(p.index.byIncarnation, incarnation); peer != nil {
+		return peer
+	}
+	peer := p.ByName(nameOf(incarnation))
+	if peer == nil || peer.Incarnation != "" {
+		return nil
+	}
+	return peer
 }
 
 func (p *Peers) at(positions map[string]int, key string) *Peer {
