--- a/moves/driver.go
+++ b/moves/driver.go
@@ -81,8 +81,7 @@
 func MinDuration(m dynamic.Move) time.Duration {
 	steps := math.Ceil(float64(m.Cap)/stepOf(m) - 1e-9)
 	needed := time.Duration(steps+1) * intervalOf(m)
-	margin := shift.ClockTolerance + shift.WriteBound
-	return needed + min(margin, needed/9)
+	return needed + shift.MarginOver(needed)
 }
 
 func start(previous *Move, m dynamic.Move) shift.Change {
--- a/rollouts/plan.go
+++ b/rollouts/plan.go
@@ -52,7 +52,7 @@
 // deadline can only end with the roll-out taken back.
 func MinDuration(r dynamic.Rollout) time.Duration {
 	needed := intervalOf(r) + remaining(r, canaryOf(r)) + intervalOf(r)
-	return needed + min(shift.ClockTolerance+shift.WriteBound, needed/9)
+	return needed + shift.MarginOver(needed)
 }
 
 // latest returns the elapsed time at which the share is left without waiting
--- a/shift/doc.go
+++ b/shift/doc.go
@@ -25,10 +25,15 @@
 //     saw that step by its own monotonic clock;
 //   - the wall-clock time since the start, less ClockTolerance.
 //
-// A clock that is behind, or ahead by less than ClockTolerance, therefore
-// changes nothing. One that is further ahead ends a shift early, never late. A
-// driver ends a shift some seconds before its deadline (Margin), which leaves
-// time for a slow write. Every instance on its own stops applying a shift that
-// is neither done nor taken back shortly before the deadline, also when the
-// store is away.
+// A clock that is ahead by less than ClockTolerance therefore changes nothing,
+// and one that is further ahead ends a shift early. A process that has just
+// started knows the elapsed time from the clocks only; it can be behind by the
+// difference of the clocks and ClockTolerance. A driver ends a shift some
+// seconds before its deadline (Margin), which leaves time for that and for a
+// slow write. Every instance on its own stops applying a shift that is neither
+// done nor taken back shortly before the deadline, also when the store is away.
+// With deadlines from 80 s and clocks that differ by up to ClockTolerance, no
+// instance applies such a shift past its deadline. With shorter deadlines the
+// margins are a tenth and a twentieth of the deadline, and an instance that has
+// just started may be late by up to 2 ClockTolerance.
 package shift
--- a/shift/record.go
+++ b/shift/record.go
@@ -38,8 +38,8 @@
 
 // Times that bound a shift.
 const (
-	// ClockTolerance is the difference between clocks that has no effect.
-	ClockTolerance = 5 * time.Second
+	// ClockTolerance is the difference between two clocks that has no effect.
+	ClockTolerance = 2 * time.Second
 	// WriteBound is the longest time for which a write may be under way.
 	WriteBound = 3 * time.Second
 	// TombstoneAge is the time for which the record of a removed object is kept.
@@ -89,7 +89,19 @@
 // Margin is the time before the deadline at which a driver ends a shift that
 // is not done.
 func Margin(deadline time.Duration) time.Duration {
-	return min(ClockTolerance+WriteBound, deadline/10)
+	return min(2*ClockTolerance+WriteBound, deadline/10)
+}
+
+// MarginOver returns the margin of a deadline that leaves the needed time.
+func MarginOver(needed time.Duration) time.Duration {
+	return min(2*ClockTolerance+WriteBound, needed/9)
+}
+
+// localMargin is the time before the deadline at which an instance stops
+// applying a shift that has not ended. It covers the largest error of Elapsed
+// while clocks differ by up to ClockTolerance.
+func localMargin(deadline time.Duration) time.Duration {
+	return min(2*ClockTolerance, deadline/20)
 }
 
 // Change is what a policy wants the next record to say.
--- a/shift/tracker.go
+++ b/shift/tracker.go
@@ -49,6 +49,8 @@
 	if known != nil && r.Step <= known.record.Step || expired(now, r) {
 		return false
 	}
+	inOrder := known == nil || r.Step > known.record.Step
+	t.checker.Check(inOrder, InvariantStepOrder, r.Name+": an older step was applied")
 	t.records[r.Name] = &tracked[O]{record: r, value: value, seenAt: now}
 	return true
 }
@@ -118,7 +120,7 @@
 
 func (t *Tracker[O]) overdue(now time.Time, r *Record[O]) bool {
 	deadline := t.kind.Deadline(r.Object)
-	return t.Elapsed(now, r.Name) >= deadline-Margin(deadline)/2
+	return t.Elapsed(now, r.Name) >= deadline-localMargin(deadline)
 }
 
 // prune drops the records of objects that were removed long ago. Peers do not
