Idempotency keys on the whole path

Cause: filings were refused, since no home of keys was wired. Change: homes, claims and hand-over in the daemon; a repeat whose answer was too large to keep is told so (answer_not_kept) instead of getting an empty answer; the home to use stands once in the list of entry instances.

--- a/caller/services.go
+++ b/caller/services.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"samphireferry.example/ferry/dispatch"
+	"samphireferry.example/ferry/requestkeys"
 	"samphireferry.example/ferry/routing"
 )
 
@@ -37,7 +38,7 @@
 type Claims interface {
 	// Claim returns the right to dispatch the request once, or the recorded
 	// answer of an earlier attempt, or an error with an error kind.
-	Claim(ctx context.Context, customer *routing.Customer, key string, fingerprint []byte) (Claim, *Recorded, error)
+	Claim(ctx context.Context, customer *routing.Customer, key requestkeys.Key, fingerprint []byte) (Claim, *Recorded, error)
 }
 
 // Claim is the right to dispatch one request once. Exactly one of its methods
@@ -69,6 +70,8 @@
 type EntryInstanceList struct {
 	// TTLSeconds is the time for which the list may be used.
 	TTLSeconds int `json:"ttl_seconds" doc:"Seconds for which the list may be used."`
+	// Home is the first part of the idempotency keys to use now.
+	Home string `json:"home" doc:"First part of idempotency keys: <home>.<unique>."`
 	// Instances are in the order in which they should be tried.
 	Instances []EntryInstance `json:"entry_instances" doc:"Entry instances in the order in which they should be tried."`
 }
@@ -78,6 +81,5 @@
 	Address       string `json:"address" doc:"IP address and port for requests."`
 	FailureDomain string `json:"failure_domain" doc:"Failure domain of the instance."`
 	Region        string `json:"region" doc:"Region of the instance."`
-	Home          string `json:"home" doc:"First part of idempotency keys: <home>.<unique>."`
 	Leaving       bool   `json:"leaving" doc:"Set while the instance is shutting down."`
 }
--- a/caller/traffic.go
+++ b/caller/traffic.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"fmt"
 	"io"
 	"net/http"
@@ -17,12 +16,10 @@
 	"samphireferry.example/ferry/config/dynamic"
 	"samphireferry.example/ferry/dispatch"
 	"samphireferry.example/ferry/errkind"
+	"samphireferry.example/ferry/requestkeys"
 	"samphireferry.example/ferry/routing"
 )
 
-// HeaderIdempotencyKey ties the attempts of one at-most-once request together.
-const HeaderIdempotencyKey = "Idempotency-Key"
-
 // maxRequestDeadline bounds the deadline that a caller can ask for.
 const maxRequestDeadline = 10 * time.Minute
 
@@ -158,17 +155,16 @@
 
 // serveOnce claims the idempotency key before it dispatches.
 func (x *exchange) serveOnce(ctx context.Context) error {
-	keys := x.r.Header.Values(HeaderIdempotencyKey)
-	if len(keys) != 1 {
-		return errkind.New(errkind.IdempotencyKeyMissing, "")
+	key, err := requestkeys.FromHeader(x.r.Header)
+	if err != nil {
+		return err
 	}
-	claim, recorded, err := x.server.services.Claims.Claim(ctx, x.request.Customer, keys[0], x.fingerprint())
+	claim, recorded, err := x.server.services.Claims.Claim(ctx, x.request.Customer, key, x.fingerprint())
 	if err != nil {
 		return err
 	}
 	if recorded != nil {
-		x.replay(recorded)
-		return nil
+		return x.replay(recorded)
 	}
 	x.claim = claim
 	// A caller that goes away must not leave the outcome unknown.
@@ -185,11 +181,8 @@
 
 // fingerprint identifies the request as far as it is known before its body.
 func (x *exchange) fingerprint() []byte {
-	hash := sha256.New()
-	fmt.Fprintf(hash, "%q %q %q %q %q %d",
-		x.request.Route.Name, x.request.Method, x.request.Path, x.request.RawQuery,
-		x.r.Header.Get("Content-Type"), x.request.ContentLength)
-	return hash.Sum(nil)
+	q := x.request
+	return requestkeys.Fingerprint(q.Route.Name, q.Method, q.Path, q.RawQuery, x.r.Header, q.ContentLength)
 }
 
 // dispatch sends the request and streams the answer back.
@@ -239,15 +232,24 @@
 	x.w.WriteHeader(status)
 }
 
-// streamBuffer is the size in bytes of one read from an answer.
+// streamBuffer is the largest size in bytes of one read from an answer.
 const streamBuffer = 32 << 10
 
+// bufferSize returns the size of the buffer for an answer of the length, which
+// is negative when it is not known. One byte more shows the end at once.
+func bufferSize(contentLength int64) int64 {
+	if contentLength < 0 {
+		return streamBuffer
+	}
+	return min(contentLength+1, streamBuffer)
+}
+
 // stream copies the answer to the caller. Where its length is not known, each
 // part is sent at once. It goes on reading for the recorder when the caller of
 // an at-most-once request has gone.
 func (x *exchange) stream(answer *dispatch.Answer, recorder *bodyRecorder) error {
 	control := http.NewResponseController(x.w)
-	buffer := make([]byte, streamBuffer)
+	buffer := make([]byte, bufferSize(answer.ContentLength))
 	var writeErr error
 	for {
 		n, err := answer.Body.Read(buffer)
@@ -300,14 +302,14 @@
 }
 
 // replay answers a repeat with the recorded answer.
-func (x *exchange) replay(recorded *Recorded) {
-	x.w.Header().Set("Ferry-Replayed", "true")
+func (x *exchange) replay(recorded *Recorded) error {
 	if recorded.BodyOmitted {
-		x.writeHead(recorded.Status, recorded.Header, 0)
-		return
+		return errkind.New(errkind.AnswerNotKept, fmt.Sprintf("its status was %d", recorded.Status))
 	}
+	x.w.Header().Set("Ferry-Replayed", "true")
 	x.writeHead(recorded.Status, recorded.Header, int64(len(recorded.Body)))
 	_, _ = x.w.Write(recorded.Body)
+	return nil
 }
 
 // refuse settles the claim, counts the error and answers with it. An answer
--- a/caller/traffic_test.go
+++ b/caller/traffic_test.go
@@ -18,6 +18,7 @@
 	"samphireferry.example/ferry/config/dynamic"
 	"samphireferry.example/ferry/dispatch"
 	"samphireferry.example/ferry/errkind"
+	"samphireferry.example/ferry/requestkeys"
 	"samphireferry.example/ferry/routing"
 	"samphireferry.example/ferry/telemetry"
 )
@@ -54,7 +55,7 @@
 	return f.answer()
 }
 
-func (f *fakes) Claim(context.Context, *routing.Customer, string, []byte) (Claim, *Recorded, error) {
+func (f *fakes) Claim(context.Context, *routing.Customer, requestkeys.Key, []byte) (Claim, *Recorded, error) {
 	if f.claimErr != nil {
 		return nil, nil, f.claimErr
 	}
@@ -133,13 +134,13 @@
 		"body too large":     {path: "/read", key: "key-a", body: strings.Repeat("x", 101), want: errkind.BodyTooLarge},
 		"over the rate":      {path: "/read", key: "key-a", change: func(f *fakes) { f.admitErr = refuse(errkind.RateExceeded) }, want: errkind.RateExceeded},
 		"no idempotency key": {path: "/file", key: "key-a", want: errkind.IdempotencyKeyMissing},
-		"in progress": {path: "/file", key: "key-a", idempotencyKey: "h.1", want: errkind.IdempotencyInProgress,
+		"in progress": {path: "/file", key: "key-a", idempotencyKey: "h~0.1", want: errkind.IdempotencyInProgress,
 			change: func(f *fakes) { f.claimErr = refuse(errkind.IdempotencyInProgress) }},
 		"upstream failed": {path: "/read", key: "key-a", want: errkind.UpstreamFailed, dispatched: true,
 			change: func(f *fakes) { f.answer = f.fails(errkind.UpstreamFailed) }},
-		"filing not run": {path: "/file", key: "key-a", idempotencyKey: "h.1", want: errkind.Overloaded, dispatched: true,
+		"filing not run": {path: "/file", key: "key-a", idempotencyKey: "h~0.1", want: errkind.Overloaded, dispatched: true,
 			settled: "not-run", change: func(f *fakes) { f.answer = f.fails(errkind.Overloaded) }},
-		"filing unknown": {path: "/file", key: "key-a", idempotencyKey: "h.1", want: errkind.UpstreamTimeout, dispatched: true,
+		"filing unknown": {path: "/file", key: "key-a", idempotencyKey: "h~0.1", want: errkind.UpstreamTimeout, dispatched: true,
 			settled: "unknown", change: func(f *fakes) { f.answer = f.fails(errkind.UpstreamTimeout) }},
 	}
 	for name, c := range cases {
@@ -152,7 +153,7 @@
 			s := newTestServer(f)
 			r := httptest.NewRequest("POST", c.path, strings.NewReader(c.body))
 			setHeader(r, "Authorization", "Bearer ", c.key)
-			setHeader(r, HeaderIdempotencyKey, "", c.idempotencyKey)
+			setHeader(r, requestkeys.Header, "", c.idempotencyKey)
 			w := httptest.NewRecorder()
 			s.ServeHTTP(w, r)
 
@@ -182,7 +183,7 @@
 	s := newTestServer(f)
 	r := httptest.NewRequest("POST", "/file/x?a=1&b=key-a", strings.NewReader("vote"))
 	r.Header.Set("Authorization", "Bearer key-a")
-	r.Header.Set(HeaderIdempotencyKey, "home.1")
+	r.Header.Set(requestkeys.Header, "home~0.1")
 	w := httptest.NewRecorder()
 	s.ServeHTTP(w, r)
 
@@ -203,7 +204,7 @@
 	s := newTestServer(f)
 	r := httptest.NewRequest("POST", "/file/x", nil)
 	r.Header.Set("Authorization", "Bearer key-a")
-	r.Header.Set(HeaderIdempotencyKey, "home.1")
+	r.Header.Set(requestkeys.Header, "home~0.1")
 	w := httptest.NewRecorder()
 	s.ServeHTTP(w, r)
 	assert.Equal(t, w.Code, 201)
@@ -222,7 +223,7 @@
 	r, err := http.NewRequest("POST", server.URL+"/file/x", nil)
 	assert.NilError(t, err)
 	r.Header.Set("Authorization", "Bearer key-a")
-	r.Header.Set(HeaderIdempotencyKey, "home.1")
+	r.Header.Set(requestkeys.Header, "home~0.1")
 	response, err := http.DefaultClient.Do(r)
 	assert.NilError(t, err)
 	defer response.Body.Close()
--- /dev/null
+++ b/daemon/claims.go
@@ -0,0 +1,94 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"samphireferry.example/ferry/caller"
+	"samphireferry.example/ferry/requestkeys"
+	"samphireferry.example/ferry/routing"
+	"samphireferry.example/ferry/rpc/entrypb"
+)
+
+// claims implements caller.Claims.
+type claims struct {
+	resolver *requestkeys.Resolver
+	log      *zap.Logger
+	// settling counts the outcomes that are on their way to a home.
+	settling sync.WaitGroup
+}
+
+// Claim implements caller.Claims.
+func (c *claims) Claim(ctx context.Context, customer *routing.Customer, key requestkeys.Key, fingerprint []byte) (caller.Claim, *caller.Recorded, error) {
+	decision, err := c.resolver.Claim(ctx, requestkeys.Request{
+		Key:         key,
+		Customer:    customer.Name,
+		Fingerprint: fingerprint,
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	if decision.Grant == nil {
+		return nil, recordedOf(decision.Recorded), nil
+	}
+	return &claim{claims: c, grant: decision.Grant}, nil, nil
+}
+
+// wait returns when all outcomes have been delivered or given up.
+func (c *claims) wait() {
+	c.settling.Wait()
+	c.resolver.Wait()
+}
+
+// claim implements caller.Claim. Outcomes are delivered in the background, so
+// that the caller's answer does not wait for the home.
+type claim struct {
+	claims *claims
+	grant  *requestkeys.Grant
+}
+
+// NotRun implements caller.Claim.
+func (c *claim) NotRun() { c.settle(c.grant.NotRun) }
+
+// Unknown implements caller.Claim.
+func (c *claim) Unknown() { c.settle(c.grant.Unknown) }
+
+// Ran implements caller.Claim.
+func (c *claim) Ran(recorded *caller.Recorded) {
+	answer := &entrypb.RecordedAnswer{
+		Status:      uint32(recorded.Status),
+		Body:        recorded.Body,
+		BodyOmitted: recorded.BodyOmitted,
+	}
+	for name, values := range recorded.Header {
+		for _, value := range values {
+			answer.Headers = append(answer.Headers, &entrypb.Header{Name: name, Value: value})
+		}
+	}
+	c.settle(func(ctx context.Context) error { return c.grant.Ran(ctx, answer) })
+}
+
+func (c *claim) settle(deliver func(ctx context.Context) error) {
+	c.claims.settling.Go(func() {
+		err := deliver(context.Background())
+		if err != nil {
+			c.claims.log.Warn("outcome of a request was not recorded", errorField(err))
+		}
+	})
+}
+
+func recordedOf(answer *entrypb.RecordedAnswer) *caller.Recorded {
+	recorded := &caller.Recorded{
+		Status:      int(answer.GetStatus()),
+		Header:      http.Header{},
+		Body:        answer.GetBody(),
+		BodyOmitted: answer.GetBodyOmitted(),
+	}
+	for _, h := range answer.GetHeaders() {
+		recorded.Header.Add(h.GetName(), h.GetValue())
+	}
+	return recorded
+}
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -15,6 +15,7 @@
 	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/entryinstance"
 	"samphireferry.example/ferry/invariant"
+	"samphireferry.example/ferry/requestkeys"
 	"samphireferry.example/ferry/telemetry"
 )
 
@@ -27,6 +28,8 @@
 	loop     *loop
 	callers  *caller.Server
 	peers    *entryinstance.Server
+	keys     *requestkeys.Service
+	claims   *claims
 
 	callerListener   net.Listener
 	peerListener     net.Listener
@@ -61,6 +64,8 @@
 		loop:     do.MustInvoke[*loop](injector),
 		callers:  callers,
 		peers:    peers,
+		keys:     do.MustInvoke[*requestkeys.Service](injector),
+		claims:   do.MustInvoke[*claims](injector),
 	}, nil
 }
 
@@ -159,6 +164,10 @@
 	err := i.callers.Cleanup(ctx)
 	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), cleanupTimeout)
 	defer cancel()
+	i.claims.wait()
+	if keysErr := i.keys.Leave(stopping); keysErr != nil {
+		i.log.Warn("idempotency keys were not handed over", errorField(keysErr))
+	}
 	i.peers.Shutdown(stopping)
 	_ = i.operator.Shutdown(stopping)
 	i.stop()
@@ -182,4 +191,4 @@
 }
 
 // Home returns the first part of idempotency keys whose home is the instance.
-func (i *Instance) Home() string { return i.parts.identity.GetIncarnation() }
+func (i *Instance) Home() string { return i.keys.HomeName() }
--- a/daemon/rpc.go
+++ b/daemon/rpc.go
@@ -9,6 +9,7 @@
 
 	"samphireferry.example/ferry/admission"
 	"samphireferry.example/ferry/relay"
+	"samphireferry.example/ferry/requestkeys"
 	"samphireferry.example/ferry/rpc/entrypb"
 )
 
@@ -18,6 +19,7 @@
 	parts *parts
 	loop  *loop
 	relay *relay.Server
+	keys  *requestkeys.Service
 }
 
 // Heartbeat implements entrypb.EntryServer.
@@ -86,3 +88,18 @@
 
 // Relay implements entrypb.EntryServer.
 func (s *entryServer) Relay(stream entrypb.Entry_RelayServer) error { return s.relay.Serve(stream) }
+
+// Claim implements entrypb.EntryServer.
+func (s *entryServer) Claim(ctx context.Context, request *entrypb.ClaimRequest) (*entrypb.ClaimResponse, error) {
+	return s.keys.Claim(ctx, request)
+}
+
+// Complete implements entrypb.EntryServer.
+func (s *entryServer) Complete(ctx context.Context, request *entrypb.CompleteRequest) (*entrypb.CompleteResponse, error) {
+	return s.keys.Complete(ctx, request)
+}
+
+// HandOver implements entrypb.EntryServer.
+func (s *entryServer) HandOver(ctx context.Context, request *entrypb.HandOverRequest) (*entrypb.HandOverResponse, error) {
+	return s.keys.HandOver(ctx, request)
+}
--- a/daemon/services.go
+++ b/daemon/services.go
@@ -8,6 +8,7 @@
 	"samphireferry.example/ferry/admission"
 	"samphireferry.example/ferry/caller"
 	"samphireferry.example/ferry/errkind"
+	"samphireferry.example/ferry/requestkeys"
 	"samphireferry.example/ferry/routing"
 )
 
@@ -28,19 +29,22 @@
 // entryList implements caller.EntryInstances.
 type entryList struct {
 	parts *parts
+	keys  *requestkeys.Service
 }
 
 // EntryInstances implements caller.EntryInstances.
 func (l *entryList) EntryInstances(netip.Addr) caller.EntryInstanceList {
 	v := l.parts.views.load()
-	list := caller.EntryInstanceList{TTLSeconds: int(l.parts.settings.ListTTL.Seconds())}
+	list := caller.EntryInstanceList{
+		TTLSeconds: int(l.parts.settings.ListTTL.Seconds()),
+		Home:       l.keys.HomeName(),
+	}
 	if !v.leaving {
 		self := l.parts.identity
 		list.Instances = append(list.Instances, caller.EntryInstance{
 			Address:       self.GetAddress(),
 			FailureDomain: self.GetFailureDomain(),
 			Region:        self.GetRegion(),
-			Home:          self.GetIncarnation(),
 		})
 	}
 	for _, p := range v.peers.All {
@@ -51,20 +55,11 @@
 			Address:       p.Address,
 			FailureDomain: p.FailureDomain,
 			Region:        p.Region,
-			Home:          p.Incarnation,
 		})
 	}
 	return list
 }
 
-// noClaims refuses every claim.
-type noClaims struct{}
-
-// Claim implements caller.Claims.
-func (noClaims) Claim(context.Context, *routing.Customer, string, []byte) (caller.Claim, *caller.Recorded, error) {
-	return nil, nil, errkind.New(errkind.IdempotencyHomeGone, "")
-}
-
 // retryBudget implements dispatch.Budget: each request pays for a tenth of a
 // retry.
 type retryBudget struct {
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -13,8 +13,10 @@
 	"samphireferry.example/ferry/dispatch"
 	"samphireferry.example/ferry/entryinstance"
 	"samphireferry.example/ferry/invariant"
+	"samphireferry.example/ferry/membership"
 	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/relay"
+	"samphireferry.example/ferry/requestkeys"
 	"samphireferry.example/ferry/rpc/entrypb"
 	"samphireferry.example/ferry/telemetry"
 	"samphireferry.example/ferry/upstream"
@@ -37,6 +39,8 @@
 	do.Provide(i, provideUpstreams)
 	do.Provide(i, provideLimiter)
 	do.Provide(i, provideParts)
+	do.Provide(i, provideKeys)
+	do.Provide(i, provideClaims)
 	do.Provide(i, provideLocal)
 	do.Provide(i, provideRelay)
 	do.Provide(i, provideDispatcher)
@@ -125,6 +129,29 @@
 	}, nil
 }
 
+func provideKeys(i do.Injector) (*requestkeys.Service, error) {
+	p, err := do.Invoke[*parts](i)
+	if err != nil {
+		return nil, err
+	}
+	config := requestkeys.Config{
+		Incarnation: p.identity.GetIncarnation(),
+		AcceptFor:   p.settings.KeyRetention / 2,
+		KeepFor:     p.settings.KeyRetention,
+		Invariants:  p.invariants,
+	}
+	peers := func() *membership.Peers { return p.views.load().peers }
+	return requestkeys.NewService(config, time.Now, peers, p.peers), nil
+}
+
+func provideClaims(i do.Injector) (*claims, error) {
+	keys, err := do.Invoke[*requestkeys.Service](i)
+	if err != nil {
+		return nil, err
+	}
+	return &claims{resolver: requestkeys.NewResolver(keys), log: do.MustInvoke[*zap.Logger](i)}, nil
+}
+
 func provideLocal(i do.Injector) (*localTarget, error) {
 	return &localTarget{views: do.MustInvoke[*views](i), client: do.MustInvoke[*upstream.Client](i)}, nil
 }
@@ -159,6 +186,7 @@
 		parts: p,
 		loop:  do.MustInvoke[*loop](i),
 		relay: relay.NewServer(p.views.Table, do.MustInvoke[*localTarget](i).Send),
+		keys:  do.MustInvoke[*requestkeys.Service](i),
 	}
 	return entryinstance.NewServer(do.MustInvoke[entryinstance.Config](i), handler)
 }
@@ -177,8 +205,8 @@
 		Admitter:       &admitter{limiter: p.limiter},
 		Freshness:      p.views,
 		Dispatcher:     dispatcher,
-		Claims:         noClaims{},
-		EntryInstances: &entryList{parts: p},
+		Claims:         do.MustInvoke[*claims](i),
+		EntryInstances: &entryList{parts: p, keys: do.MustInvoke[*requestkeys.Service](i)},
 		Metrics:        p.metrics,
 		Log:            p.log,
 	}), nil
--- a/demo/system_test.go
+++ b/demo/system_test.go
@@ -1,8 +1,11 @@
 package demo
 
 import (
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -59,3 +62,66 @@
 	s := startSystem(t, Options{})
 	waitReady(t, s)
 }
+
+// filing is one attempt of a filing and what the caller learnt.
+type filing struct {
+	status  int
+	outcome string
+}
+
+func file(entry, key string) filing {
+	r, err := http.NewRequest(http.MethodPost, "http://"+entry+"/filings/1", strings.NewReader("vote"))
+	if err != nil {
+		return filing{outcome: err.Error()}
+	}
+	r.Header.Set("Authorization", "Bearer "+KeyLarge)
+	r.Header.Set("Idempotency-Key", key)
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return filing{outcome: err.Error()}
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return filing{status: response.StatusCode, outcome: response.Header.Get("Ferry-Outcome")}
+}
+
+// executions returns how often each idempotency key ran, over all upstreams.
+func executions(s *System) map[string]int {
+	total := map[string]int{}
+	for _, u := range s.Upstreams {
+		for key, n := range u.Ledger().Snapshot().Executions {
+			total[key] += n
+		}
+	}
+	return total
+}
+
+func TestRepeatedFilingsRunOnce(t *testing.T) {
+	s := startSystem(t, Options{})
+	waitReady(t, s)
+	var running sync.WaitGroup
+	keys := 20
+	for k := range keys {
+		key := fmt.Sprintf("%s.vote-%d", s.Entries[k%len(s.Entries)].Home(), k)
+		for attempt := range 3 {
+			entry := s.Entries[(k+3*attempt)%len(s.Entries)].CallerAddress()
+			running.Go(func() { file(entry, key) })
+		}
+	}
+	running.Wait()
+	for k := range keys {
+		key := fmt.Sprintf("%s.vote-%d", s.Entries[k%len(s.Entries)].Home(), k)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			last := file(s.Entries[0].CallerAddress(), key)
+			if last.status == http.StatusOK && last.outcome == "ran" {
+				return poll.Success()
+			}
+			return poll.Continue("%s: %v", key, last)
+		}, poll.WithTimeout(20*time.Second))
+	}
+	ran := executions(s)
+	assert.Equal(t, len(ran), keys)
+	for key, n := range ran {
+		assert.Equal(t, n, 1, key)
+	}
+}
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -59,6 +59,9 @@
 	IdempotencyFull
 	// OutcomeUnknown is a repeat of a request whose outcome is not known.
 	OutcomeUnknown
+	// AnswerNotKept is a repeat of a request that ran, whose answer was too
+	// large to keep.
+	AnswerNotKept
 	// NoConfiguration is an entry instance that has no configuration yet.
 	NoConfiguration
 	// NoUpstream is a service without a healthy upstream in reach.
@@ -156,6 +159,7 @@
 	IdempotencyHomeGone:    {"idempotency_home_gone", http.StatusServiceUnavailable, Unknown, RetrySameKey, longRetry, "the home of the idempotency key cannot be reached; this attempt was not sent"},
 	IdempotencyFull:        {"idempotency_full", http.StatusServiceUnavailable, NotRun, RetryLater, longRetry, "the home of the idempotency key has no room"},
 	OutcomeUnknown:         {"outcome_unknown", http.StatusConflict, Unknown, RetryNever, 0, "the first request with this idempotency key has an unknown outcome"},
+	AnswerNotKept:          {"answer_not_kept", http.StatusConflict, Ran, RetryNever, 0, "the request ran, but its answer was too large to keep"},
 	NoConfiguration:        {"no_configuration", http.StatusServiceUnavailable, NotRun, RetryElsewhere, shortRetry, "the entry instance has no configuration yet"},
 	NoUpstream:             {"no_upstream", http.StatusServiceUnavailable, NotRun, RetryLater, shortRetry, "no healthy upstream is in reach"},
 	Overloaded:             {"overloaded", http.StatusServiceUnavailable, NotRun, RetryLater, shortRetry, "the upstreams have no free slot"},
