--- a/daemon/pools.go
+++ b/daemon/pools.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"slices"
+
 	"samphireferry.example/ferry/balancing"
 	"samphireferry.example/ferry/membership"
 	"samphireferry.example/ferry/routing"
@@ -17,6 +19,8 @@
 	// owned are the upstreams of all pools.
 	owned   []*routing.Upstream
 	leaving map[string]bool
+	// live are the instances among which the upstreams were divided.
+	live []balancing.Instance
 }
 
 func newPoolSet(p *parts) *poolSet {
@@ -28,8 +32,14 @@
 	s.update()
 }
 
+// setPeers divides the upstreams anew when the set of live instances changed.
 func (s *poolSet) setPeers(peers *membership.Peers) {
 	s.peers = peers
+	live := liveInstances(peers)
+	if slices.Equal(live, s.live) {
+		return
+	}
+	s.live = live
 	s.update()
 }
 
@@ -56,11 +66,10 @@
 	if s.table == nil {
 		return
 	}
-	instances := liveInstances(s.peers)
 	next := map[poolKey]*balancing.Pool{}
 	s.owned = nil
 	for _, service := range s.table.Services {
-		owned := balancing.Owned(s.peers.Self.Name, service.Upstreams, instances)
+		owned := balancing.Owned(s.peers.Self.Name, service.Upstreams, s.live)
 		s.owned = append(s.owned, owned...)
 		for _, version := range service.Versions {
 			key := poolKey{service.Name, version}
