Distribution of store records to every entry instance

Cause: an accepted configuration must reach all instances within seconds and never revert, with few calls on the store. Ruled out: versions for each kind of record in heartbeats; one revision up to which an instance is complete carries all of them, deletions included. Change: Holder, Records, Freshness, election of watchers, pulls from peers, and a Watcher. The entry protocol gets store_revision in heartbeats and entries in GetConfig (additive).

--- /dev/null
+++ b/distribution/distribution_test.go
@@ -0,0 +1,137 @@
+package distribution
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphireferry.example/ferry/config/dynamic"
+	"samphireferry.example/ferry/invariant"
+	"samphireferry.example/ferry/platform"
+	"samphireferry.example/ferry/rpc/entrypb"
+)
+
+func stored(t *testing.T, version uint64, publishID string) []byte {
+	data, err := (&dynamic.Config{Version: version, PublishID: publishID}).Encode()
+	assert.NilError(t, err)
+	return data
+}
+
+func TestHolderOffer(t *testing.T) {
+	checker := &invariant.Checker{}
+	validate := func(c *dynamic.Config) error {
+		if c.PublishID == "bad" {
+			return fmt.Errorf("refused")
+		}
+		return nil
+	}
+	h := NewHolder(validate, checker)
+	for _, c := range []struct {
+		stored     []byte
+		want       Result
+		version    uint64
+		violations int64
+	}{
+		{[]byte("{}"), Invalid, 0, 0},
+		{stored(t, 2, "a"), Adopted, 2, 0},
+		{stored(t, 2, "a"), Same, 2, 0},
+		{stored(t, 1, "b"), Older, 2, 0},
+		{stored(t, 3, "bad"), Invalid, 2, 0},
+		{stored(t, 2, "other"), Conflicting, 2, 1},
+		{stored(t, 4, "c"), Adopted, 4, 1},
+	} {
+		result, _ := h.Offer(c.stored)
+		assert.Equal(t, result, c.want)
+		assert.Equal(t, h.Version(), c.version)
+		assert.Equal(t, checker.Total(), c.violations)
+	}
+	assert.Equal(t, checker.Violations()[InvariantVersionUnique], int64(1))
+}
+
+func TestRecordsMoveOnlyForward(t *testing.T) {
+	checker := &invariant.Checker{}
+	r := NewRecords(checker)
+	entry := func(key string, revision platform.Revision) platform.Entry {
+		return platform.Entry{Key: key, Revision: revision, Value: []byte(fmt.Sprint(revision))}
+	}
+	assert.Equal(t, len(r.Replace([]platform.Entry{entry("a", 3), entry("b", 5)}, 6)), 2)
+	assert.Assert(t, !r.Observe(entry("a", 2)))
+	assert.Assert(t, r.Observe(entry("c", 9)))
+
+	// An older list neither takes back nor deletes what is newer than it.
+	assert.Equal(t, len(r.Replace([]platform.Entry{entry("a", 2)}, 4)), 0)
+	assert.Equal(t, r.Complete(), platform.Revision(6))
+
+	// A record that is unknown below the complete revision has been deleted.
+	assert.Assert(t, !r.Observe(entry("gone", 4)))
+
+	// A newer list without "b" deletes it, and leaves "c", which is newer.
+	changes := r.Replace([]platform.Entry{entry("a", 3)}, 8)
+	assert.DeepEqual(t, changes, []platform.Entry{{Key: "b", Revision: 8, Deleted: true}})
+	_, ok := r.Get("b")
+	assert.Assert(t, !ok)
+	assert.Assert(t, !r.Observe(entry("b", 5)))
+	assert.Equal(t, checker.Total(), int64(0))
+
+	r.Observe(platform.Entry{Key: "c", Revision: 9, Value: []byte("other")})
+	assert.Equal(t, checker.Violations()[InvariantRecordUnique], int64(1))
+}
+
+func TestForgottenDeletionsReachPeers(t *testing.T) {
+	peer, own := NewRecords(nil), NewRecords(nil)
+	for _, r := range []*Records{peer, own} {
+		r.Advance([]platform.Entry{{Key: "old", Revision: 1}, {Key: "kept", Revision: 2}}, 2)
+	}
+	peer.Advance([]platform.Entry{{Key: "old", Revision: 3, Deleted: true}}, 3)
+	for i := range maxTombstones {
+		revision := platform.Revision(4 + i)
+		peer.Advance([]platform.Entry{{Key: fmt.Sprint(i), Revision: revision, Deleted: true}}, revision)
+	}
+	entries, full := peer.Since(own.Complete())
+	assert.Assert(t, full)
+	own.Replace(entries, peer.Complete())
+	assert.Equal(t, len(own.List("")), 1)
+	assert.Equal(t, own.Complete(), peer.Complete())
+}
+
+func TestFreshnessOfAPeerCountsOnlyWithItsRecords(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	s := NewState(Options{Self: "a", FailureDomain: "d", Started: start})
+	_, heard := s.StoreAge(at(0))
+	assert.Assert(t, !heard)
+	s.ApplyUpdate(Update{Entries: []platform.Entry{{Key: "ferry/x", Revision: 5}}, Revision: 5, Full: true, Heard: at(0)})
+
+	peer := &entrypb.State{Identity: &entrypb.Identity{Name: "b", FailureDomain: "d"}, StoreRevision: 7, StoreAgeMs: 1000}
+	s.ObservePeer(peer, at(10), at(10))
+	age, _ := s.StoreAge(at(10))
+	assert.Equal(t, age, 10*time.Second)
+
+	pull, due := s.PlanPull(at(10))
+	assert.Assert(t, due)
+	response := &entrypb.GetConfigResponse{Revision: 7, StoreAgeMs: 2000, Entries: []*entrypb.StoreEntry{{Key: "ferry/x", Revision: 7}}}
+	assert.Equal(t, len(s.ApplyPull(pull, response, nil, at(11)).Entries), 1)
+	age, _ = s.StoreAge(at(11))
+	assert.Equal(t, age, 3*time.Second)
+
+	// A stale answer of the store, and a heartbeat under way for an unknown
+	// time, do not count as fresh.
+	s.ApplyUpdate(Update{Revision: 5, Full: true, Heard: at(20)})
+	s.ObservePeer(peer, time.Time{}, at(20))
+	age, _ = s.StoreAge(at(20))
+	assert.Equal(t, age, 12*time.Second)
+}
+
+func TestDeletionsThatAListDidNotShowReachPeers(t *testing.T) {
+	peer, own := NewRecords(nil), NewRecords(nil)
+	own.Replace([]platform.Entry{{Key: "old", Revision: 1}}, 1)
+	// The peer starts after the deletion and has never known the record.
+	peer.Replace([]platform.Entry{{Key: "kept", Revision: 3}}, 3)
+	entries, full := peer.Since(own.Complete())
+	assert.Assert(t, full)
+	own.Replace(entries, peer.Complete())
+	_, ok := own.Get("old")
+	assert.Assert(t, !ok)
+}
