--- /dev/null
+++ b/demo/system_test.go
@@ -0,0 +1,127 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"samphireferry.example/ferry/invariant"
+)
+
+func startSystem(t *testing.T, options Options) *System {
+	t.Helper()
+	options.OnViolation = func(name invariant.Name, detail string) { t.Errorf("invariant %s: %s", name, detail) }
+	s, err := Start(options)
+	t.Cleanup(func() { assert.NilError(t, s.Stop()) })
+	assert.NilError(t, err)
+	return s
+}
+
+func get(t *testing.T, url, key string) (int, string) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodGet, url, nil)
+	assert.NilError(t, err)
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(body)
+}
+
+// waitReady waits until every entry instance serves.
+func waitReady(t *testing.T, s *System) {
+	t.Helper()
+	for _, entry := range s.Entries {
+		url := "http://" + entry.CallerAddress() + "/dossiers/1"
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			status, body := get(t, url, KeyLarge)
+			if status == http.StatusOK {
+				return poll.Success()
+			}
+			return poll.Continue("%s: %d %s", url, status, body)
+		}, poll.WithTimeout(60*time.Second), poll.WithDelay(100*time.Millisecond))
+	}
+}
+
+func TestEveryEntryInstanceServesReads(t *testing.T) {
+	s := startSystem(t, Options{})
+	waitReady(t, s)
+}
+
+// filing is one attempt of a filing and what the caller learnt.
+type filing struct {
+	status  int
+	outcome string
+}
+
+func file(entry, key string) filing {
+	r, err := http.NewRequest(http.MethodPost, "http://"+entry+"/filings/1", strings.NewReader("vote"))
+	if err != nil {
+		return filing{outcome: err.Error()}
+	}
+	r.Header.Set("Authorization", "Bearer "+KeyLarge)
+	r.Header.Set("Idempotency-Key", key)
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return filing{outcome: err.Error()}
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return filing{status: response.StatusCode, outcome: response.Header.Get("Ferry-Outcome")}
+}
+
+// executions returns how often each idempotency key ran, over all upstreams.
+func executions(s *System) map[string]int {
+	total := map[string]int{}
+	for _, u := range s.Upstreams {
+		for key, n := range u.Ledger().Snapshot().Executions {
+			total[key] += n
+		}
+	}
+	return total
+}
+
+func TestRepeatedFilingsRunOnce(t *testing.T) {
+	s := startSystem(t, Options{})
+	waitReady(t, s)
+	var running sync.WaitGroup
+	keys := 20
+	for k := range keys {
+		key := fmt.Sprintf("%s.vote-%d", s.Entries[k%len(s.Entries)].Home(), k)
+		for attempt := range 3 {
+			entry := s.Entries[(k+3*attempt)%len(s.Entries)].CallerAddress()
+			running.Go(func() { file(entry, key) })
+		}
+	}
+	running.Wait()
+	for k := range keys {
+		key := fmt.Sprintf("%s.vote-%d", s.Entries[k%len(s.Entries)].Home(), k)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			last := file(s.Entries[0].CallerAddress(), key)
+			if last.status == http.StatusOK && last.outcome == "ran" {
+				return poll.Success()
+			}
+			return poll.Continue("%s: %v", key, last)
+		}, poll.WithTimeout(20*time.Second))
+	}
+	ran := executions(s)
+	assert.Equal(t, len(ran), keys)
+	for key, n := range ran {
+		assert.Equal(t, n, 1, key)
+	}
+}
