--- a/requestkeys/handover.go
+++ b/requestkeys/handover.go
@@ -35,8 +35,8 @@
 // home field of the messages.
 type handOverID struct {
 	incarnation string
-	// slot is the last one that the home has handed out.
-	slot    int64
+	// elapsed is the time of the home's clock, since the start of its slot 0.
+	elapsed time.Duration
 	attempt int
 	target  string
 }
@@ -44,7 +44,7 @@
 func (d handOverID) String() string {
 	return strings.Join([]string{
 		d.incarnation,
-		strconv.FormatInt(d.slot, slotBase),
+		strconv.FormatInt(int64(d.elapsed), slotBase),
 		strconv.Itoa(d.attempt),
 		d.target,
 	}, handOverSeparator)
@@ -55,10 +55,10 @@
 	if len(parts) != handOverFields || parts[0] == "" {
 		return handOverID{}, false
 	}
-	slot, slotErr := strconv.ParseInt(parts[1], slotBase, 64)
+	elapsed, elapsedErr := strconv.ParseInt(parts[1], slotBase, 64)
 	attempt, attemptErr := strconv.Atoi(parts[2])
-	id := handOverID{incarnation: parts[0], slot: slot, attempt: attempt, target: parts[3]}
-	return id, slotErr == nil && attemptErr == nil && slot >= 0
+	id := handOverID{incarnation: parts[0], elapsed: time.Duration(elapsed), attempt: attempt, target: parts[3]}
+	return id, elapsedErr == nil && attemptErr == nil && elapsed >= 0
 }
 
 // transferKey names one claim of a holding.
@@ -114,7 +114,7 @@
 	}
 	h.attempt++
 	o.transfer = &transfer{
-		id:     handOverID{incarnation: incarnation, slot: o.handedOut(now), attempt: h.attempt, target: target},
+		id:     handOverID{incarnation: incarnation, elapsed: o.elapsed(now), attempt: h.attempt, target: target},
 		queued: map[transferKey]bool{},
 	}
 	for slot, claims := range o.slots {
@@ -125,13 +125,6 @@
 	return true
 }
 
-func (o *holding) handedOut(now time.Time) int64 {
-	if o.lastSlot >= 0 {
-		return o.lastSlot
-	}
-	return o.slotAt(now)
-}
-
 // NextBatch returns the next message of the copy, or nil if the receiver has
 // been sent everything.
 func (h *Home) NextBatch(incarnation string, now time.Time) *entrypb.HandOverRequest {
@@ -174,8 +167,8 @@
 	if len(o.transfer.queue) > 0 {
 		return nil
 	}
-	o.transfer.id.slot = o.handedOut(now)
-	o.lastSlot = o.transfer.id.slot
+	o.transfer.id.elapsed = o.elapsed(now)
+	o.lastSlot = o.slotAt(now)
 	o.state = moved
 	o.movedTo = o.transfer.id.target
 	return &entrypb.HandOverRequest{
@@ -233,17 +226,18 @@
 	}
 	o := newHolding(h, id.incarnation, now)
 	o.transfer = &transfer{id: id}
-	o.issuedUpTo(id.slot, now)
+	o.continueClock(id.elapsed, now)
 	h.holdings[id.incarnation] = o
 	return o
 }
 
-// issuedUpTo sets the clock of a home that was handed over. The slot is taken
-// to be at its end, so that no key is granted longer than by the home itself.
-func (o *holding) issuedUpTo(slot int64, now time.Time) {
-	o.lastSlot = slot
-	o.started = now.Add(-o.slotEnd(slot))
+// continueClock sets the clock of a home that was handed over to where it stood
+// at the commit. It then runs late by the delay of the message. Keys are granted
+// a little longer, but never one of a slot whose claims the home has dropped.
+func (o *holding) continueClock(elapsed time.Duration, now time.Time) {
+	o.started = now.Add(-elapsed)
 	o.latest = now
+	o.lastSlot = o.slotAt(now)
 }
 
 // copyClaims stores claims of a copy that is not whole.
@@ -289,7 +283,7 @@
 		o.reject()
 		return false
 	}
-	o.issuedUpTo(id.slot, now)
+	o.continueClock(id.elapsed, now)
 	o.acceptedAttempt = id.attempt
 	o.transfer = nil
 	o.state = serving
--- a/requestkeys/home_test.go
+++ b/requestkeys/home_test.go
@@ -20,6 +20,8 @@
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+func clock() time.Time { return epoch }
+
 func TestParseKey(t *testing.T) {
 	tests := []struct{ text, want string }{
 		{"", "missing"},
