Randomised run of the shares and loans under faults

Change: a fleet in virtual time with eight entry instances; totals of tokens for each bucket; a member vouches for others only while it has a limit, since it may be removed without being asked once its limit is empty.

--- a/admission/bucket.go
+++ b/admission/bucket.go
@@ -31,11 +31,36 @@
 	at time.Time
 
 	demand  demand
+	totals  Totals
 	waiting []*Waiter
 	// spendAsked is the number of spend tokens in outstanding loans.
 	spendAsked int
 }
 
+// Totals counts tokens of one bucket since it was made.
+type Totals struct {
+	// Admitted counts requests that took a token of the bucket itself.
+	Admitted uint64
+	// Refused counts requests that got no token in time.
+	Refused uint64
+	// LentReserve and LentSpend left the bucket for other instances.
+	LentReserve float64
+	LentSpend   float64
+	// BorrowedReserve came into the bucket from other instances.
+	BorrowedReserve float64
+	// BorrowedSpend admitted requests that waited here.
+	BorrowedSpend uint64
+	// Dropped was granted by other instances and could not be used.
+	Dropped float64
+}
+
+// Totals returns the counts so far.
+func (b *Bucket) Totals() Totals {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.totals
+}
+
 // Customer returns the name of the customer.
 func (b *Bucket) Customer() string { return b.customer }
 
@@ -79,6 +104,7 @@
 		return false
 	}
 	b.level--
+	b.totals.Admitted++
 	return true
 }
 
@@ -90,7 +116,10 @@
 func (b *Bucket) deposit(granted, reserved float64) {
 	room := min(reserved, b.reserved)
 	b.reserved -= room
-	b.level += min(max(granted, 0), room)
+	fits := min(granted, room)
+	b.level += fits
+	b.totals.BorrowedReserve += fits
+	b.totals.Dropped += granted - fits
 }
 
 // within says whether the bucket keeps its invariant.
--- /dev/null
+++ b/admission/fleet_test.go
@@ -0,0 +1,432 @@
+package admission
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"samphireferry.example/ferry/invariant"
+	"samphireferry.example/ferry/platform"
+	"samphireferry.example/ferry/sharetable"
+)
+
+// fleet is a system of entry instances in virtual time, on one goroutine.
+type fleet struct {
+	t     testing.TB
+	rng   *rand.Rand
+	now   time.Time
+	queue eventQueue
+	seq   int
+
+	sites     []site
+	nodes     map[string]*node
+	customers []sharetable.Customer
+	limiter   Settings
+	driver    sharetable.DriverSettings
+	checker   *invariant.Checker
+
+	value     []byte
+	revision  platform.Revision
+	storeDown bool
+	listed    map[string]bool
+	loss      float64
+	duplicate float64
+	delay     func(from, to site) time.Duration
+	cut       func(from, to site) bool
+	// after is called when an event of a node has run.
+	after func(n *node)
+	// decided is called with the fate of each request.
+	decided  func(n *node, customer int, ok bool)
+	messages int
+	writes   int
+}
+
+type site struct{ address, domain, region string }
+
+// storeSite is where the platform's store is.
+var storeSite = site{"store", "a1", "a"}
+
+type node struct {
+	site
+	incarnation string
+	member      *sharetable.Member
+	limiter     *Limiter
+	driver      *sharetable.Driver
+	customers   []sharetable.Customer
+	heard       map[string]heard
+	dead        bool
+	leaving     bool
+	drives      bool
+	writing     int
+	frozenUntil time.Time
+	waiters     map[*Waiter]int
+}
+
+type heard struct {
+	answer  sharetable.Answer
+	leaving bool
+	at      time.Time
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].seq < q[j].seq
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+func newFleet(t testing.TB, seed uint64, sites []site) *fleet {
+	f := &fleet{
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), sites: sites,
+		nodes: map[string]*node{}, listed: map[string]bool{},
+		cut:     func(_, _ site) bool { return false },
+		after:   func(*node) {},
+		decided: func(*node, int, bool) {},
+	}
+	f.delay = func(_, _ site) time.Duration { return time.Millisecond }
+	f.checker = &invariant.Checker{OnViolation: func(name invariant.Name, detail string) {
+		t.Fatalf("seed %d, %v: invariant %s: %s", seed, f.elapsed(), name, detail)
+	}}
+	f.limiter.Checker = f.checker
+	f.driver.Checker = f.checker
+	return f
+}
+
+func (f *fleet) elapsed() time.Duration { return f.now.Sub(time.Unix(1_000_000, 0)) }
+
+func (f *fleet) in(d time.Duration, run func()) {
+	f.seq++
+	heap.Push(&f.queue, event{f.now.Add(d), f.seq, run})
+}
+
+// on runs something at a node, unless it is dead; later when it is frozen.
+func (f *fleet) on(n *node, d time.Duration, run func()) {
+	f.in(d, func() {
+		if n.dead {
+			return
+		}
+		if f.now.Before(n.frozenUntil) {
+			f.on(n, n.frozenUntil.Sub(f.now)+f.jitter(2*time.Millisecond), run)
+			return
+		}
+		run()
+		f.after(n)
+	})
+}
+
+func (f *fleet) jitter(d time.Duration) time.Duration { return time.Duration(f.rng.Int64N(int64(d))) }
+
+func (f *fleet) runFor(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		e := heap.Pop(&f.queue).(event)
+		f.now = e.at
+		e.run()
+	}
+	f.now = end
+}
+
+// send carries a message, which may be lost, doubled or overtaken.
+func (f *fleet) send(from, to site, deliver func()) {
+	f.messages++
+	copies := 1
+	if f.rng.Float64() < f.duplicate {
+		copies = 2
+	}
+	for range copies {
+		if f.rng.Float64() < f.loss {
+			continue
+		}
+		f.in(f.delay(from, to), func() {
+			if !f.cut(from, to) {
+				deliver()
+			}
+		})
+	}
+}
+
+// call asks the process at an address and hands the reply to the caller.
+func call[T any](f *fleet, from *node, to site, handle func(n *node) T, reply func(T)) {
+	f.send(from.site, to, func() {
+		n := f.nodes[to.address]
+		if n == nil {
+			return
+		}
+		f.on(n, 0, func() {
+			result := handle(n)
+			f.send(to, from.site, func() { f.on(from, 0, func() { reply(result) }) })
+		})
+	})
+}
+
+// start begins a process at the site, in place of an earlier one.
+func (f *fleet) start(s site) *node {
+	f.kill(s.address)
+	f.seq++
+	n := &node{
+		site: s, incarnation: fmt.Sprintf("%s#%d", s.address, f.seq), customers: f.customers,
+		heard: map[string]heard{}, waiters: map[*Waiter]int{},
+	}
+	n.member = sharetable.NewMember(sharetable.MemberSettings{Name: s.address, Incarnation: n.incarnation, Checker: f.checker}, f.now)
+	n.limiter = NewLimiter(f.limiter, f.now)
+	n.driver = sharetable.NewDriver(f.driver)
+	f.nodes[s.address] = n
+	f.every(n, 100*time.Millisecond, func() { f.control(n) })
+	f.every(n, 20*time.Millisecond, func() { f.borrow(n) })
+	return n
+}
+
+func (f *fleet) kill(address string) {
+	if n := f.nodes[address]; n != nil {
+		n.dead = true
+		delete(f.nodes, address)
+	}
+}
+
+func (f *fleet) every(n *node, d time.Duration, run func()) {
+	f.on(n, f.jitter(d), func() {
+		run()
+		f.every(n, d, run)
+	})
+}
+
+func (f *fleet) control(n *node) {
+	paused := n.member.Tick(f.now)
+	if n.limiter.Tick(f.now) || paused {
+		f.apply(n)
+	}
+	for _, s := range f.sites {
+		if s.address != n.address {
+			f.ask(n, s)
+		}
+	}
+	if f.rng.IntN(3) == 0 {
+		f.readStore(n)
+	}
+	n.driver.Ack(f.now, f.state(n, f.now))
+	n.driver.SetMembers(f.now, f.view(n))
+	if n.drives && n.writing == 0 {
+		f.drive(n)
+	}
+}
+
+func (f *fleet) state(n *node, askedAt time.Time) sharetable.Answer {
+	a := n.member.Answer()
+	a.AskedAt = askedAt
+	return a
+}
+
+// ask exchanges heartbeats, with the newer table.
+func (f *fleet) ask(n *node, s site) {
+	askedAt, version := f.now, n.member.Version()
+	type reply struct {
+		answer  sharetable.Answer
+		leaving bool
+		table   *sharetable.Table
+	}
+	call(f, n, s, func(peer *node) reply {
+		r := reply{answer: f.state(peer, askedAt), leaving: peer.leaving}
+		if peer.member.Version() > version {
+			r.table = peer.member.Table()
+		}
+		return r
+	}, func(r reply) {
+		if old, known := n.heard[s.address]; !known || askedAt.After(old.answer.AskedAt) {
+			n.heard[s.address] = heard{r.answer, r.leaving, f.now}
+		}
+		n.driver.Ack(f.now, r.answer)
+		f.learn(n, r.table, func() { n.member.Heard(r.answer) })
+	})
+}
+
+// learn takes in a table and evidence, and puts what follows in force.
+func (f *fleet) learn(n *node, t *sharetable.Table, evidence func()) {
+	confirmed := n.member.Confirmed()
+	adopted := t != nil && n.member.Adopt(t)
+	evidence()
+	if adopted || n.member.Confirmed() != confirmed {
+		f.apply(n)
+	}
+}
+
+func (f *fleet) apply(n *node) {
+	n.limiter.Configure(f.now, n.member.Divide(n.customers), n.member.Confirmed())
+	n.member.Applied(n.member.Version())
+	var peers []Peer
+	for _, s := range f.sites {
+		if s.address != n.address {
+			peers = append(peers, Peer{s.address, distance(n.site, s)})
+		}
+	}
+	n.limiter.SetPeers(peers)
+}
+
+func distance(a, b site) Distance {
+	switch {
+	case a.domain == b.domain:
+		return SameDomain
+	case a.region == b.region:
+		return SameRegion
+	}
+	return OtherRegion
+}
+
+func (f *fleet) view(n *node) sharetable.View {
+	view := sharetable.View{ListRead: !f.storeDown && !f.cut(n.site, storeSite)}
+	for _, s := range f.sites {
+		c := sharetable.Candidate{Name: s.address, WitnessGroup: s.region, Listed: f.listed[s.address]}
+		if h, known := n.heard[s.address]; known && f.now.Sub(h.at) < time.Second {
+			c.Incarnation, c.Leaving, c.Reachable = h.answer.Incarnation, h.leaving, true
+		}
+		if s.address == n.address {
+			c.Incarnation, c.Leaving, c.Reachable = n.incarnation, n.leaving, true
+		}
+		view.Candidates = append(view.Candidates, c)
+	}
+	return view
+}
+
+func (f *fleet) storeCall(n *node, handle func() error, reply func(error)) {
+	answered := false
+	f.send(n.site, storeSite, func() {
+		if f.storeDown {
+			return
+		}
+		err := handle()
+		f.send(storeSite, n.site, func() {
+			f.on(n, 0, func() {
+				if !answered {
+					answered = true
+					reply(err)
+				}
+			})
+		})
+	})
+	f.on(n, 500*time.Millisecond, func() {
+		if !answered {
+			answered = true
+			reply(platform.ErrUnavailable)
+		}
+	})
+}
+
+func (f *fleet) readStore(n *node) {
+	askedAt := f.now
+	var entry platform.Entry
+	f.storeCall(n, func() error {
+		entry = platform.Entry{Key: platform.KeyShares, Value: f.value, Revision: f.revision}
+		return nil
+	}, func(err error) {
+		if err != nil || entry.Revision == 0 {
+			return
+		}
+		t, decodeErr := sharetable.Decode(entry.Value)
+		if decodeErr != nil {
+			f.t.Fatal(decodeErr)
+		}
+		n.driver.Observe(entry)
+		f.learn(n, t, func() { n.member.ReadFromStore(askedAt, t.Version) })
+	})
+}
+
+func (f *fleet) drive(n *node) {
+	write, ok := n.driver.Plan(f.now)
+	if !ok {
+		return
+	}
+	n.writing++
+	var revision platform.Revision
+	f.storeCall(n, func() error {
+		if write.Expected != f.revision {
+			return platform.ErrConflict
+		}
+		f.revision++
+		f.value, revision = write.Value, f.revision
+		f.writes++
+		return nil
+	}, func(err error) {
+		n.writing--
+		n.driver.Done(write, revision, err)
+		f.readStore(n)
+	})
+}
+
+// borrow sends the planned loans.
+func (f *fleet) borrow(n *node) {
+	for _, request := range n.limiter.PlanLoans(f.now) {
+		to := f.site(request.Peer)
+		call(f, n, to, func(peer *node) []Grant {
+			return peer.limiter.Lend(f.now, request.Items)
+		}, func(grants []Grant) { n.limiter.Granted(f.now, request.ID, grants) })
+	}
+}
+
+func (f *fleet) site(address string) site {
+	for _, s := range f.sites {
+		if s.address == address {
+			return s
+		}
+	}
+	return site{}
+}
+
+// request lets one request of a customer arrive at a node.
+func (f *fleet) request(n *node, customer int) {
+	b := n.limiter.Bucket(f.customers[customer].Name)
+	if b == nil {
+		f.decided(n, customer, false)
+		return
+	}
+	w, decision := n.limiter.Wait(f.now, b, time.Time{})
+	if w == nil {
+		f.decided(n, customer, decision.Admitted)
+		return
+	}
+	n.waiters[w] = customer
+	f.on(n, DefaultMaxWait, func() { f.endWait(n, w) })
+	// A waiting request wakes the planner at once, as Exchange does.
+	f.on(n, 0, func() { f.borrow(n) })
+}
+
+func (f *fleet) endWait(n *node, w *Waiter) {
+	customer, waits := n.waiters[w]
+	if !waits {
+		return
+	}
+	delete(n.waiters, w)
+	f.decided(n, customer, n.limiter.Leave(w))
+}
+
+// load lets requests of a customer arrive at a site at random, while a process
+// is there; perSecond is read for each.
+func (f *fleet) load(s site, customer int, perSecond func() float64) {
+	rate := perSecond()
+	wait := 100 * time.Millisecond
+	if rate > 0 {
+		wait = time.Duration(f.rng.ExpFloat64() / rate * float64(time.Second))
+	}
+	f.in(wait, func() {
+		if n := f.nodes[s.address]; n != nil && rate > 0 {
+			f.on(n, 0, func() { f.request(n, customer) })
+		}
+		f.load(s, customer, perSecond)
+	})
+}
--- a/admission/lend.go
+++ b/admission/lend.go
@@ -48,6 +48,8 @@
 	b.level -= spend
 	reserve := min(positive(item.Reserve), positive(b.level-kept))
 	b.level -= reserve
+	b.totals.LentSpend += spend
+	b.totals.LentReserve += reserve
 	l.settings.Checker.Check(b.within(), InvariantRoom, b.customer)
 	return Grant{
 		Customer:  item.Customer,
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -152,7 +152,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.demand.arrivals++
-	return l.admitLocked(now, b)
+	decision := l.admitLocked(now, b)
+	if !decision.Admitted {
+		b.totals.Refused++
+	}
+	return decision
 }
 
 func (l *Limiter) admitLocked(now time.Time, b *Bucket) Decision {
--- a/admission/loans.go
+++ b/admission/loans.go
@@ -221,7 +221,10 @@
 	b.refill(now)
 	b.deposit(positive(g.Reserve), item.Reserve)
 	b.spendAsked = max(0, b.spendAsked-int(item.Spend))
-	b.serve(int(min(positive(g.Spend), item.Spend)))
+	granted := int(min(positive(g.Spend), item.Spend))
+	used := b.serve(granted)
+	b.totals.BorrowedSpend += uint64(used)
+	b.totals.Dropped += float64(granted - used)
 	b.serveOwn()
 	l.settings.Checker.Check(b.within(), InvariantRoom, b.customer)
 }
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -28,7 +28,11 @@
 	defer b.mu.Unlock()
 	b.demand.arrivals++
 	decision := l.admitLocked(now, b)
-	if decision.Admitted || !l.mayWait(now, b, deadline) {
+	if decision.Admitted {
+		return nil, decision
+	}
+	if !l.mayWait(now, b, deadline) {
+		b.totals.Refused++
 		return nil, decision
 	}
 	w := &Waiter{bucket: b, admitted: make(chan struct{})}
@@ -51,6 +55,7 @@
 	defer b.mu.Unlock()
 	if i := slices.Index(b.waiting, w); i >= 0 {
 		b.waiting = slices.Delete(b.waiting, i, i+1)
+		b.totals.Refused++
 	}
 	return w.granted
 }
--- a/sharetable/doc.go
+++ b/sharetable/doc.go
@@ -41,7 +41,7 @@
 // these acknowledgements each has answered another question in the same
 // incarnation. A process that starts at the address of an earlier one accepts
 // a table that the store, or a member of its witness group that is confirmed
-// and not leaving, gave in answer to a question asked after the start. So it
+// and has a limit, gave in answer to a question asked after the start. So it
 // never gets a table from before a lowering that was settled.
 //
 // The witness group is the failure domain, or the region where a failure
--- a/sharetable/member.go
+++ b/sharetable/member.go
@@ -30,8 +30,8 @@
 	Incarnation string
 	// Applied is the version that it has applied; 0 while it is unconfirmed.
 	Applied uint64
-	// Leaving is set when it is shutting down.
-	Leaving bool
+	// Vouches is set when others may rely on it; see Member.Vouches.
+	Vouches bool
 	// AskedAt is when the question was sent, by the clock of the one who asked.
 	AskedAt time.Time
 }
@@ -105,10 +105,10 @@
 }
 
 // Heard reports the answer of another entry instance. A confirmed member of
-// the same witness group that is not leaving confirms this one, once this one
-// has a table at least as new.
+// the same witness group that vouches confirms this one, once this one has a
+// table at least as new.
 func (m *Member) Heard(a Answer) {
-	if a.Applied == 0 || a.Leaving || !m.isWitness(a) {
+	if a.Applied == 0 || !a.Vouches || !m.isWitness(a) {
 		m.newest = max(m.newest, a.Applied)
 		return
 	}
@@ -180,10 +180,20 @@
 	return m.applied
 }
 
-// Leaving says whether the table lists the member as shutting down. A leaving
-// member acknowledges versions, but says in its answers that it is leaving.
-func (m *Member) Leaving() bool {
-	return m.table != nil && m.table.Members[m.settings.Name].Leaving
+// Vouches says whether others may rely on this member's table after a restart:
+// it is confirmed and its limit is not empty. A member with an empty limit may
+// be removed at any time, and is not asked to acknowledge after that.
+func (m *Member) Vouches() bool { return len(m.Limit()) > 0 }
+
+// Answer returns what the member says when it is asked for its state, without
+// the time of the question.
+func (m *Member) Answer() Answer {
+	return Answer{
+		Name:        m.settings.Name,
+		Incarnation: m.settings.Incarnation,
+		Applied:     m.Acknowledged(),
+		Vouches:     m.Vouches(),
+	}
 }
 
 // Limit returns what the member may use: nothing while it is unconfirmed or
