Daemon on distribution: few watchers of the store, records from peers

Cause: every instance watched the store and asked peers with a scheme of its own. Ruled out: keeping both schemes; the steps of moves and the share table now come with the store revision like every other record.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -9,6 +9,7 @@
 
 	"samphireferry.example/ferry/admission"
 	"samphireferry.example/ferry/controllease"
+	"samphireferry.example/ferry/distribution"
 	"samphireferry.example/ferry/membership"
 	"samphireferry.example/ferry/moves"
 	"samphireferry.example/ferry/platform"
@@ -39,17 +40,13 @@
 	lease       *controllease.Lease
 	leaseRunner *controllease.Runner
 
-	table *routing.Table
-	// configData and shareData are the stored forms, for peers.
-	configData []byte
-	shareData  []byte
-	storeHeard time.Time
+	dist    *distribution.State
+	watcher *distribution.Watcher
+	table   *routing.Table
 	// listed are the caller addresses in the platform's list, read at listRead.
 	listed   map[string]bool
 	listRead time.Time
-	// fetches holds when records were last asked for, by rpc address.
-	fetches map[string]time.Time
-	leaving bool
+	leaving  bool
 	// dirty says that the view must be published anew.
 	dirty bool
 }
@@ -74,13 +71,15 @@
 		rollouts: rollouts.NewController(p.invariants),
 		splits:   splitting.NewRegistry(p.invariants),
 		pools:    newPoolSet(p),
-		fetches:  map[string]time.Time{},
+		dist:     p.dist,
 		shareDriver: sharetable.NewDriver(sharetable.DriverSettings{
 			Checker: p.invariants,
 			Log:     p.log,
 		}),
 	}
 	c.pools.setPeers(c.registry.Snapshot(now))
+	c.watcher = distribution.NewWatcher(p.store, distribution.WatcherOptions{Seed: rand.Uint64()},
+		func(u distribution.Update) { l.post(storeRead{u}) })
 	c.addControlWork()
 	return c
 }
@@ -141,6 +140,7 @@
 		c.dirty = true
 	}
 	c.updatePeers(now)
+	c.followRecords(now)
 	c.doControlWork(now)
 	c.parts.state.Store(c.state(now))
 }
@@ -179,12 +179,16 @@
 	}
 	c.dirty = false
 	next := &view{
-		table:      c.table,
-		peers:      c.pools.peers,
-		pools:      c.pools.all,
-		recorders:  c.rollouts.Recorders(),
-		storeHeard: c.storeHeard,
-		leaving:    c.leaving,
+		table:     c.table,
+		peers:     c.pools.peers,
+		pools:     c.pools.all,
+		recorders: c.rollouts.Recorders(),
+		leaving:   c.leaving,
+	}
+	if !c.dist.Ready(now) {
+		// A new instance serves with the newest configuration or not at all.
+		next.table = nil
+		c.dirty = true
 	}
 	if c.table != nil {
 		next.splits = c.splits.Build(c.rollouts.Shares(now), c.moves.Shares(now, c.table.Set.Moves))
--- a/daemon/heartbeat.go
+++ b/daemon/heartbeat.go
@@ -5,7 +5,6 @@
 	"maps"
 	"time"
 
-	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/rpc/entrypb"
 	"samphireferry.example/ferry/sharetable"
 )
@@ -15,25 +14,19 @@
 
 // state builds the heartbeat of this instance.
 func (c *control) state(now time.Time) *entrypb.State {
-	return &entrypb.State{
-		Identity:      c.parts.identity,
-		Leaving:       c.leaving,
-		ConfigVersion: c.configVersion(),
-		ShareVersion:  c.member.Acknowledged(),
-		Loads:         c.pools.loads(),
-		Verdicts:      c.rollouts.Verdicts(),
-		Evidence:      c.rollouts.Evidence(),
-		StoreAgeMs:    uint64(now.Sub(c.storeHeard).Milliseconds()),
-		AppliedSteps:  c.steps(),
-		LoadPermille:  c.loadPermille(),
-	}
-}
-
-func (c *control) configVersion() uint64 {
-	if c.table == nil {
-		return 0
-	}
-	return c.table.Version
+	state := &entrypb.State{
+		Identity:     c.parts.identity,
+		Leaving:      c.leaving,
+		ShareVersion: c.member.Acknowledged(),
+		ShareVouches: c.member.Vouches(),
+		Loads:        c.pools.loads(),
+		Verdicts:     c.rollouts.Verdicts(),
+		Evidence:     c.rollouts.Evidence(),
+		AppliedSteps: c.steps(),
+		LoadPermille: c.loadPermille(),
+	}
+	c.dist.Snapshot().AddTo(state, now)
+	return state
 }
 
 // steps returns the newest steps of all moves and roll-outs.
@@ -103,7 +96,6 @@
 func (e heartbeatAnswered) apply(c *control, now time.Time) {
 	c.registry.Answered(e.address, e.state, now)
 	c.hear(now, e.state, e.asked)
-	c.fetchNewer(now, e.address, e.state)
 }
 
 // heartbeatFailed is a heartbeat that got no answer.
@@ -121,96 +113,15 @@
 	if c.rollouts.Hear(now, state) {
 		c.dirty = true
 	}
-	if heard := now.Add(-time.Duration(state.GetStoreAgeMs()) * time.Millisecond); heard.After(c.storeHeard) && state.GetConfigVersion() <= c.configVersion() {
-		c.storeHeard = heard
-		c.dirty = true
-	}
+	c.dist.ObservePeer(state, asked, now)
 	if asked.IsZero() {
 		return
 	}
-	answer := sharetable.Answer{
+	c.heardShares(now, sharetable.Answer{
 		Name:        identity.GetAddress(),
 		Incarnation: identity.GetIncarnation(),
 		Applied:     state.GetShareVersion(),
-		Leaving:     state.GetLeaving(),
+		Vouches:     state.GetShareVouches(),
 		AskedAt:     asked,
-	}
-	c.heardShares(now, answer)
-}
-
-// fetchTimeout bounds the fetch of records from a peer.
-const fetchTimeout = 2 * time.Second
-
-// fetchNewer asks a peer for what it has newer than this instance.
-func (c *control) fetchNewer(now time.Time, address string, state *entrypb.State) {
-	if !c.hasNewer(state) || now.Sub(c.fetches[address]) < fetchTimeout {
-		return
-	}
-	c.fetches[address] = now
-	request := &entrypb.GetConfigRequest{
-		ConfigVersion: c.configVersion(),
-		ShareVersion:  c.member.Version(),
-		Steps:         c.steps(),
-	}
-	c.background(fetchTimeout, func(ctx context.Context) event {
-		client, err := c.parts.peers.Client(address)
-		if err != nil {
-			return nil
-		}
-		response, err := client.GetConfig(ctx, request)
-		if err != nil {
-			return nil
-		}
-		return recordsFetched{address: address, response: response}
 	})
 }
-
-func (c *control) hasNewer(state *entrypb.State) bool {
-	if state.GetConfigVersion() > c.configVersion() || state.GetShareVersion() > c.member.Version() {
-		return true
-	}
-	own := c.steps()
-	for key, step := range state.GetAppliedSteps() {
-		if step > own[key] {
-			return true
-		}
-	}
-	return false
-}
-
-// recordsFetched are newer records from a peer.
-type recordsFetched struct {
-	address  string
-	response *entrypb.GetConfigResponse
-}
-
-func (e recordsFetched) apply(c *control, now time.Time) {
-	delete(c.fetches, e.address)
-	if data := e.response.GetConfig(); len(data) > 0 {
-		c.adoptConfig(now, data)
-	}
-	if data := e.response.GetShareTable(); len(data) > 0 {
-		c.adoptShares(now, data)
-	}
-	for key, value := range e.response.GetRecords() {
-		c.learnRecord(now, key, value)
-	}
-}
-
-// learnRecord takes in the record of a move or a roll-out from a peer.
-func (c *control) learnRecord(now time.Time, key string, value []byte) {
-	var learned bool
-	var err error
-	switch {
-	case hasPrefix(key, platform.PrefixMoves):
-		learned, err = c.moves.Learn(now, value)
-	case hasPrefix(key, platform.PrefixRollouts):
-		learned, err = c.rollouts.Driver().Learn(now, value)
-	}
-	if err != nil {
-		c.parts.log.Warn("record of a peer cannot be read", errorField(err))
-	}
-	if learned {
-		c.dirty = true
-	}
-}
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -36,14 +36,18 @@
 	operatorListener net.Listener
 	operator         *http.Server
 
-	stop    context.CancelFunc
-	running sync.WaitGroup
+	stop        context.CancelFunc
+	stopWatcher func()
+	running     sync.WaitGroup
 }
 
+// Dialer opens connections to the platform and to other entry instances.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
 // New returns an instance that is not started. It fails if the settings cannot
-// be used, for example because of bad TLS material.
-func New(settings *static.Settings, log *zap.Logger) (*Instance, error) {
-	injector := newInjector(settings, log)
+// be used, for example because of bad TLS material. A nil dialer uses TCP.
+func New(settings *static.Settings, log *zap.Logger, dial Dialer) (*Instance, error) {
+	injector := newInjector(settings, log, dial)
 	p, err := do.Invoke[*parts](injector)
 	if err != nil {
 		return nil, err
@@ -81,7 +85,8 @@
 	i.stop = cancel
 	control := newControl(ctx, i.parts, i.loop)
 	i.running.Go(func() { i.loop.run(ctx, control) })
-	i.running.Go(func() { control.watchStore(ctx) })
+	control.watcher.Start()
+	i.stopWatcher = control.watcher.Stop
 	i.running.Go(func() { control.readList(ctx) })
 	i.running.Go(func() { i.servePeers() })
 	i.serveOperator()
@@ -171,6 +176,7 @@
 	i.peers.Shutdown(stopping)
 	_ = i.operator.Shutdown(stopping)
 	i.stop()
+	i.stopWatcher()
 	i.running.Wait()
 	i.parts.peers.Close()
 	i.parts.upstreams.Close()
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return err
 	}
-	instance, err := New(settings, log)
+	instance, err := New(settings, log, nil)
 	if err != nil {
 		return err
 	}
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -1,12 +1,15 @@
 package daemon
 
 import (
+	"math"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
 	"samphireferry.example/ferry/admission"
 	"samphireferry.example/ferry/config/static"
+	"samphireferry.example/ferry/distribution"
 	"samphireferry.example/ferry/entryinstance"
 	"samphireferry.example/ferry/invariant"
 	"samphireferry.example/ferry/platform"
@@ -28,6 +31,21 @@
 	peers      *entryinstance.Pool
 	upstreams  *upstream.Client
 	limiter    *admission.Limiter
+	// dist holds the records of the store. Only its Snapshot may be used
+	// outside the control goroutine.
+	dist *distribution.State
 	// state is the newest heartbeat of this instance. It must not be changed.
 	state atomic.Pointer[entrypb.State]
 }
+
+// storeAge returns the time since word from the store arrived by any path.
+func (p *parts) storeAge(now time.Time) time.Duration {
+	age, heard := p.dist.Snapshot().StoreAge(now)
+	if !heard {
+		return math.MaxInt64
+	}
+	return age
+}
+
+// StoreAge implements caller.Freshness.
+func (p *parts) StoreAge() time.Duration { return p.storeAge(time.Now()) }
--- a/daemon/records.go
+++ b/daemon/records.go
@@ -9,77 +9,88 @@
 	"go.uber.org/zap"
 
 	"samphireferry.example/ferry/config/dynamic"
+	"samphireferry.example/ferry/distribution"
 	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/routing"
+	"samphireferry.example/ferry/rpc/entrypb"
 )
 
-// Timing of the store and list readers.
-const (
-	// watchWait is how long one watch waits for a change.
-	watchWait = 20 * time.Second
-	// storePause is the pause after a failed call.
-	storePause = 500 * time.Millisecond
-	// listInterval is the time between two reads of the instance list.
-	listInterval = 2 * time.Second
-)
+// listInterval is the time between two reads of the instance list.
+const listInterval = 2 * time.Second
 
-// storePrefix precedes all keys of the system.
-const storePrefix = "ferry/"
+// pullTimeout bounds the call to a peer for newer records.
+const pullTimeout = 2 * time.Second
 
-// watchStore reads all records and then watches them until the context ends.
-func (c *control) watchStore(ctx context.Context) {
-	var after platform.Revision
-	for ctx.Err() == nil {
-		asked := time.Now()
-		entries, revision, err := c.readStore(ctx, after)
-		if err != nil {
-			after = 0
-			pause(ctx, storePause)
-			continue
-		}
-		after = revision
-		c.loop.post(storeRead{entries: entries, asked: asked, heard: time.Now()})
+// followRecords watches the store, if it is this instance's turn, and pulls
+// from peers that have newer records.
+func (c *control) followRecords(now time.Time) {
+	c.watcher.SetActive(c.dist.ShouldWatch(c.liveInDomain(), now))
+	pull, ok := c.dist.PlanPull(now)
+	if !ok {
+		return
 	}
+	peer := c.pools.peers.ByName(pull.Peer)
+	if peer == nil {
+		c.dist.ForgetPeer(pull.Peer)
+		return
+	}
+	address := peer.RPCAddress
+	c.background(pullTimeout, func(ctx context.Context) event {
+		response, err := c.pull(ctx, address, pull)
+		return recordsPulled{pull: pull, response: response, err: err}
+	})
 }
 
-func (c *control) readStore(ctx context.Context, after platform.Revision) ([]platform.Entry, platform.Revision, error) {
-	if after == 0 {
-		return c.parts.store.List(ctx, storePrefix)
+func (c *control) pull(ctx context.Context, address string, pull distribution.Pull) (*entrypb.GetConfigResponse, error) {
+	client, err := c.parts.peers.Client(address)
+	if err != nil {
+		return nil, err
 	}
-	return c.parts.store.Watch(ctx, storePrefix, after, watchWait)
+	return client.GetConfig(ctx, pull.Request())
 }
 
-// readList reads the platform's list of instances until the context ends.
-func (c *control) readList(ctx context.Context) {
-	for ctx.Err() == nil {
-		list, err := c.parts.lister.Instances(ctx)
-		if err == nil {
-			c.loop.post(listRead{list: list})
+// liveInDomain returns the names of the live instances of the failure domain.
+func (c *control) liveInDomain() []string {
+	peers := c.pools.peers
+	names := []string{peers.Self.Name}
+	for _, p := range peers.InDomain(peers.Self.FailureDomain) {
+		if p.Usable() {
+			names = append(names, p.Name)
 		}
-		pause(ctx, listInterval)
 	}
+	return names
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+// storeRead is an answer of the store.
+type storeRead struct{ update distribution.Update }
+
+func (e storeRead) apply(c *control, now time.Time) {
+	c.applyChanges(now, c.dist.ApplyUpdate(e.update))
+	if e.update.Err == nil {
+		c.sharesReadFromStore(now, e.update.Heard)
 	}
 }
 
-// storeRead is an answer of the store.
-type storeRead struct {
-	entries []platform.Entry
-	asked   time.Time
-	heard   time.Time
+// recordsPulled are newer records from a peer.
+type recordsPulled struct {
+	pull     distribution.Pull
+	response *entrypb.GetConfigResponse
+	err      error
 }
 
-func (e storeRead) apply(c *control, now time.Time) {
-	c.storeHeard = e.heard
-	c.dirty = true
-	for _, entry := range e.entries {
+func (e recordsPulled) apply(c *control, now time.Time) {
+	c.applyChanges(now, c.dist.ApplyPull(e.pull, e.response, e.err, now))
+}
+
+// applyChanges puts changed records in force.
+func (c *control) applyChanges(now time.Time, changes distribution.Changes) {
+	if changes.Err != nil {
+		c.parts.log.Error("configuration was not adopted", errorField(changes.Err))
+	}
+	if changes.Config != nil {
+		c.adoptConfig(now, changes.Config)
+	}
+	for _, entry := range changes.Entries {
 		c.observe(now, entry)
 	}
 }
@@ -87,39 +98,50 @@
 // observe takes in one record of the store.
 func (c *control) observe(now time.Time, entry platform.Entry) {
 	switch {
-	case entry.Key == platform.KeyConfig && !entry.Deleted:
-		c.adoptConfig(now, entry.Value)
 	case entry.Key == platform.KeyShares:
 		c.shareDriver.Observe(entry)
 		if !entry.Deleted {
 			c.adoptShares(now, entry.Value)
 		}
-	case hasPrefix(entry.Key, platform.PrefixMoves):
+	case strings.HasPrefix(entry.Key, platform.PrefixMoves):
 		c.moves.Observe(entry)
-	case hasPrefix(entry.Key, platform.PrefixRollouts):
+		c.dirty = true
+	case strings.HasPrefix(entry.Key, platform.PrefixRollouts):
 		c.rollouts.Driver().Observe(entry)
+		c.dirty = true
 	}
 }
 
-// adoptConfig puts a configuration in force if it is newer than the one that is.
-func (c *control) adoptConfig(now time.Time, data []byte) {
-	config, err := dynamic.Decode(data)
-	if err != nil {
-		c.parts.log.Error("configuration cannot be read", errorField(err))
-		return
-	}
-	if config.Version <= c.configVersion() {
-		return
-	}
+// adoptConfig compiles a configuration that the distribution has accepted.
+func (c *control) adoptConfig(now time.Time, config *dynamic.Config) {
 	table, err := routing.Compile(config)
 	if err != nil {
 		c.parts.log.Error("configuration cannot be compiled", zap.Uint64("version", config.Version), errorField(err))
 		return
 	}
-	c.configData = data
 	c.setTable(now, table)
 }
 
+// readList reads the platform's list of instances until the context ends.
+func (c *control) readList(ctx context.Context) {
+	for ctx.Err() == nil {
+		list, err := c.parts.lister.Instances(ctx)
+		if err == nil {
+			c.loop.post(listRead{list: list})
+		}
+		pause(ctx, listInterval)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // listRead is the platform's list of instances.
 type listRead struct{ list []platform.Instance }
 
@@ -137,6 +159,4 @@
 	c.pools.setLeaving(leaving)
 }
 
-func hasPrefix(key, prefix string) bool { return strings.HasPrefix(key, prefix) }
-
 func errorField(err error) zap.Field { return zap.String("error", errors.UnwrapAll(err).Error()) }
--- a/daemon/rpc.go
+++ b/daemon/rpc.go
@@ -33,38 +33,8 @@
 }
 
 // GetConfig implements entrypb.EntryServer.
-func (s *entryServer) GetConfig(ctx context.Context, request *entrypb.GetConfigRequest) (*entrypb.GetConfigResponse, error) {
-	answer := make(chan *entrypb.GetConfigResponse, 1)
-	s.loop.post(recordsWanted{request: request, answer: answer})
-	select {
-	case response := <-answer:
-		return response, nil
-	case <-ctx.Done():
-		return nil, status.FromContextError(ctx.Err()).Err()
-	}
-}
-
-// recordsWanted is the request of a peer for newer records.
-type recordsWanted struct {
-	request *entrypb.GetConfigRequest
-	answer  chan<- *entrypb.GetConfigResponse
-}
-
-func (e recordsWanted) apply(c *control, now time.Time) {
-	response := &entrypb.GetConfigResponse{
-		Records:    c.moves.NewerThan(e.request.GetSteps()),
-		StoreAgeMs: uint64(now.Sub(c.storeHeard).Milliseconds()),
-	}
-	for key, value := range c.rollouts.Driver().NewerThan(e.request.GetSteps()) {
-		response.Records[key] = value
-	}
-	if c.configVersion() > e.request.GetConfigVersion() {
-		response.Config = c.configData
-	}
-	if c.member.Version() > e.request.GetShareVersion() {
-		response.ShareTable = c.shareData
-	}
-	e.answer <- response
+func (s *entryServer) GetConfig(_ context.Context, request *entrypb.GetConfigRequest) (*entrypb.GetConfigResponse, error) {
+	return s.parts.dist.Snapshot().Respond(request, time.Now()), nil
 }
 
 // Lend implements entrypb.EntryServer.
--- a/daemon/shares.go
+++ b/daemon/shares.go
@@ -28,13 +28,21 @@
 		return
 	}
 	confirmed := c.member.Confirmed()
-	if c.member.Adopt(table) {
-		c.shareData = data
-	} else if c.member.Confirmed() == confirmed {
+	if c.member.Adopt(table) || c.member.Confirmed() != confirmed {
+		c.applyShares(now)
+		c.dirty = true
+	}
+}
+
+// sharesReadFromStore reports that the store itself had no newer share table.
+func (c *control) sharesReadFromStore(now, asked time.Time) {
+	if c.member.Table() == nil || c.member.Confirmed() {
 		return
 	}
-	c.applyShares(now)
-	c.dirty = true
+	c.member.ReadFromStore(asked, c.member.Version())
+	if c.member.Confirmed() {
+		c.applyShares(now)
+	}
 }
 
 // setShareView tells the driver which instances are there.
@@ -63,13 +71,9 @@
 	}
 	listRead := !c.listRead.IsZero() && now.Sub(c.listRead) < 3*listInterval
 	c.shareDriver.SetMembers(now, sharetable.View{Candidates: candidates, ListRead: listRead})
-	c.shareDriver.Ack(now, sharetable.Answer{
-		Name:        c.parts.identity.GetAddress(),
-		Incarnation: c.parts.identity.GetIncarnation(),
-		Applied:     c.member.Acknowledged(),
-		Leaving:     c.leaving,
-		AskedAt:     now,
-	})
+	answer := c.member.Answer()
+	answer.AskedAt = now
+	c.shareDriver.Ack(now, answer)
 }
 
 // loanTimeout bounds one loan request; the limiter gives up earlier.
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync/atomic"
-	"time"
 
 	"samphireferry.example/ferry/balancing"
 	"samphireferry.example/ferry/membership"
@@ -27,9 +26,7 @@
 	pools     map[poolKey]*balancing.Pool
 	splits    *splitting.Snapshot
 	recorders *rollouts.Recorders
-	// storeHeard is when word from the store last arrived by any path.
-	storeHeard time.Time
-	leaving    bool
+	leaving   bool
 }
 
 // views holds the newest view.
@@ -49,6 +46,3 @@
 
 // Table implements caller.Tables.
 func (v *views) Table() *routing.Table { return v.load().table }
-
-// StoreAge implements caller.Freshness.
-func (v *views) StoreAge() time.Duration { return time.Since(v.load().storeHeard) }
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -9,14 +9,17 @@
 
 	"samphireferry.example/ferry/admission"
 	"samphireferry.example/ferry/caller"
+	"samphireferry.example/ferry/config/dynamic"
 	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/dispatch"
+	"samphireferry.example/ferry/distribution"
 	"samphireferry.example/ferry/entryinstance"
 	"samphireferry.example/ferry/invariant"
 	"samphireferry.example/ferry/membership"
 	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/relay"
 	"samphireferry.example/ferry/requestkeys"
+	"samphireferry.example/ferry/routing"
 	"samphireferry.example/ferry/rpc/entrypb"
 	"samphireferry.example/ferry/telemetry"
 	"samphireferry.example/ferry/upstream"
@@ -24,8 +27,9 @@
 
 // newInjector returns the container that makes each part of an instance on
 // first use.
-func newInjector(settings *static.Settings, log *zap.Logger) do.Injector {
+func newInjector(settings *static.Settings, log *zap.Logger, dial Dialer) do.Injector {
 	i := do.New()
+	do.ProvideValue(i, dial)
 	do.ProvideValue(i, settings)
 	do.ProvideValue(i, log)
 	do.ProvideValue(i, telemetry.New())
@@ -38,6 +42,7 @@
 	do.Provide(i, providePeers)
 	do.Provide(i, provideUpstreams)
 	do.Provide(i, provideLimiter)
+	do.Provide(i, provideDistribution)
 	do.Provide(i, provideParts)
 	do.Provide(i, provideKeys)
 	do.Provide(i, provideClaims)
@@ -73,6 +78,7 @@
 		URL:     settings.Platform,
 		Seed:    uint64(time.Now().UnixNano()),
 		Metrics: do.MustInvoke[*telemetry.Metrics](i),
+		Dial:    do.MustInvoke[Dialer](i),
 	})
 }
 
@@ -93,7 +99,11 @@
 }
 
 func providePeers(i do.Injector) (*entryinstance.Pool, error) {
-	return entryinstance.NewPool(do.MustInvoke[entryinstance.Config](i))
+	config := do.MustInvoke[entryinstance.Config](i)
+	if dial := do.MustInvoke[Dialer](i); dial != nil {
+		return entryinstance.NewPoolWithDialer(config, entryinstance.Dialer(dial))
+	}
+	return entryinstance.NewPool(config)
 }
 
 func provideUpstreams(do.Injector) (*upstream.Client, error) {
@@ -105,6 +115,22 @@
 	return admission.NewLimiter(admission.Settings{Checker: checker}, time.Now()), nil
 }
 
+func provideDistribution(i do.Injector) (*distribution.State, error) {
+	identity := do.MustInvoke[*entrypb.Identity](i)
+	return distribution.NewState(distribution.Options{
+		Self:          identity.GetName(),
+		FailureDomain: identity.GetFailureDomain(),
+		Validate:      validate,
+		Checker:       do.MustInvoke[*invariant.Checker](i),
+		Started:       time.Now(),
+	}), nil
+}
+
+func validate(config *dynamic.Config) error {
+	_, err := routing.Compile(config)
+	return err
+}
+
 func provideParts(i do.Injector) (*parts, error) {
 	client, err := do.Invoke[*platform.Client](i)
 	if err != nil {
@@ -126,6 +152,7 @@
 		peers:      peers,
 		upstreams:  do.MustInvoke[*upstream.Client](i),
 		limiter:    do.MustInvoke[*admission.Limiter](i),
+		dist:       do.MustInvoke[*distribution.State](i),
 	}, nil
 }
 
@@ -203,7 +230,7 @@
 	return caller.NewServer(callerSettings(p.settings), caller.Services{
 		Tables:         p.views,
 		Admitter:       &admitter{limiter: p.limiter},
-		Freshness:      p.views,
+		Freshness:      p,
 		Dispatcher:     dispatcher,
 		Claims:         do.MustInvoke[*claims](i),
 		EntryInstances: &entryList{parts: p, keys: do.MustInvoke[*requestkeys.Service](i)},
--- a/demo/network.go
+++ b/demo/network.go
@@ -34,8 +34,8 @@
 	return &Network{cut: map[link]bool{}, changed: make(chan struct{}), places: map[string]string{}}
 }
 
-// placePlatform is the place of the platform.
-const placePlatform = "platform"
+// PlacePlatform is the place of the platform.
+const PlacePlatform = "platform"
 
 // SetCut cuts two places off from each other, or joins them again.
 func (n *Network) SetCut(a, b string, cut bool) {
--- a/demo/system.go
+++ b/demo/system.go
@@ -43,6 +43,9 @@
 	Upstreams map[string]*standinupstream.Upstream
 	Set       dynamic.Set
 
+	// Network carries what passes between the entry instances and the platform.
+	Network *Network
+
 	options Options
 	domains []dynamic.FailureDomain
 	servers []*http.Server
@@ -51,7 +54,11 @@
 // Start starts a system and returns when all entry instances run. Stop must be
 // called also after an error.
 func Start(options Options) (*System, error) {
-	s := &System{options: withDefaults(options), Upstreams: map[string]*standinupstream.Upstream{}}
+	s := &System{
+		options:   withDefaults(options),
+		Upstreams: map[string]*standinupstream.Upstream{},
+		Network:   newNetwork(),
+	}
 	s.domains = failureDomains(s.options.Regions, s.options.DomainsPerRegion)
 	s.Set = baseSet(s.domains)
 	err := s.start()
@@ -103,6 +110,7 @@
 	s.Platform = standinplatform.New(standinplatform.Options{})
 	address, err := s.serve(s.Platform.Handler())
 	s.PlatformURL = "http://" + address
+	s.Network.place(address, PlacePlatform)
 	return err
 }
 
@@ -152,11 +160,12 @@
 	if err != nil {
 		return err
 	}
-	instance, err := daemon.New(settings, s.options.Log.With(zap.String("instance", settings.Name)))
+	instance, err := daemon.New(settings, s.options.Log.With(zap.String("instance", settings.Name)), s.Network.dialFrom(domain.Name))
 	if err != nil {
 		return err
 	}
 	instance.Invariants().OnViolation = s.options.OnViolation
+	s.Network.place(settings.RPCAdvertise, domain.Name)
 	err = instance.Provision()
 	if err != nil {
 		return err
