--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -198,3 +198,12 @@
 
 // Home returns the first part of idempotency keys whose home is the instance.
 func (i *Instance) Home() string { return i.keys.HomeName() }
+
+// ConfigVersion returns the version of the configuration in force, or 0.
+func (i *Instance) ConfigVersion() uint64 {
+	table := i.parts.views.Table()
+	if table == nil {
+		return 0
+	}
+	return table.Version
+}
