--- a/membership/registry.go
+++ b/membership/registry.go
@@ -85,6 +85,9 @@
 	// stateBytes is the average size of a received state.
 	stateBytes float64
 
+	selfState   *entrypb.State
+	selfChanged bool
+
 	contacts      []*member
 	contactsDirty bool
 	rotation      int64
--- a/membership/snapshot.go
+++ b/membership/snapshot.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"samphireferry.example/ferry/rpc/entrypb"
 )
 
 // Snapshot returns what is known now. It returns the same snapshot as before
@@ -10,7 +12,8 @@
 func (r *Registry) Snapshot(now time.Time) *Peers {
 	r.tick(now)
 	r.chooseContacts(now)
-	changed := r.publish(now)
+	changed := r.publish(now) || r.selfChanged
+	r.selfChanged = false
 	if r.snapshot != nil && !changed && !r.indexDirty {
 		return r.snapshot
 	}
@@ -46,6 +49,13 @@
 	return changed
 }
 
+// SetSelf takes the state that this instance sends in its own heartbeats.
+func (r *Registry) SetSelf(state *entrypb.State) {
+	changed := state.GetLeaving() != r.selfState.GetLeaving() || state.GetLoadPermille() != r.selfState.GetLoadPermille()
+	r.selfState = state
+	r.selfChanged = r.selfChanged || changed
+}
+
 func (r *Registry) self() Peer {
 	self := r.config.Self
 	return Peer{
@@ -56,6 +66,9 @@
 		FailureDomain: self.GetFailureDomain(),
 		Region:        self.GetRegion(),
 		Listed:        true,
+		Leaving:       r.selfState.GetLeaving(),
+		LoadPermille:  r.selfState.GetLoadPermille(),
+		State:         r.selfState,
 	}
 }
 
