Judgement of versions: slices of fixed length, simulation, tests

Cause: a slice that ended with the first request of the new version placed that request last, so that the begin of an outage of both versions counted against the new one (TestSharedOutagesAreNoEvidence with 100 instances). Change: the length of a slice is fixed when it begins; more weight for the evidence after each step; a simulation of 10 instances with 9 faults.

--- a/rollouts/detector.go
+++ b/rollouts/detector.go
@@ -6,8 +6,16 @@
 // failures is not enough for a verdict.
 const maxSliceRatio = 50
 
-// firstWeight is the part of the weight for evidence from the very start.
-const firstWeight = 0.5
+// The weights of the evidence from each moment on; they sum to 1.
+const (
+	// firstWeight is that of the evidence from the very start.
+	firstWeight = 0.5
+	// stepWeight is that of the evidence from one step on, since many faults
+	// show under more load.
+	stepWeight = 0.02
+	// laterWeight is that of the evidence from all other slices on together.
+	laterWeight = 0.2
+)
 
 // oddsTested are the odds ratios that the test looks for.
 var oddsTested = [...]float64{3, 10, 50}
@@ -26,10 +34,13 @@
 	return detector{
 		weightLeft: 1,
 		nextWeight: firstWeight,
-		laterOne:   (1 - firstWeight) / float64(max(slices, 1)),
+		laterOne:   laterWeight / float64(max(slices, 1)),
 	}
 }
 
+// stepped gives more weight to the evidence from the next slice on.
+func (d *detector) stepped() { d.nextWeight = max(d.nextWeight, stepWeight) }
+
 // add takes in one slice.
 func (d *detector) add(t table2x2) {
 	weight := min(d.nextWeight, d.weightLeft)
--- a/rollouts/judge.go
+++ b/rollouts/judge.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// sliceTime is the least length of a slice.
-	sliceTime = 250 * time.Millisecond
 	// FalseAlarm bounds the probability that a version that is like the old
 	// one is ever stopped in one roll-out, over all instances and routes.
 	FalseAlarm = 0.01
@@ -70,6 +68,7 @@
 	baseline Counts
 	failures detector
 	latency  detector
+	step     uint64
 }
 
 // NewJudge returns a judge for a roll-out with the deadline. The whole fleet
@@ -79,7 +78,7 @@
 	tests := max(routes, 1) * measures * max(judges, 1)
 	return &Judge{
 		threshold: float64(tests) / FalseAlarm,
-		slices:    int(deadline/sliceTime) * max(instances, 1),
+		slices:    int(deadline/minSlice) * max(instances, 1),
 		routes:    map[string]*routeTest{},
 	}
 }
@@ -102,13 +101,14 @@
 		return j.finding
 	}
 	test := j.route(sample.Route)
+	test.stepped(sample.Step)
 	s := test.stratum(sample.Instance)
 	s.take(now, sample)
-	if !s.complete(now) {
+	before, after, ok := s.end(now)
+	if !ok {
 		return nil
 	}
-	test.add(s.old, s.new)
-	s.restart(now)
+	test.add(before, after)
 	j.finding = j.find(sample.Route, test)
 	return j.finding
 }
@@ -158,6 +158,16 @@
 	return s
 }
 
+// stepped tells the detectors of a new step.
+func (t *routeTest) stepped(step uint64) {
+	if step <= t.step {
+		return
+	}
+	t.step = step
+	t.failures.stepped()
+	t.latency.stepped()
+}
+
 // add tests one slice.
 func (t *routeTest) add(before, after Counts) {
 	t.old = t.old.Plus(before)
--- a/rollouts/odds.go
+++ b/rollouts/odds.go
@@ -36,6 +36,9 @@
 // number of new events has Fisher's noncentral hypergeometric distribution.
 func (t table2x2) logLikelihoodRatio(theta float64) float64 {
 	events := t.newEvents + t.oldEvents
+	if events == 0 {
+		return 0
+	}
 	lowest := uint64(0)
 	if events > t.oldRequests {
 		lowest = events - t.oldRequests
--- /dev/null
+++ b/rollouts/odds_test.go
@@ -0,0 +1,157 @@
+package rollouts
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"samphireferry.example/ferry/errkind"
+)
+
+// choose returns the binomial coefficient.
+func choose(n, k uint64) float64 {
+	if k > n {
+		return 0
+	}
+	a, _ := math.Lgamma(float64(n) + 1)
+	b, _ := math.Lgamma(float64(k) + 1)
+	c, _ := math.Lgamma(float64(n-k) + 1)
+	return math.Exp(a - b - c)
+}
+
+func TestLikelihoodRatioHasMeanOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		newRequests := rapid.Uint64Range(1, 40).Draw(t, "new")
+		oldRequests := rapid.Uint64Range(1, 40).Draw(t, "old")
+		events := rapid.Uint64Range(0, newRequests+oldRequests).Draw(t, "events")
+		theta := rapid.SampledFrom(oddsTested[:]).Draw(t, "theta")
+		mean := 0.0
+		for k := range min(events, newRequests) + 1 {
+			if events-k > oldRequests {
+				continue
+			}
+			table := table2x2{newRequests, oldRequests, k, events - k}
+			ways := choose(newRequests, k) * choose(oldRequests, events-k)
+			mean += ways / choose(newRequests+oldRequests, events) * math.Exp(table.logLikelihoodRatio(theta))
+		}
+		assert.Assert(t, math.Abs(mean-1) < 1e-6, "mean %v", mean)
+	})
+}
+
+func TestEvidenceRarelyExceedsItsBoundByChance(t *testing.T) {
+	const runs, slices, bound = 4000, 200, 20.0
+	random := rand.New(rand.NewPCG(1, 2))
+	exceeded := 0
+	for range runs {
+		d := newDetector(slices)
+		for i := range slices {
+			if i%50 == 0 {
+				d.stepped()
+			}
+			p := 0.01 + 0.3*random.Float64() // Shared by both versions.
+			table := table2x2{newRequests: 1 + random.Uint64N(4), oldRequests: 1 + random.Uint64N(20)}
+			for range table.newRequests {
+				table.newEvents += event(random, p)
+			}
+			for range table.oldRequests {
+				table.oldEvents += event(random, p)
+			}
+			d.add(table)
+			if d.value() >= bound {
+				exceeded++
+				break
+			}
+		}
+	}
+	t.Logf("%d of %d runs exceeded the evidence %v", exceeded, runs, bound)
+	assert.Assert(t, exceeded <= runs/int(bound), "%d of %d", exceeded, runs)
+}
+
+func event(random *rand.Rand, p float64) uint64 {
+	if random.Float64() < p {
+		return 1
+	}
+	return 0
+}
+
+func TestBuckets(t *testing.T) {
+	for _, ms := range []float64{0.1, 1, 1.5, 2, 7, 20, 500, 90_000} {
+		bucket := bucketOf(time.Duration(ms * float64(time.Millisecond)))
+		if bucket < bucketCount-1 {
+			assert.Assert(t, ms <= bucketBound(bucket)*1.000001, "%v ms", ms)
+		}
+		assert.Assert(t, bucket == 0 || ms > bucketBound(bucket-1)*0.999999, "%v ms", ms)
+	}
+	var counts Counts
+	for i := range counts.Latency {
+		counts.Latency[i] = uint64(i + 1)
+	}
+	coarse := decodeCounts((&comparison{recorder: &Recorder{}}).message("", "", counts))
+	assert.Equal(t, coarse.answered(), counts.answered())
+}
+
+func TestClassify(t *testing.T) {
+	cases := map[string]struct {
+		status int
+		err    error
+		want   Result
+	}{
+		"answer":             {status: 200, want: Answered},
+		"fault of caller":    {status: 404, want: Answered},
+		"upstream error":     {status: 500, want: Failed},
+		"connection dropped": {err: errkind.New(errkind.UpstreamFailed, ""), want: Failed},
+		"timeout":            {err: errkind.New(errkind.UpstreamTimeout, ""), want: Failed},
+		"truncated":          {err: errkind.New(errkind.AnswerTruncated, ""), want: Failed},
+		"foreign answer":     {err: errkind.New(errkind.AnswerMismatched, ""), want: Failed},
+		"shed":               {err: errkind.New(errkind.Overloaded, ""), want: Ignored},
+		"caller gone":        {err: errkind.New(errkind.CallerGone, ""), want: Ignored},
+	}
+	for name, c := range cases {
+		assert.Equal(t, Classify(c.status, c.err), c.want, name)
+	}
+}
+
+// TestSharedOutagesAreNoEvidence lets all requests of both versions fail for a
+// while, again and again. No version must look worse for being counted at
+// another moment of a slice.
+func TestSharedOutagesAreNoEvidence(t *testing.T) {
+	const judges, instances, seconds, ticksPerSecond = 20, 100, 60, 10
+	for seed := range uint64(3) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		judge := NewJudge(seconds*time.Second, 1, judges, instances)
+		samples := make([]Sample, instances)
+		now := time.Unix(0, 0)
+		outage := false
+		for tick := range seconds * ticksPerSecond {
+			if tick%50 == 0 {
+				outage = random.IntN(2) == 0
+			}
+			now = now.Add(time.Second / ticksPerSecond)
+			for i := range samples {
+				samples[i].Instance = fmt.Sprint(i)
+				samples[i].Route = "main"
+				samples[i].Old = samples[i].Old.Plus(sampleOf(outage, 2))
+				if random.IntN(ticksPerSecond) == 0 {
+					samples[i].New = samples[i].New.Plus(sampleOf(outage, 1))
+				}
+				finding := judge.Add(now, samples[i])
+				assert.Assert(t, finding == nil, "seed %d, tick %d: %s", seed, tick, finding)
+			}
+		}
+	}
+}
+
+func sampleOf(outage bool, requests uint64) Counts {
+	counts := Counts{Requests: requests}
+	if outage {
+		counts.Failures = requests
+		return counts
+	}
+	counts.Latency[9] = requests
+	return counts
+}
--- /dev/null
+++ b/rollouts/rollout_bench_test.go
@@ -0,0 +1,59 @@
+package rollouts
+
+import (
+	"testing"
+
+	"samphireferry.example/ferry/shift"
+)
+
+// BenchmarkRollouts measures how roll-outs end, one seed for each iteration.
+// Run it with a fixed number of iterations, such as -benchtime 100x.
+func BenchmarkRollouts(b *testing.B) {
+	rules := []struct {
+		name string
+		rule rule
+	}{{"sequential", sequentialTest}, {"threshold", fixedThreshold}}
+	for _, r := range rules {
+		b.Run("rule="+r.name+"/version=good", func(b *testing.B) { measureGood(b, r.rule, false) })
+		b.Run("rule="+r.name+"/version=good_noise", func(b *testing.B) { measureGood(b, r.rule, true) })
+		for _, f := range faults {
+			b.Run("rule="+r.name+"/version="+f.name, func(b *testing.B) { measureBad(b, r.rule, f) })
+		}
+	}
+}
+
+func measureGood(b *testing.B, rule rule, noisy bool) {
+	done, stopped, seconds := 0, 0, 0.0
+	for i := range b.N {
+		s := newSimulation(uint64(i), rule, nil, noisy)
+		r := s.run()
+		if r.State == shift.Done {
+			done++
+			seconds += s.now.Sub(s.start).Seconds()
+		}
+		if r.Reason == shift.ReasonVerdict {
+			stopped++
+		}
+	}
+	b.ReportMetric(100*float64(done)/float64(b.N), "%done")
+	b.ReportMetric(100*float64(stopped)/float64(b.N), "%false-alarms")
+	b.ReportMetric(seconds/float64(max(done, 1)), "s-until-done")
+}
+
+func measureBad(b *testing.B, rule rule, f fault) {
+	takenBack, bad, worst, requests := 0, 0, 0, 0
+	for i := range b.N {
+		s := newSimulation(uint64(i), rule, &f, false)
+		r := s.run()
+		if r.State == shift.TakenBack {
+			takenBack++
+		}
+		bad += s.badRequests
+		worst = max(worst, s.badRequests)
+		requests += s.requests
+	}
+	b.ReportMetric(100*float64(takenBack)/float64(b.N), "%taken-back")
+	b.ReportMetric(float64(bad)/float64(b.N), "bad-requests")
+	b.ReportMetric(float64(worst), "worst-bad-requests")
+	b.ReportMetric(100*float64(bad)/float64(requests), "%bad")
+}
--- /dev/null
+++ b/rollouts/rollout_test.go
@@ -0,0 +1,80 @@
+package rollouts
+
+import (
+	"flag"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"samphireferry.example/ferry/shift"
+)
+
+// maxBadShare bounds the part of all requests that meets the fault of a bad
+// version. It is the default canary share.
+const maxBadShare = defaultCanaryShare
+
+// seedCount is the number of random runs of each kind; their seeds count from 0.
+var seedCount = flag.Uint64("rollouts.seeds", 1, "number of random runs")
+
+func TestBadVersionsAreStopped(t *testing.T) {
+	for _, f := range faults {
+		t.Run(f.name, func(t *testing.T) {
+			for seed := range *seedCount {
+				s := newSimulation(seed, sequentialTest, &f, false)
+				r := s.run()
+				assert.Equal(t, r.State, shift.TakenBack, "seed %d", seed)
+				assert.Equal(t, r.Reason, shift.ReasonVerdict, "seed %d", seed)
+				assert.Assert(t, float64(s.badRequests) <= maxBadShare*float64(s.requests), "seed %d", seed)
+				assert.Equal(t, s.checker.Total(), int64(0))
+			}
+		})
+	}
+}
+
+func TestGoodVersionsAreDoneInTime(t *testing.T) {
+	for seed := range 2 * *seedCount {
+		s := newSimulation(seed, sequentialTest, nil, seed%2 == 1)
+		r := s.run()
+		assert.Equal(t, r.State, shift.Done, "seed %d: %s %s", seed, r.Reason, r.Detail)
+		assert.Equal(t, s.checker.Total(), int64(0))
+	}
+}
+
+func TestVerdictSpreadsWithoutTheStoreAndIsFinal(t *testing.T) {
+	s := newSimulation(1, sequentialTest, nil, false)
+	for range 20 {
+		s.step()
+	}
+	first := s.instances[3]
+	assert.Assert(t, first.controller.Shares(s.now)[0].Share > 0)
+	assert.Assert(t, first.controller.addVerdict("r", 1, "test"))
+	assert.Equal(t, first.controller.Shares(s.now)[0].Share, 0.0, "at once, on its own evidence")
+	s.heartbeats()
+	for _, instance := range s.instances {
+		assert.Equal(t, instance.controller.Shares(s.now)[0].Share, 0.0)
+	}
+	// A record that still says running, or even done, gives no share.
+	s.step()
+	driver := s.instances[0].controller.Driver()
+	assert.Equal(t, driver.Record("r").Reason, shift.ReasonVerdict)
+
+	// Publishing another version of the set is not enough; changing the
+	// object is.
+	for _, instance := range s.instances {
+		instance.controller.Configure(2, instance.controller.objects, instance.controller.routes)
+	}
+	for range 20 {
+		s.step()
+	}
+	assert.Equal(t, first.controller.Shares(s.now)[0].Share, 0.0)
+	s.object.Deadline *= 2
+	for _, instance := range s.instances {
+		instance.controller.Configure(3, append(instance.controller.objects[:0:0], s.object), instance.controller.routes)
+	}
+	for range 20 {
+		s.step()
+	}
+	assert.Equal(t, driver.Record("r").ConfigVersion, uint64(3))
+	assert.Assert(t, first.controller.Shares(s.now)[0].Share > 0)
+	assert.Assert(t, first.controller.Shares(s.now)[0].Share <= defaultCanaryShare)
+}
--- /dev/null
+++ b/rollouts/simulation_test.go
@@ -0,0 +1,331 @@
+package rollouts
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"samphireferry.example/ferry/config/dynamic"
+	"samphireferry.example/ferry/invariant"
+	"samphireferry.example/ferry/platform"
+	"samphireferry.example/ferry/rpc/entrypb"
+	"samphireferry.example/ferry/shift"
+	"samphireferry.example/ferry/splitting"
+	"samphireferry.example/ferry/units"
+)
+
+const (
+	simTick       = 100 * time.Millisecond
+	simHeartbeat  = 5 // ticks
+	simInstances  = 10
+	simLatency    = 20 * time.Millisecond
+	simFailures   = 0.003
+	simCompletion = 256 // ticks for which answers can be under way
+)
+
+// simRates are the requests per second of the fleet on each route.
+var simRates = map[string]float64{"main": 200, "second": 40, "rare": 4}
+
+var simRoutes = []string{"main", "second", "rare"}
+
+// fault is how a new version behaves in a simulation.
+type fault struct {
+	name string
+	// failures is the added failure probability, slowdown the latency factor,
+	// on the route, or on all when empty.
+	failures float64
+	slowdown float64
+	route    string
+	// after and share are the time and the share from which the fault shows.
+	after time.Duration
+	share float64
+}
+
+var faults = []fault{
+	{name: "fails", failures: 0.5},
+	{name: "fails_mildly", failures: 0.05},
+	{name: "slow", slowdown: 4},
+	{name: "fails_later", failures: 0.3, after: 70 * time.Second},
+	{name: "slow_later", slowdown: 4, after: 70 * time.Second},
+	{name: "fails_under_load", failures: 0.3, share: 0.5},
+	{name: "fails_one_route", failures: 0.5, route: "second"},
+	{name: "fails_rare_route", failures: 0.5, route: "rare"},
+	{name: "slow_one_route", slowdown: 4, route: "second"},
+}
+
+func (f *fault) shows(route string, since time.Duration, share float64) bool {
+	return (f.route == "" || f.route == route) && since >= f.after && share >= f.share
+}
+
+// rule decides who stops a version in a simulation.
+type rule int
+
+const (
+	sequentialTest rule = iota
+	fixedThreshold
+)
+
+type simAnswer struct {
+	instance *simInstance
+	route    string
+	version  string
+	failed   bool
+	latency  time.Duration
+}
+
+type simInstance struct {
+	identity   *entrypb.Identity
+	controller *Controller
+	registry   *splitting.Registry
+	splits     *splitting.Snapshot
+	threshold  thresholdRule
+}
+
+// simulation runs one roll-out on several instances in virtual time. The first
+// instance drives the record; the others get it by heartbeats.
+type simulation struct {
+	random    *rand.Rand
+	rule      rule
+	fault     *fault
+	noisy     bool
+	object    dynamic.Rollout
+	checker   *invariant.Checker
+	instances []*simInstance
+	start     time.Time
+	now       time.Time
+	tick      int
+	revision  platform.Revision
+	underWay  [simCompletion][]simAnswer
+	// badRequests are those that met the fault.
+	badRequests int
+	requests    int
+}
+
+func newSimulation(seed uint64, rule rule, f *fault, noisy bool) *simulation {
+	s := &simulation{
+		random:  rand.New(rand.NewPCG(seed, 11)),
+		rule:    rule,
+		fault:   f,
+		noisy:   noisy,
+		checker: &invariant.Checker{},
+		start:   time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC),
+		object: dynamic.Rollout{
+			Name: "r", Service: "s", From: "v1", To: "v2",
+			Deadline: units.Duration(240 * time.Second),
+		},
+	}
+	s.now = s.start
+	for i := range simInstances {
+		instance := &simInstance{
+			identity:   &entrypb.Identity{Name: fmt.Sprintf("i%d", i), Incarnation: "1"},
+			controller: NewController(s.checker),
+			registry:   splitting.NewRegistry(s.checker),
+		}
+		instance.controller.SetInstances(simInstances)
+		instance.controller.Configure(1, []dynamic.Rollout{s.object}, map[string][]string{"s": simRoutes})
+		s.instances = append(s.instances, instance)
+	}
+	return s
+}
+
+// run runs until the roll-out has ended on every instance and returns its record.
+func (s *simulation) run() *Rollout {
+	deadline := s.start.Add(s.object.Deadline.Std())
+	for s.now.Before(deadline) {
+		s.step()
+		if r := s.instances[0].controller.Driver().Record("r"); r != nil && r.Ended() {
+			break
+		}
+	}
+	return s.instances[0].controller.Driver().Record("r")
+}
+
+func (s *simulation) step() {
+	s.now = s.now.Add(simTick)
+	s.tick++
+	s.complete()
+	for _, instance := range s.instances {
+		instance.controller.Tick(s.now)
+		instance.splits = instance.registry.Build(instance.controller.Shares(s.now), nil)
+		s.send(instance)
+	}
+	s.drive()
+	if s.tick%simHeartbeat == 0 {
+		s.heartbeats()
+	}
+}
+
+func (s *simulation) drive() {
+	driver := s.instances[0].controller.Driver()
+	driver.SetInputs(Inputs{
+		Loads:   map[Target]shift.Load{{"s", "v2"}: {Slots: 100, InUse: 10, Healthy: 5}},
+		Applied: s.applied(),
+	})
+	if write, ok := driver.Plan(s.now); ok {
+		s.revision++
+		driver.Done(write, s.revision, nil)
+	}
+}
+
+func (s *simulation) applied() shift.AppliedSteps {
+	key := platform.PrefixRollouts + "r"
+	lowest := uint64(math.MaxUint64)
+	for _, instance := range s.instances {
+		lowest = min(lowest, instance.controller.Driver().Steps()[key])
+	}
+	return shift.AppliedSteps{key: lowest}
+}
+
+func (s *simulation) heartbeats() {
+	for _, from := range s.instances {
+		driver := from.controller.Driver()
+		state := &entrypb.State{
+			Identity:     from.identity,
+			Verdicts:     from.controller.Verdicts(),
+			Evidence:     from.controller.Evidence(),
+			AppliedSteps: driver.Steps(),
+		}
+		for _, to := range s.instances {
+			if to == from {
+				continue
+			}
+			for _, value := range driver.NewerThan(to.controller.Driver().Steps()) {
+				if _, err := to.controller.Driver().Learn(s.now, value); err != nil {
+					panic(err)
+				}
+			}
+			to.controller.Hear(s.now, state)
+		}
+	}
+}
+
+// send sends the requests of one tick.
+func (s *simulation) send(instance *simInstance) {
+	split := instance.splits.Version("s")
+	share := instance.controller.Shares(s.now)[0].Share
+	for _, route := range simRoutes {
+		for range s.poisson(simRates[route] / simInstances * simTick.Seconds() * s.loadFactor()) {
+			version, isNew := split.Next(route)
+			s.requests++
+			s.serve(instance, route, version, isNew, share)
+		}
+	}
+}
+
+func (s *simulation) serve(instance *simInstance, route, version string, isNew bool, share float64) {
+	failures := simFailures
+	factor := math.Exp(0.5 * s.random.NormFloat64())
+	if s.noisy {
+		sharedFailures, sharedFactor := s.noise()
+		failures += sharedFailures
+		factor *= sharedFactor
+	}
+	if isNew && s.fault != nil && s.fault.shows(route, s.now.Sub(s.start), share) {
+		s.badRequests++
+		failures += s.fault.failures
+		if s.fault.slowdown > 0 {
+			factor *= s.fault.slowdown
+		}
+	}
+	latency := time.Duration(float64(simLatency) * factor)
+	ticks := min(1+int(latency/simTick), simCompletion-1)
+	slot := (s.tick + ticks) % simCompletion
+	failed := s.random.Float64() < failures
+	s.underWay[slot] = append(s.underWay[slot], simAnswer{instance, route, version, failed, latency})
+}
+
+// complete records the answers that come in this tick.
+func (s *simulation) complete() {
+	slot := s.tick % simCompletion
+	for _, a := range s.underWay[slot] {
+		result := Answered
+		if a.failed {
+			result = Failed
+		}
+		a.instance.controller.Recorders().Service("s").Record(a.route, a.version, result, a.latency)
+		if s.rule == fixedThreshold {
+			s.judgeByThreshold(a)
+		}
+	}
+	s.underWay[slot] = nil
+	if s.rule == fixedThreshold {
+		for _, instance := range s.instances {
+			instance.disableJudges()
+		}
+	}
+}
+
+// noise returns what both versions suffer: for 10 s in each 40 s a quarter of
+// the requests fail, and for 10 s answers take three times as long.
+func (s *simulation) noise() (failures, factor float64) {
+	switch int(s.now.Sub(s.start)/(10*time.Second)) % 4 {
+	case 1:
+		return 0.25, 1
+	case 3:
+		return 0, 3
+	default:
+		return 0, 1
+	}
+}
+
+// loadFactor varies the rate of requests when there is noise.
+func (s *simulation) loadFactor() float64 {
+	if !s.noisy {
+		return 1
+	}
+	return 1 + 0.5*math.Sin(s.now.Sub(s.start).Seconds()/15)
+}
+
+func (s *simulation) poisson(mean float64) int {
+	limit := math.Exp(-mean)
+	n := 0
+	for p := s.random.Float64(); p > limit; p *= s.random.Float64() {
+		n++
+	}
+	return n
+}
+
+// thresholdRule is the baseline: a version is stopped when, among its last
+// answers on one instance, more than a twentieth failed or more than a fifth
+// took longer than five times the usual latency.
+type thresholdRule struct {
+	answers  int
+	failures int
+	slow     int
+}
+
+const (
+	thresholdWindow   = 40
+	thresholdFailures = 0.05
+	thresholdSlow     = 0.2
+	thresholdLatency  = 5 * simLatency
+)
+
+func (s *simulation) judgeByThreshold(a simAnswer) {
+	if a.version != s.object.To {
+		return
+	}
+	t := &a.instance.threshold
+	t.answers++
+	if a.failed {
+		t.failures++
+	}
+	if a.latency > thresholdLatency {
+		t.slow++
+	}
+	if t.answers < thresholdWindow {
+		return
+	}
+	if float64(t.failures) > thresholdFailures*thresholdWindow || float64(t.slow) > thresholdSlow*thresholdWindow {
+		a.instance.controller.addVerdict("r", 1, "fixed threshold")
+	}
+	*t = thresholdRule{}
+}
+
+func (i *simInstance) disableJudges() {
+	for _, comparison := range i.controller.comparisons {
+		comparison.local.threshold = math.Inf(1)
+		comparison.fleet.threshold = math.Inf(1)
+	}
+}
