--- a/internal/controltest/node.go
+++ b/internal/controltest/node.go
@@ -34,11 +34,12 @@
 	// go on.
 	PausedUntil time.Time
 
-	ctx    context.Context
-	cancel context.CancelFunc
-	store  platform.Store
-	mu     sync.Mutex
-	queue  []func(now time.Time)
+	ctx     context.Context
+	cancel  context.CancelFunc
+	machine *controllease.Lease
+	store   platform.Store
+	mu      sync.Mutex
+	queue   []func(now time.Time)
 }
 
 // NewNode returns a node that works until ctx ends or it is killed.
@@ -46,7 +47,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	n := &Node{Name: name, ctx: ctx, cancel: cancel, store: store}
 	random := rand.New(rand.NewPCG(seed, seed))
-	n.Lease = controllease.NewRunner(controllease.New(controllease.Options{Rand: random}), store, name,
+	n.machine = controllease.New(controllease.Options{Rand: random})
+	n.Lease = controllease.NewRunner(n.machine, store, name,
 		func(r controllease.Result) { n.Post(func(now time.Time) { n.Lease.Handle(now, r) }) }, nil)
 	n.Executor = reconcile.NewExecutor(reconcile.Options{
 		Store: store,
@@ -102,11 +104,15 @@
 		job(now)
 	}
 	work(now)
+	n.machine.SetMembers(members)
 	n.Lease.Tick(n.ctx, now)
 	n.Executor.Step(n.ctx, now)
 	return true
 }
 
+// Resign gives the control lease up.
+func (n *Node) Resign() { n.machine.Resign() }
+
 // Alive says whether the node has not been killed.
 func (n *Node) Alive() bool { return n.ctx.Err() == nil }
 
