Steering in the list of entry instances; shares given back before a stop

Cause: a stopped instance kept its rate shares until the platform's list had lacked it for a minute. Change: a leaving instance waits up to 4 s until the share table no longer lists it; the list of entry instances comes from steering.

--- a/caller/services.go
+++ b/caller/services.go
@@ -81,5 +81,4 @@
 	Address       string `json:"address" doc:"IP address and port for requests."`
 	FailureDomain string `json:"failure_domain" doc:"Failure domain of the instance."`
 	Region        string `json:"region" doc:"Region of the instance."`
-	Leaving       bool   `json:"leaving" doc:"Set while the instance is shutting down."`
 }
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -18,6 +18,7 @@
 	"samphireferry.example/ferry/routing"
 	"samphireferry.example/ferry/sharetable"
 	"samphireferry.example/ferry/splitting"
+	"samphireferry.example/ferry/steering"
 )
 
 // control is the control state of one instance. Only the control goroutine
@@ -43,10 +44,17 @@
 	dist    *distribution.State
 	watcher *distribution.Watcher
 	table   *routing.Table
+	blocks  *steering.Blocks
+	// directory was made at directoryAt, for the division directoryOf.
+	directory   *steering.Directory
+	directoryAt time.Time
+	directoryOf uint64
 	// listed are the caller addresses in the platform's list, read at listRead.
 	listed   map[string]bool
 	listRead time.Time
 	leaving  bool
+	// departed is set when parts.departed has been closed.
+	departed bool
 	// dirty says that the view must be published anew.
 	dirty bool
 }
@@ -71,6 +79,7 @@
 		rollouts: rollouts.NewController(p.invariants),
 		splits:   splitting.NewRegistry(p.invariants),
 		pools:    newPoolSet(p),
+		blocks:   &steering.Blocks{},
 		dist:     p.dist,
 		shareDriver: sharetable.NewDriver(sharetable.DriverSettings{
 			Checker: p.invariants,
@@ -142,9 +151,27 @@
 	c.updatePeers(now)
 	c.followRecords(now)
 	c.doControlWork(now)
+	c.noteDeparture()
 	c.parts.state.Store(c.state(now))
 }
 
+// noteDeparture reports when the share table no longer lists this instance,
+// after it has begun to leave.
+func (c *control) noteDeparture() {
+	if !c.leaving || c.departed {
+		return
+	}
+	table := c.member.Table()
+	if table != nil {
+		_, listed := table.Members[c.parts.identity.GetAddress()]
+		if listed {
+			return
+		}
+	}
+	c.departed = true
+	close(c.parts.departed)
+}
+
 // shifting says whether the splits change with time.
 func (c *control) shifting() bool {
 	return c.table != nil && len(c.table.Set.Moves)+len(c.table.Set.Rollouts) > 0
@@ -183,6 +210,7 @@
 		peers:     c.pools.peers,
 		pools:     c.pools.all,
 		recorders: c.rollouts.Recorders(),
+		directory: c.currentDirectory(now),
 		leaving:   c.leaving,
 	}
 	if !c.dist.Ready(now) {
@@ -196,6 +224,26 @@
 	c.parts.views.store(next)
 }
 
+// directoryInterval is the least time between two directories that differ in
+// loads only.
+const directoryInterval = 500 * time.Millisecond
+
+// currentDirectory returns the directory for callers. It is made anew when
+// instances come, go or leave, and now and then to follow their loads.
+func (c *control) currentDirectory(now time.Time) *steering.Directory {
+	if c.table == nil {
+		return nil
+	}
+	sameInstances := c.directoryOf == c.pools.division
+	if c.directory != nil && sameInstances && now.Sub(c.directoryAt) < directoryInterval {
+		return c.directory
+	}
+	c.directory = steering.NewDirectory(c.blocks, c.table.Set, c.pools.peers)
+	c.directoryOf = c.pools.division
+	c.directoryAt = now
+	return c.directory
+}
+
 // setTable puts a configuration in force.
 func (c *control) setTable(now time.Time, table *routing.Table) {
 	c.table = table
@@ -203,6 +251,12 @@
 	c.moves.Configure(table.Version, table.Set.Moves)
 	c.rollouts.Configure(table.Version, table.Set.Rollouts, routeNames(table))
 	c.pools.setTable(table)
+	blocks, err := steering.NewBlocks(table.Set.ClientBlocks)
+	if err != nil {
+		c.parts.log.Error("client blocks cannot be read", errorField(err))
+	} else {
+		c.blocks = blocks
+	}
 	c.applyShares(now)
 	c.dirty = true
 	c.parts.log.Info("configuration in force", zap.Uint64("version", table.Version))
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -159,7 +159,7 @@
 func (i *Instance) Invariants() *invariant.Checker { return i.parts.invariants }
 
 // cleanupTimeout bounds what follows after the requests have ended.
-const cleanupTimeout = 5 * time.Second
+const cleanupTimeout = 10 * time.Second
 
 // Cleanup ends the instance gracefully: callers and peers learn that it leaves,
 // running requests end, then everything is closed. It returns an error when
@@ -170,6 +170,7 @@
 	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), cleanupTimeout)
 	defer cancel()
 	i.claims.wait()
+	i.waitForDeparture(stopping)
 	if keysErr := i.keys.Leave(stopping); keysErr != nil {
 		i.log.Warn("idempotency keys were not handed over", errorField(keysErr))
 	}
@@ -184,6 +185,24 @@
 	return err
 }
 
+// shareTimeout bounds the wait until the rate shares are given back. Without
+// the store they cannot be.
+const shareTimeout = 4 * time.Second
+
+// waitForDeparture waits until the share table no longer lists this instance,
+// so that its shares can be used by others at once.
+func (i *Instance) waitForDeparture(ctx context.Context) {
+	if i.parts.StoreAge() > shareTimeout {
+		return
+	}
+	select {
+	case <-i.parts.departed:
+	case <-time.After(shareTimeout):
+		i.log.Warn("rate shares were not given back in time")
+	case <-ctx.Done():
+	}
+}
+
 // leave marks the instance as leaving.
 type leave struct{}
 
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -34,6 +34,8 @@
 	// dist holds the records of the store. Only its Snapshot may be used
 	// outside the control goroutine.
 	dist *distribution.State
+	// departed is closed when a leaving instance holds no rate share any more.
+	departed chan struct{}
 	// state is the newest heartbeat of this instance. It must not be changed.
 	state atomic.Pointer[entrypb.State]
 }
--- a/daemon/pools.go
+++ b/daemon/pools.go
@@ -21,6 +21,8 @@
 	leaving map[string]bool
 	// live are the instances among which the upstreams were divided.
 	live []balancing.Instance
+	// division numbers the divisions of the upstreams.
+	division uint64
 }
 
 func newPoolSet(p *parts) *poolSet {
@@ -66,6 +68,7 @@
 	if s.table == nil {
 		return
 	}
+	s.division++
 	next := map[poolKey]*balancing.Pool{}
 	s.owned = nil
 	for _, service := range s.table.Services {
--- a/daemon/services.go
+++ b/daemon/services.go
@@ -33,28 +33,23 @@
 }
 
 // EntryInstances implements caller.EntryInstances.
-func (l *entryList) EntryInstances(netip.Addr) caller.EntryInstanceList {
+func (l *entryList) EntryInstances(address netip.Addr) caller.EntryInstanceList {
 	v := l.parts.views.load()
 	list := caller.EntryInstanceList{
 		TTLSeconds: int(l.parts.settings.ListTTL.Seconds()),
 		Home:       l.keys.HomeName(),
 	}
-	if !v.leaving {
-		self := l.parts.identity
-		list.Instances = append(list.Instances, caller.EntryInstance{
-			Address:       self.GetAddress(),
-			FailureDomain: self.GetFailureDomain(),
-			Region:        self.GetRegion(),
-		})
+	if v.directory == nil {
+		return list
 	}
-	for _, p := range v.peers.All {
-		if !p.Usable() || p.Incarnation == "" {
+	for _, row := range v.directory.Order(address, "") {
+		if v.leaving && row.Address == l.parts.identity.GetAddress() {
 			continue
 		}
 		list.Instances = append(list.Instances, caller.EntryInstance{
-			Address:       p.Address,
-			FailureDomain: p.FailureDomain,
-			Region:        p.Region,
+			Address:       row.Address,
+			FailureDomain: row.FailureDomain,
+			Region:        row.Region,
 		})
 	}
 	return list
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -8,6 +8,7 @@
 	"samphireferry.example/ferry/rollouts"
 	"samphireferry.example/ferry/routing"
 	"samphireferry.example/ferry/splitting"
+	"samphireferry.example/ferry/steering"
 )
 
 // poolKey names the upstreams of one version of a service.
@@ -23,7 +24,9 @@
 	table *routing.Table
 	peers *membership.Peers
 	// pools hold the upstreams that this instance owns.
-	pools     map[poolKey]*balancing.Pool
+	pools map[poolKey]*balancing.Pool
+	// directory is nil until the instance has a configuration.
+	directory *steering.Directory
 	splits    *splitting.Snapshot
 	recorders *rollouts.Recorders
 	leaving   bool
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -153,6 +153,7 @@
 		upstreams:  do.MustInvoke[*upstream.Client](i),
 		limiter:    do.MustInvoke[*admission.Limiter](i),
 		dist:       do.MustInvoke[*distribution.State](i),
+		departed:   make(chan struct{}),
 	}, nil
 }
 
--- a/demo/promises_test.go
+++ b/demo/promises_test.go
@@ -154,7 +154,9 @@
 		return poll.Continue("%d streams run", inUse)
 	}, poll.WithDelay(5*time.Millisecond))
 	s.Entries = s.Entries[1:]
+	start := time.Now()
 	assert.NilError(t, leaving.Cleanup(t.Context()))
+	t.Logf("stopped after %s", time.Since(start))
 	for range cap(streams) {
 		assert.Equal(t, <-streams, "200 4000")
 	}
--- a/demo/system.go
+++ b/demo/system.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"samphireferry.example/ferry/config/dynamic"
 	"samphireferry.example/ferry/config/static"
@@ -225,17 +226,18 @@
 	return err
 }
 
-// stopTimeout bounds the end of one entry instance.
+// stopTimeout bounds the end of all entry instances.
 const stopTimeout = 20 * time.Second
 
 // Stop ends the entry instances gracefully and then the stand-ins.
 func (s *System) Stop() error {
-	var all error
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	var stopping errgroup.Group
 	for _, entry := range s.Entries {
-		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-		all = errors.Join(all, entry.Cleanup(ctx))
-		cancel()
+		stopping.Go(func() error { return entry.Cleanup(ctx) })
 	}
+	all := stopping.Wait()
 	for _, server := range s.servers {
 		all = errors.Join(all, server.Close())
 	}
