Share table: no flapping between lowering and giving back

Cause: TestUnreachableMemberBlocksItsGroupOnly failed. While a new member waited for parts, each plan gave a lowered member its own parts back and lowered it again at a newer version, so that the lowering never settled and each interval cost a write.

Ruled out: late acknowledgements (the agreed version rose from 1 to 5 in the trace while LoweredAt rose with the table version).

Change: parts that are held but lowered go back only when no other member is short.

--- a/sharetable/balance.go
+++ b/sharetable/balance.go
@@ -52,11 +52,17 @@
 	return (pool + len(movable) - 1) / len(movable)
 }
 
+// raise gives out the free parts. A member gets back what was lowered and is
+// not settled yet only when no other member is short.
 func (p *plan) raise(movable []string, target int) {
 	free := p.next.free()
+	short := p.short(movable, target)
 	for _, name := range p.bySize(movable, 1) {
 		e := p.next.Members[name]
-		usable := free.Union(e.Held.Subtract(e.Limit))
+		usable := free
+		if len(short) == 0 || slices.Contains(short, name) {
+			usable = free.Union(e.Held.Subtract(e.Limit))
+		}
 		taken := usable.take(target - e.Limit.Size())
 		if len(taken) == 0 {
 			continue
@@ -79,22 +85,30 @@
 	p.takeDownTo(donors, lowest, missing, target)
 }
 
+// short returns the members that lack a large part of an equal share.
+func (p *plan) short(movable []string, target int) []string {
+	var names []string
+	for _, name := range movable {
+		lack := target - p.next.Members[name].Limit.Size()
+		if float64(lack) > shortfall*float64(target) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // missing returns the parts that short members lack, without those that are
 // already on their way.
 func (p *plan) missing(movable []string, target int) int {
-	lacked, pending := 0, 0
-	short := false
+	missing := 0
+	for _, name := range p.short(movable, target) {
+		missing += target - p.next.Members[name].Limit.Size()
+	}
 	for _, name := range movable {
 		e := p.next.Members[name]
-		lack := target - e.Limit.Size()
-		lacked += max(lack, 0)
-		pending += e.Held.Size() - e.Limit.Size()
-		short = short || float64(lack) > shortfall*float64(target)
-	}
-	if !short {
-		return 0
+		missing -= e.Held.Size() - e.Limit.Size()
 	}
-	return lacked - pending
+	return missing
 }
 
 // able returns the members whose witness group can be reached as a whole, so
