--- a/reconcile/executor_test.go
+++ b/reconcile/executor_test.go
@@ -107,7 +107,7 @@
 				StaleAge:    standin.Duration(500 * time.Millisecond),
 			})
 			run(30 * time.Second)
-			store.SetFaults(standin.Faults{Outage: standin.OutageHang})
+			store.SetFaults(standin.Faults{Outage: standin.OutageRefuse})
 			before := store.TotalCalls()
 			run(60 * time.Second)
 			assert.Assert(t, store.TotalCalls()-before <= 60, "%d calls in the outage", store.TotalCalls()-before)
