--- /dev/null
+++ b/daemon/heartbeat.go
@@ -0,0 +1,127 @@
+package daemon
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"samphireferry.example/ferry/rpc/entrypb"
+	"samphireferry.example/ferry/sharetable"
+)
+
+// heartbeatTimeout bounds one exchange of heartbeats.
+const heartbeatTimeout = time.Second
+
+// state builds the heartbeat of this instance.
+func (c *control) state(now time.Time) *entrypb.State {
+	state := &entrypb.State{
+		Identity:     c.parts.identity,
+		Leaving:      c.leaving,
+		ShareVersion: c.member.Acknowledged(),
+		ShareVouches: c.member.Vouches(),
+		Loads:        c.pools.loads(),
+		Verdicts:     c.rollouts.Verdicts(),
+		Evidence:     c.rollouts.Evidence(),
+		AppliedSteps: c.steps(),
+		LoadPermille: c.loadPermille(),
+	}
+	c.dist.Snapshot().AddTo(state, now)
+	return state
+}
+
+// steps returns the newest steps of all moves and roll-outs.
+func (c *control) steps() map[string]uint64 {
+	steps := c.moves.Steps()
+	maps.Copy(steps, c.rollouts.Driver().Steps())
+	return steps
+}
+
+// loadPermille returns the part of the slots of all pools that is in use.
+func (c *control) loadPermille() uint32 {
+	slots, inUse := 0, 0
+	for _, pool := range c.pools.all {
+		load := pool.Load()
+		slots += load.Slots
+		inUse += load.InUse + load.Queued
+	}
+	if slots == 0 {
+		return 0
+	}
+	return uint32(min(1000, 1000*inUse/slots))
+}
+
+// sendHeartbeats exchanges heartbeats with the peers that are due.
+func (c *control) sendHeartbeats(now time.Time) {
+	targets := c.registry.Due(now)
+	if len(targets) == 0 {
+		return
+	}
+	state := c.state(now)
+	for _, target := range targets {
+		address := target.RPCAddress
+		c.background(heartbeatTimeout, func(ctx context.Context) event {
+			asked := time.Now()
+			answer, err := c.exchange(ctx, address, state)
+			if err != nil {
+				return heartbeatFailed{address: address}
+			}
+			return heartbeatAnswered{address: address, state: answer, asked: asked}
+		})
+	}
+}
+
+func (c *control) exchange(ctx context.Context, address string, state *entrypb.State) (*entrypb.State, error) {
+	client, err := c.parts.peers.Client(address)
+	if err != nil {
+		return nil, err
+	}
+	return client.Heartbeat(ctx, state)
+}
+
+// heartbeatReceived is a heartbeat that a peer has sent.
+type heartbeatReceived struct{ state *entrypb.State }
+
+func (e heartbeatReceived) apply(c *control, now time.Time) {
+	c.registry.Heard(e.state, now)
+	c.hear(now, e.state, time.Time{})
+}
+
+// heartbeatAnswered is the answer of a peer to a heartbeat of this instance.
+type heartbeatAnswered struct {
+	address string
+	state   *entrypb.State
+	asked   time.Time
+}
+
+func (e heartbeatAnswered) apply(c *control, now time.Time) {
+	c.registry.Answered(e.address, e.state, now)
+	c.hear(now, e.state, e.asked)
+}
+
+// heartbeatFailed is a heartbeat that got no answer.
+type heartbeatFailed struct{ address string }
+
+func (e heartbeatFailed) apply(c *control, now time.Time) { c.registry.Failed(e.address, now) }
+
+// hear takes in what any heartbeat says. Only an answer has the time at which
+// the question was asked; it alone can confirm rate shares.
+func (c *control) hear(now time.Time, state *entrypb.State, asked time.Time) {
+	identity := state.GetIdentity()
+	if identity == nil {
+		return
+	}
+	if c.rollouts.Hear(now, state) {
+		c.dirty = true
+	}
+	c.dist.ObservePeer(state, asked, now)
+	if asked.IsZero() {
+		return
+	}
+	c.heardShares(now, sharetable.Answer{
+		Name:        identity.GetAddress(),
+		Incarnation: identity.GetIncarnation(),
+		Applied:     state.GetShareVersion(),
+		Vouches:     state.GetShareVouches(),
+		AskedAt:     asked,
+	})
+}
--- /dev/null
+++ b/daemon/records.go
@@ -0,0 +1,162 @@
+package daemon
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"samphireferry.example/ferry/config/dynamic"
+	"samphireferry.example/ferry/distribution"
+	"samphireferry.example/ferry/platform"
+	"samphireferry.example/ferry/routing"
+	"samphireferry.example/ferry/rpc/entrypb"
+)
+
+// listInterval is the time between two reads of the instance list.
+const listInterval = 2 * time.Second
+
+// pullTimeout bounds the call to a peer for newer records.
+const pullTimeout = 2 * time.Second
+
+// followRecords watches the store, if it is this instance's turn, and pulls
+// from peers that have newer records.
+func (c *control) followRecords(now time.Time) {
+	c.watcher.SetActive(c.dist.ShouldWatch(c.liveInDomain(), now))
+	pull, ok := c.dist.PlanPull(now)
+	if !ok {
+		return
+	}
+	peer := c.pools.peers.ByName(pull.Peer)
+	if peer == nil {
+		c.dist.ForgetPeer(pull.Peer)
+		return
+	}
+	address := peer.RPCAddress
+	c.background(pullTimeout, func(ctx context.Context) event {
+		response, err := c.pull(ctx, address, pull)
+		return recordsPulled{pull: pull, response: response, err: err}
+	})
+}
+
+func (c *control) pull(ctx context.Context, address string, pull distribution.Pull) (*entrypb.GetConfigResponse, error) {
+	client, err := c.parts.peers.Client(address)
+	if err != nil {
+		return nil, err
+	}
+	return client.GetConfig(ctx, pull.Request())
+}
+
+// liveInDomain returns the names of the live instances of the failure domain.
+func (c *control) liveInDomain() []string {
+	peers := c.pools.peers
+	names := []string{peers.Self.Name}
+	for _, p := range peers.InDomain(peers.Self.FailureDomain) {
+		if p.Usable() {
+			names = append(names, p.Name)
+		}
+	}
+	return names
+}
+
+// storeRead is an answer of the store.
+type storeRead struct{ update distribution.Update }
+
+func (e storeRead) apply(c *control, now time.Time) {
+	c.applyChanges(now, c.dist.ApplyUpdate(e.update))
+	if e.update.Err == nil {
+		c.sharesReadFromStore(now, e.update.Heard)
+	}
+}
+
+// recordsPulled are newer records from a peer.
+type recordsPulled struct {
+	pull     distribution.Pull
+	response *entrypb.GetConfigResponse
+	err      error
+}
+
+func (e recordsPulled) apply(c *control, now time.Time) {
+	c.applyChanges(now, c.dist.ApplyPull(e.pull, e.response, e.err, now))
+}
+
+// applyChanges puts changed records in force.
+func (c *control) applyChanges(now time.Time, changes distribution.Changes) {
+	if changes.Err != nil {
+		c.parts.log.Error("configuration was not adopted", errorField(changes.Err))
+	}
+	if changes.Config != nil {
+		c.adoptConfig(now, changes.Config)
+	}
+	for _, entry := range changes.Entries {
+		c.observe(now, entry)
+	}
+}
+
+// observe takes in one record of the store.
+func (c *control) observe(now time.Time, entry platform.Entry) {
+	switch {
+	case entry.Key == platform.KeyShares:
+		c.shareDriver.Observe(entry)
+		if !entry.Deleted {
+			c.adoptShares(now, entry.Value)
+		}
+	case strings.HasPrefix(entry.Key, platform.PrefixMoves):
+		c.moves.Observe(entry)
+		c.dirty = true
+	case strings.HasPrefix(entry.Key, platform.PrefixRollouts):
+		c.rollouts.Driver().Observe(entry)
+		c.dirty = true
+	}
+}
+
+// adoptConfig compiles a configuration that the distribution has accepted.
+func (c *control) adoptConfig(now time.Time, config *dynamic.Config) {
+	table, err := routing.Compile(config)
+	if err != nil {
+		c.parts.log.Error("configuration cannot be compiled", zap.Uint64("version", config.Version), errorField(err))
+		return
+	}
+	c.setTable(now, table)
+}
+
+// readList reads the platform's list of instances until the context ends.
+func (c *control) readList(ctx context.Context) {
+	for ctx.Err() == nil {
+		list, err := c.parts.lister.Instances(ctx)
+		if err == nil {
+			c.loop.post(listRead{list: list})
+		}
+		pause(ctx, listInterval)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// listRead is the platform's list of instances.
+type listRead struct{ list []platform.Instance }
+
+func (e listRead) apply(c *control, now time.Time) {
+	c.listRead = now
+	c.listed = map[string]bool{}
+	leaving := map[string]bool{}
+	for _, row := range e.list {
+		c.listed[row.Address] = true
+		if row.Role == "upstream" && row.State == platform.InstanceLeaving {
+			leaving[row.Name] = true
+		}
+	}
+	c.registry.SetInstances(e.list, now)
+	c.pools.setLeaving(leaving)
+}
+
+func errorField(err error) zap.Field { return zap.String("error", errors.UnwrapAll(err).Error()) }
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -2,14 +2,12 @@
 
 import (
 	"sync/atomic"
-	"time"
 
 	"samphireferry.example/ferry/balancing"
 	"samphireferry.example/ferry/membership"
 	"samphireferry.example/ferry/rollouts"
 	"samphireferry.example/ferry/routing"
 	"samphireferry.example/ferry/splitting"
-	"samphireferry.example/ferry/steering"
 )
 
 // poolKey names the upstreams of one version of a service.
@@ -26,12 +24,9 @@
 	peers *membership.Peers
 	// pools hold the upstreams that this instance owns.
 	pools     map[poolKey]*balancing.Pool
-	blocks    *steering.Blocks
 	splits    *splitting.Snapshot
 	recorders *rollouts.Recorders
-	// storeHeard is when word from the store last arrived by any path.
-	storeHeard time.Time
-	leaving    bool
+	leaving   bool
 }
 
 // views holds the newest view.
@@ -51,6 +46,3 @@
 
 // Table implements caller.Tables.
 func (v *views) Table() *routing.Table { return v.load().table }
-
-// StoreAge implements caller.Freshness.
-func (v *views) StoreAge() time.Duration { return time.Since(v.load().storeHeard) }
