ferry-load: open load by customer, with the callers' rules

Change: package load and its command; a plan in JSON with comments, latency from the intended start, outcomes by error kind, the worst-served customer.

--- /dev/null
+++ b/load/stats.go
@@ -0,0 +1,151 @@
+package load
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// The range of the latency histograms, in microseconds.
+	minLatency = 1
+	maxLatency = int64(MaxDuration / time.Microsecond)
+	// latencyDigits is the number of significant decimal digits.
+	latencyDigits = 3
+)
+
+// stats counts what one customer got.
+type stats struct {
+	customer *Customer
+
+	mu        sync.Mutex
+	latency   *hdrhistogram.Histogram
+	outcomes  map[string]int64
+	retries   map[string]int64
+	instances map[string]int64
+}
+
+func newStats(customer *Customer) *stats {
+	return &stats{
+		customer:  customer,
+		latency:   hdrhistogram.New(minLatency, maxLatency, latencyDigits),
+		outcomes:  map[string]int64{},
+		retries:   map[string]int64{},
+		instances: map[string]int64{},
+	}
+}
+
+func (s *stats) attempted(base string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances[base]++
+}
+
+func (s *stats) retried(reason string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retries[reason]++
+}
+
+// finished counts one request. Only whole answers of upstreams have a latency.
+func (s *stats) finished(outcome string, latency time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outcomes[outcome]++
+	if outcome == OutcomeOK {
+		_ = s.latency.RecordValue(min(max(latency.Microseconds(), minLatency), maxLatency))
+	}
+}
+
+// Report is the result of a run.
+type Report struct {
+	// Seconds is the time for which requests started.
+	Seconds   float64          `json:"seconds"`
+	Customers []CustomerReport `json:"customers"`
+	// WorstServed is the customer with the lowest part of requests that were
+	// OK; of several, the one with the highest 99th percentile.
+	WorstServed string `json:"worst_served"`
+}
+
+// CustomerReport is what one customer got.
+type CustomerReport struct {
+	Name string `json:"name"`
+	// Rate is the intended rate in requests per second.
+	Rate     float64 `json:"rate"`
+	Requests int64   `json:"requests"`
+	OK       int64   `json:"ok"`
+	// Outcomes counts the requests by outcome, Retries the repeats by the
+	// outcome that they followed, and Instances the attempts by base URL.
+	Outcomes  map[string]int64 `json:"outcomes"`
+	Retries   map[string]int64 `json:"retries,omitempty"`
+	Instances map[string]int64 `json:"instances"`
+	// Latency is that of the requests that were OK, from the intended start.
+	Latency Latency `json:"latency_ms"`
+}
+
+// Latency holds quantiles in milliseconds.
+type Latency struct {
+	Mean float64 `json:"mean"`
+	P50  float64 `json:"p50"`
+	P90  float64 `json:"p90"`
+	P99  float64 `json:"p99"`
+	P999 float64 `json:"p99.9"`
+	Max  float64 `json:"max"`
+}
+
+func (s *stats) report() CustomerReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	report := CustomerReport{
+		Name:      s.customer.Name,
+		Rate:      s.customer.Rate.PerSecond(),
+		OK:        s.outcomes[OutcomeOK],
+		Outcomes:  maps.Clone(s.outcomes),
+		Retries:   maps.Clone(s.retries),
+		Instances: maps.Clone(s.instances),
+		Latency: Latency{
+			Mean: s.latency.Mean() / 1000,
+			P50:  milliseconds(s.latency.ValueAtQuantile(50)),
+			P90:  milliseconds(s.latency.ValueAtQuantile(90)),
+			P99:  milliseconds(s.latency.ValueAtQuantile(99)),
+			P999: milliseconds(s.latency.ValueAtQuantile(99.9)),
+			Max:  milliseconds(s.latency.Max()),
+		},
+	}
+	for _, n := range s.outcomes {
+		report.Requests += n
+	}
+	return report
+}
+
+func milliseconds(microseconds int64) float64 { return float64(microseconds) / 1000 }
+
+// okPart returns the part of the requests that were OK.
+func (c *CustomerReport) okPart() float64 {
+	if c.Requests == 0 {
+		return 1
+	}
+	return float64(c.OK) / float64(c.Requests)
+}
+
+func worstServed(customers []CustomerReport) string {
+	worst := -1
+	for i := range customers {
+		if worst < 0 || servedWorse(&customers[i], &customers[worst]) {
+			worst = i
+		}
+	}
+	if worst < 0 {
+		return ""
+	}
+	return customers[worst].Name
+}
+
+func servedWorse(a, b *CustomerReport) bool {
+	if a.okPart() != b.okPart() {
+		return a.okPart() < b.okPart()
+	}
+	return a.Latency.P99 > b.Latency.P99
+}
