--- a/load/load_test.go
+++ b/load/load_test.go
@@ -121,15 +121,17 @@
 		// attempts are those at the first and the second instance.
 		attempts [2]int
 	}{
-		"answered":           {read, nil, map[string]int64{"ok": 100}, [2]int{100, 0}},
-		"connection fails":   {read, noConnection, map[string]int64{"ok": 100}, [2]int{100, 100}},
-		"advice elsewhere":   {read, refuse(503, "leaving", "elsewhere"), map[string]int64{"ok": 100}, [2]int{100, 100}},
-		"refused":            {read, refuse(429, "rate_exceeded", "later"), map[string]int64{"rate_exceeded": 100}, [2]int{100, 0}},
-		"cut read":           {read, cutAnswer, map[string]int64{"ok": 100}, [2]int{100, 100}},
-		"unknown filing":     {filing, refuse(502, "upstream_failed", "same-key"), map[string]int64{"ok": 100}, [2]int{100, 100}},
-		"refused filing":     {filing, refuse(409, "outcome_unknown", "never"), map[string]int64{"outcome_unknown": 100}, [2]int{100, 0}},
-		"error of upstream":  {read, func(*http.Request) (*http.Response, error) { return reply(500, "text/plain", "", ""), nil }, map[string]int64{"upstream_error": 100}, [2]int{100, 0}},
-		"refusal, not JSON":  {read, func(*http.Request) (*http.Response, error) { return reply(503, "application/problem+json", "later", "{"), nil }, map[string]int64{"no_kind": 100}, [2]int{100, 0}},
+		"answered":          {read, nil, map[string]int64{"ok": 100}, [2]int{100, 0}},
+		"connection fails":  {read, noConnection, map[string]int64{"ok": 100}, [2]int{100, 100}},
+		"advice elsewhere":  {read, refuse(503, "leaving", "elsewhere"), map[string]int64{"ok": 100}, [2]int{100, 100}},
+		"refused":           {read, refuse(429, "rate_exceeded", "later"), map[string]int64{"rate_exceeded": 100}, [2]int{100, 0}},
+		"cut read":          {read, cutAnswer, map[string]int64{"ok": 100}, [2]int{100, 100}},
+		"unknown filing":    {filing, refuse(502, "upstream_failed", "same-key"), map[string]int64{"ok": 100}, [2]int{100, 100}},
+		"refused filing":    {filing, refuse(409, "outcome_unknown", "never"), map[string]int64{"outcome_unknown": 100}, [2]int{100, 0}},
+		"error of upstream": {read, func(*http.Request) (*http.Response, error) { return reply(500, "text/plain", "", ""), nil }, map[string]int64{"upstream_error": 100}, [2]int{100, 0}},
+		"refusal, not JSON": {read, func(*http.Request) (*http.Response, error) {
+			return reply(503, "application/problem+json", "later", "{"), nil
+		}, map[string]int64{"no_kind": 100}, [2]int{100, 0}},
 		"connection refused": {filing, noConnection, map[string]int64{"ok": 100}, [2]int{100, 100}},
 	}
 	for name, c := range cases {
