--- a/admission/bucket.go
+++ b/admission/bucket.go
@@ -34,7 +34,9 @@
 	totals  Totals
 	waiting []*Waiter
 	// spendAsked is the number of spend tokens in outstanding loans.
-	spendAsked int
+	spendAsked float64
+	// change is a part of a spend token, kept while a request waits.
+	change float64
 }
 
 // Totals counts tokens of one bucket since it was made.
@@ -95,6 +97,7 @@
 	b.level = 0
 	b.reserved = 0
 	b.spendAsked = 0
+	b.change = 0
 	b.at = now
 }
 
--- a/admission/doc.go
+++ b/admission/doc.go
@@ -24,8 +24,8 @@
 // first, in messages that cover many customers. Reserve tokens are asked ahead
 // of need, into room that the borrower has reserved in its bucket. Spend
 // tokens are asked for requests that wait at that moment; they count as spent
-// when they leave the lender, and what the borrower cannot use at once is
-// dropped. A lost, late or repeated answer loses tokens and never doubles
+// when they leave the lender. Parts of a token add up while a request waits;
+// what is left when none waits is dropped. A lost, late or repeated answer loses tokens and never doubles
 // them: an answer counts once, and only while its loan is outstanding. A
 // lender keeps back what its own demand is about to need.
 //
--- a/admission/lend.go
+++ b/admission/lend.go
@@ -25,7 +25,7 @@
 
 // Lend takes the tokens that can be lent out of the buckets, in the order of
 // the items. The caller sends the grants; it must not repeat them. Spend
-// tokens come first and in whole numbers.
+// tokens come first; both kinds may be parts of a token.
 func (l *Limiter) Lend(now time.Time, items []Item) []Grant {
 	grants := make([]Grant, 0, len(items))
 	usable := l.usable(now)
@@ -44,7 +44,7 @@
 	defer b.mu.Unlock()
 	b.refill(now)
 	kept := b.demand.within(l.settings.Horizon) + float64(len(b.waiting))
-	spend := math.Floor(min(positive(item.Spend), positive(b.level-math.Floor(kept))))
+	spend := min(positive(item.Spend), positive(b.level-math.Floor(kept)))
 	b.level -= spend
 	reserve := min(positive(item.Reserve), positive(b.level-kept))
 	b.level -= reserve
--- a/admission/loans.go
+++ b/admission/loans.go
@@ -20,21 +20,19 @@
 	at      time.Time
 }
 
-const (
-	// smallestReserve is the least need, in tokens, that is asked ahead.
-	smallestReserve = 0.5
-	// smallestHint is the least that a peer is expected to be able to lend.
-	smallestHint = 1
-)
+// smallestAsked is the least number of tokens that is asked for.
+const smallestAsked = 0.2
 
 // need is what one bucket lacks.
 type need struct {
 	bucket  *Bucket
 	holders []string
 	reserve float64
-	spend   int
-	// most is the largest number of tokens that one peer is expected to have.
-	most float64
+	spend   float64
+	// equalBurst and equalRate are an equal part of the customer's burst and
+	// rate for each instance that owns tokens.
+	equalBurst float64
+	equalRate  float64
 }
 
 // PlanLoans serves waiting requests from the own buckets and returns the loan
@@ -70,44 +68,74 @@
 	b.demand.update(now)
 	b.serveOwn()
 	horizon := l.settings.Horizon
-	ahead := b.demand.within(horizon) - b.share.Rate*horizon.Seconds() - b.level - b.reserved
+	b.serveSpend(0)
+	waiting := float64(len(b.waiting)) - b.spendAsked - b.change
+	ahead := max(waiting, b.demand.within(horizon)-b.share.Rate*horizon.Seconds()) - b.level - b.reserved
 	room := float64(b.share.Burst) - b.level - b.reserved
+	owners := float64(len(l.peers) + 1)
+	if b.share.Holders != nil {
+		owners = float64(len(b.share.Holders))
+	}
 	n := need{
-		bucket:  b,
-		holders: b.share.Holders,
-		reserve: min(ahead, room),
-		spend:   max(0, len(b.waiting)-b.spendAsked),
-		most:    max(1, float64(b.share.Customer.Burst)/float64(len(l.peers)+1)),
+		bucket:     b,
+		holders:    b.share.Holders,
+		reserve:    positive(min(ahead, room)),
+		equalBurst: max(1, float64(b.share.Customer.Burst)/owners),
+		equalRate:  b.share.Customer.Rate / owners,
 	}
-	if n.reserve < smallestReserve {
+	n.spend = positive(waiting - b.level - b.reserved - n.reserve)
+	if n.reserve < smallestAsked {
 		n.reserve = 0
 	}
+	if n.spend < smallestAsked {
+		n.spend = 0
+	}
 	return n
 }
 
-// spread divides a need over the peers that may have tokens, nearest first.
+// spread divides a need over the peers that may have tokens, in few messages:
+// the nearest peer that can probably lend all of it, or else the one that can
+// lend most, and so on for the rest.
 func (l *Limiter) spread(now time.Time, n need, peers []*peerState, requests map[*peerState]*LoanRequest) {
-	customer := n.bucket.customer
-	for _, p := range peers {
-		if n.reserve <= 0 && n.spend <= 0 {
+	for n.reserve > 0 || n.spend > 0 {
+		p, expected := best(now, n, peers, requests)
+		if p == nil {
 			return
 		}
-		if !p.canAsk(now, customer) || !holds(n.holders, p.Name) {
-			continue
-		}
-		expected := n.most
-		if h := p.hints[customer]; h != nil && h.known {
-			expected = max(h.remaining, smallestHint)
-		}
-		item := Item{Customer: customer, Spend: min(float64(n.spend), max(1, float64(int(expected))))}
-		item.Reserve = min(n.reserve, max(0, expected-item.Spend))
+		item := Item{Customer: n.bucket.customer, Spend: min(n.spend, expected)}
+		item.Reserve = min(n.reserve, expected-item.Spend)
 		if requests[p] == nil {
 			requests[p] = &LoanRequest{Peer: p.Name}
 		}
 		requests[p].Items = append(requests[p].Items, item)
-		n.spend -= int(item.Spend)
-		n.reserve -= item.Reserve
+		n.spend = positive(n.spend - item.Spend)
+		n.reserve = positive(n.reserve - item.Reserve)
+	}
+}
+
+// best returns the peer to ask for a need, and what to expect of it.
+func best(now time.Time, n need, peers []*peerState, requests map[*peerState]*LoanRequest) (*peerState, float64) {
+	var found *peerState
+	most := smallestAsked
+	for _, p := range peers {
+		if !p.canAsk(now) || !holds(n.holders, p.Name) || asks(requests[p], n.bucket.customer) {
+			continue
+		}
+		expected := p.hint(now, n).expected(now, n)
+		if expected >= n.reserve+n.spend {
+			return p, expected
+		}
+		if expected >= most {
+			found, most = p, expected
+		}
 	}
+	return found, most
+}
+
+// asks says whether the request has an item of the customer, which is the last
+// one if there is any.
+func asks(request *LoanRequest, customer string) bool {
+	return request != nil && request.Items[len(request.Items)-1].Customer == customer
 }
 
 func holds(holders []string, name string) bool {
@@ -145,7 +173,7 @@
 	defer b.mu.Unlock()
 	room := float64(b.share.Burst) - b.level - b.reserved
 	b.reserve(min(item.Reserve, positive(room)))
-	b.spendAsked += int(item.Spend)
+	b.spendAsked += item.Spend
 }
 
 // Granted takes in the answer to a loan request. An answer to a loan that is
@@ -165,19 +193,10 @@
 	for _, item := range loan.request.Items {
 		g := byCustomer[item.Customer]
 		l.settle(now, item, g)
-		loan.peer.hint(item.Customer).learn(now, item, g)
-	}
-}
-
-// learn takes in what a peer said of one customer.
-func (h *hint) learn(now time.Time, item Item, g Grant) {
-	h.remaining = positive(g.Remaining)
-	h.known = true
-	if g.Reserve+g.Spend+h.remaining < min(smallestReserve, item.Reserve+item.Spend) {
-		h.empty.extend(now)
-		return
+		if h := loan.peer.hints[item.Customer]; h != nil {
+			h.learn(now, g)
+		}
 	}
-	h.empty.reset()
 }
 
 // LoanLost gives up a loan whose answer did not come. An answer that comes
@@ -220,11 +239,8 @@
 	defer b.mu.Unlock()
 	b.refill(now)
 	b.deposit(positive(g.Reserve), item.Reserve)
-	b.spendAsked = max(0, b.spendAsked-int(item.Spend))
-	granted := int(min(positive(g.Spend), item.Spend))
-	used := b.serve(granted)
-	b.totals.BorrowedSpend += uint64(used)
-	b.totals.Dropped += float64(granted - used)
+	b.spendAsked = positive(b.spendAsked - item.Spend)
+	b.serveSpend(min(positive(g.Spend), item.Spend))
 	b.serveOwn()
 	l.settings.Checker.Check(b.within(), InvariantRoom, b.customer)
 }
--- a/admission/peers.go
+++ b/admission/peers.go
@@ -23,7 +23,7 @@
 	Distance Distance
 }
 
-// The waits after a peer had nothing to lend, or gave no answer.
+// The waits after a peer gave no answer.
 const (
 	shortestBackoff = 50 * time.Millisecond
 	longestBackoff  = 1 * time.Second
@@ -53,29 +53,9 @@
 	hints map[string]*hint
 }
 
-// hint is what a peer said of one customer.
-type hint struct {
-	remaining float64
-	known     bool
-	empty     backoff
-}
-
-func (p *peerState) hint(customer string) *hint {
-	h := p.hints[customer]
-	if h == nil {
-		h = &hint{}
-		p.hints[customer] = h
-	}
-	return h
-}
-
-// canAsk says whether the peer may be asked for the customer now.
-func (p *peerState) canAsk(now time.Time, customer string) bool {
-	if p.asked || now.Before(p.silent.until) {
-		return false
-	}
-	h := p.hints[customer]
-	return h == nil || !now.Before(h.empty.until)
+// canAsk says whether the peer may be asked now.
+func (p *peerState) canAsk(now time.Time) bool {
+	return !p.asked && !now.Before(p.silent.until)
 }
 
 // SetPeers replaces the peers. It is called when membership changes, with the
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -81,22 +81,33 @@
 	return decision
 }
 
-// serve admits up to n waiting requests, oldest first, and returns how many.
-// The caller holds the lock of the bucket and has taken the tokens.
-func (b *Bucket) serve(n int) int {
-	n = min(n, len(b.waiting))
-	for _, w := range b.waiting[:n] {
-		w.granted = true
-		close(w.admitted)
-	}
-	b.waiting = slices.Delete(b.waiting, 0, n)
-	return n
+// serve admits the oldest waiting request.
+func (b *Bucket) serve() {
+	w := b.waiting[0]
+	w.granted = true
+	close(w.admitted)
+	b.waiting = slices.Delete(b.waiting, 0, 1)
 }
 
 // serveOwn admits waiting requests with the tokens of the bucket itself.
 func (b *Bucket) serveOwn() {
 	for len(b.waiting) > 0 && b.take() {
-		b.serve(1)
+		b.serve()
+	}
+}
+
+// serveSpend admits waiting requests with granted spend tokens. Parts of a
+// token add up for as long as requests wait; what is left then is dropped.
+func (b *Bucket) serveSpend(granted float64) {
+	b.change += granted
+	for len(b.waiting) > 0 && b.change >= 1-rounding {
+		b.change = max(0, b.change-1)
+		b.totals.BorrowedSpend++
+		b.serve()
+	}
+	if len(b.waiting) == 0 {
+		b.totals.Dropped += b.change
+		b.change = 0
 	}
 }
 
