--- a/balancing/acquire.go
+++ b/balancing/acquire.go
@@ -172,6 +172,7 @@
 func (p *Pool) settle(g *grant, now time.Time) {
 	g.member.inUse--
 	p.inUse--
+	p.dropRetired(g.member)
 	p.options.Checker.Check(g.member.inUse >= 0, InvariantCount, g.member.upstream.Name)
 	used := now.Sub(g.started).Seconds()
 	p.service += (used - p.service) * serviceWeight
@@ -183,6 +184,13 @@
 	p.queue.forget(g.flow)
 }
 
+// dropRetired forgets a removed upstream once its last request has ended.
+func (p *Pool) dropRetired(m *member) {
+	if m.inUse == 0 && p.retired[m.upstream.Name] == m {
+		delete(p.retired, m.upstream.Name)
+	}
+}
+
 // judge draws conclusions about the upstream from the result of a request.
 func (p *Pool) judge(m *member, result Result, latency time.Duration, now time.Time) {
 	switch result {
--- /dev/null
+++ b/balancing/chooser.go
@@ -0,0 +1,255 @@
+package balancing
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Defaults of ChooserOptions.
+const (
+	defaultLoadMaxAge = 3 * time.Second
+	// staleGrant is the most that an owner with an old report is relied on for.
+	staleGrant = 1
+	// highUse is the used part of its slots from which an owner counts as busy.
+	highUse = 0.8
+	// samplesPerTier bounds the owners at one distance that are compared.
+	samplesPerTier = 8
+	// maxChoices bounds the owners that Order returns.
+	maxChoices = 4
+)
+
+// Distance is how far an owner is from this instance.
+type Distance uint8
+
+// The distances, nearest first.
+const (
+	// DistanceSelf is this instance.
+	DistanceSelf Distance = iota
+	// DistanceDomain is another instance of the failure domain.
+	DistanceDomain
+	// DistanceRegion is another failure domain of the region.
+	DistanceRegion
+	// DistanceFar is another region.
+	DistanceFar
+
+	distanceCount
+)
+
+// OwnerLoad is what the newest heartbeat of an owner said of one service version.
+type OwnerLoad struct {
+	Instance Instance
+	Slots    int
+	InUse    int
+	// Granted is the number of requests that this instance may have there.
+	Granted int
+	// At is the time at which the heartbeat came.
+	At time.Time
+}
+
+// ChooserOptions are the settings of a Chooser.
+type ChooserOptions struct {
+	Self Instance
+	// MaxAge is the age after which a report counts as old. Default 3 s.
+	MaxAge time.Duration
+	// Links returns the budgets towards a region; nil means no bound.
+	Links func(region string) Link
+	// Rand samples owners. Default a fixed seed.
+	Rand *rand.Rand
+}
+
+// Chooser orders the owners of the upstreams of one service version. It keeps
+// the requests in flight at each owner within the grant. It is safe for
+// concurrent use.
+type Chooser struct {
+	options ChooserOptions
+
+	mu     sync.Mutex
+	owners map[string]*owner
+	tiers  [distanceCount][]*owner
+}
+
+// owner is one instance to which requests can be sent.
+type owner struct {
+	load     OwnerLoad
+	distance Distance
+	inFlight int
+	// reported is inFlight at the time of the report.
+	reported int
+}
+
+// NewChooser returns a chooser that knows no owners.
+func NewChooser(options ChooserOptions) *Chooser {
+	options.MaxAge = cmp.Or(options.MaxAge, defaultLoadMaxAge)
+	if options.Rand == nil {
+		options.Rand = rand.New(rand.NewPCG(1, 1))
+	}
+	return &Chooser{options: options, owners: map[string]*owner{}}
+}
+
+// Update replaces the owners. Leaving instances are left out by the caller.
+func (c *Chooser) Update(loads []OwnerLoad) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.owners
+	c.owners = make(map[string]*owner, len(loads))
+	c.tiers = [distanceCount][]*owner{}
+	for _, load := range loads {
+		o := old[load.Instance.Name]
+		if o == nil {
+			o = &owner{}
+		}
+		if load.At.After(o.load.At) {
+			o.reported = o.inFlight
+		}
+		o.load = load
+		o.distance = c.distance(load.Instance)
+		c.owners[load.Instance.Name] = o
+		c.tiers[o.distance] = append(c.tiers[o.distance], o)
+	}
+	c.keepBusy(old)
+}
+
+// keepBusy keeps counting the requests at owners that are no longer listed.
+func (c *Chooser) keepBusy(old map[string]*owner) {
+	for name, o := range old {
+		if c.owners[name] == nil && o.inFlight > 0 {
+			o.load.Granted = 0
+			o.load.Slots = 0
+			c.owners[name] = o
+		}
+	}
+}
+
+func (c *Chooser) distance(i Instance) Distance {
+	switch {
+	case i.Name == c.options.Self.Name:
+		return DistanceSelf
+	case i.FailureDomain == c.options.Self.FailureDomain:
+		return DistanceDomain
+	case i.Region == c.options.Self.Region:
+		return DistanceRegion
+	}
+	return DistanceFar
+}
+
+// Order returns the instances to send a request to, best first: those with
+// room, nearest first, then the busy ones, least used first. The load of the
+// own pool is exact and passed in. No owner beyond its grant or behind a link
+// without budget is returned.
+func (c *Chooser) Order(now time.Time, self PoolLoad, deferrable bool) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var choices []choice
+	if self.Slots > 0 {
+		use := float64(self.InUse+self.Queued) / float64(self.Slots)
+		choices = append(choices, choice{c.options.Self.Name, DistanceSelf, use, use >= 1})
+	}
+	for _, tier := range c.tiers[DistanceDomain:] {
+		choices = c.appendTier(choices, tier, now, deferrable)
+	}
+	slices.SortStableFunc(choices, compareChoices)
+	names := make([]string, 0, maxChoices)
+	for _, one := range choices[:min(len(choices), maxChoices)] {
+		names = append(names, one.name)
+	}
+	return names
+}
+
+// choice is one candidate of Order.
+type choice struct {
+	name     string
+	distance Distance
+	use      float64
+	busy     bool
+}
+
+func compareChoices(a, b choice) int {
+	if a.busy != b.busy {
+		if a.busy {
+			return 1
+		}
+		return -1
+	}
+	if a.busy {
+		return cmp.Or(cmp.Compare(a.use, b.use), cmp.Compare(a.distance, b.distance))
+	}
+	return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.use, b.use))
+}
+
+// appendTier adds the usable owners of a random part of the tier.
+func (c *Chooser) appendTier(choices []choice, tier []*owner, now time.Time, deferrable bool) []choice {
+	if len(tier) == 0 {
+		return choices
+	}
+	start := c.options.Rand.IntN(len(tier))
+	for i := range min(len(tier), samplesPerTier) {
+		o := tier[(start+i)%len(tier)]
+		if o.inFlight >= c.granted(o, now) || !c.linkOpen(o, now, deferrable) {
+			continue
+		}
+		use := o.use()
+		busy := use >= highUse || c.stale(o, now)
+		choices = append(choices, choice{o.load.Instance.Name, o.distance, use, busy})
+	}
+	return choices
+}
+
+// use estimates the used part of the slots, with the requests sent since the
+// report.
+func (o *owner) use() float64 {
+	since := max(0, o.inFlight-o.reported)
+	return float64(o.load.InUse+since) / float64(max(o.load.Slots, 1))
+}
+
+func (c *Chooser) stale(o *owner, now time.Time) bool {
+	return now.Sub(o.load.At) > c.options.MaxAge
+}
+
+func (c *Chooser) granted(o *owner, now time.Time) int {
+	if o.load.Slots == 0 {
+		return 0
+	}
+	if c.stale(o, now) {
+		return min(o.load.Granted, staleGrant)
+	}
+	return o.load.Granted
+}
+
+func (c *Chooser) linkOpen(o *owner, now time.Time, deferrable bool) bool {
+	if o.distance != DistanceFar || c.options.Links == nil {
+		return true
+	}
+	return c.options.Links(o.load.Instance.Region).open(now, deferrable)
+}
+
+// Begin counts a request that is about to be sent to the owner. It returns
+// false when the grant or the link budget is used up. A request that has begun
+// must be ended with End.
+func (c *Chooser) Begin(name string, now time.Time, deferrable bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.owners[name]
+	if o == nil || o.inFlight >= c.granted(o, now) || !c.linkOpen(o, now, deferrable) {
+		return false
+	}
+	o.inFlight++
+	return true
+}
+
+// End ends a request that Begin has accepted and charges the link for the bytes
+// of the request and of the answer.
+func (c *Chooser) End(name string, now time.Time, requestBytes, answerBytes int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.owners[name]
+	if o == nil {
+		return
+	}
+	o.inFlight--
+	if o.distance == DistanceFar && c.options.Links != nil {
+		c.options.Links(o.load.Instance.Region).charge(now, requestBytes, answerBytes)
+	}
+}
--- a/balancing/limit.go
+++ b/balancing/limit.go
@@ -80,7 +80,15 @@
 // current returns the number of requests that may run at once. It is between 1
 // and the slots, or 0 while the upstream refuses requests.
 func (l *limiter) current(now time.Time) int {
-	if l.slots < 1 || now.Before(l.shedUntil) {
+	if now.Before(l.shedUntil) {
+		return 0
+	}
+	return l.steady(now)
+}
+
+// steady returns the limit without the pause after a refusal.
+func (l *limiter) steady(now time.Time) int {
+	if l.slots < 1 {
 		return 0
 	}
 	limit := min(l.limit, l.rampLimit(now), l.loadLimit(now))
--- a/balancing/member.go
+++ b/balancing/member.go
@@ -27,6 +27,15 @@
 	return m.health.concurrency(m.limiter.current(now), now)
 }
 
+// capacity returns the number of requests that may run at once, without regard
+// to a short pause after a refusal.
+func (m *member) capacity(now time.Time) int {
+	if m.stopped() {
+		return 0
+	}
+	return m.health.concurrency(m.limiter.steady(now), now)
+}
+
 // ProbeResult is what the probes of an upstream have shown.
 type ProbeResult struct {
 	Upstream string
--- a/balancing/pool.go
+++ b/balancing/pool.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -52,6 +53,8 @@
 	mu      sync.Mutex
 	members []*member
 	byName  map[string]*member
+	// retired are members that are no longer listed but have requests running.
+	retired map[string]*member
 	queue   *fairQueue
 	slots   int
 	inUse   int
@@ -74,11 +77,14 @@
 }
 
 // Update sets the upstreams of the pool. Those that stay keep what is known of
-// them. Running requests of those that go are not affected.
+// them, as do those that come back while requests are still running on them.
+// Running requests of those that go are not affected.
 func (p *Pool) Update(upstreams []*routing.Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := p.byName
+	maps.Copy(old, p.retired)
+	p.retired = map[string]*member{}
 	p.byName = make(map[string]*member, len(upstreams))
 	p.members = make([]*member, 0, len(upstreams))
 	p.slots = 0
@@ -90,6 +96,9 @@
 	}
 	for name, m := range old {
 		m.removed = p.byName[name] != m
+		if m.removed && m.inUse > 0 {
+			p.retired[name] = m
+		}
 	}
 	p.serveQueue(p.options.Now())
 }
@@ -161,7 +170,7 @@
 	now := p.options.Now()
 	load := PoolLoad{InUse: p.inUse, Queued: p.queue.length}
 	for _, m := range p.members {
-		load.Slots += m.allowed(now)
+		load.Slots += m.capacity(now)
 	}
 	return load
 }
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -107,6 +107,8 @@
 	u.ledger.arrive(r)
 	faults := u.faultsFor(r)
 	if faults.has(FaultSilent) {
+		// The server notices a closed connection only after the body.
+		_, _ = discardBody(r)
 		<-r.Context().Done()
 		return
 	}
@@ -136,8 +138,7 @@
 	}
 	u.ledger.execute(r, n)
 	if !sleep(ctx, u.serviceTime(r)+faults.delay()) {
-		u.ledger.cancel()
-		w.WriteHeader(http.StatusGatewayTimeout)
+		u.giveUp(w, r)
 		return
 	}
 	u.answer(ctx, w, r, faults)
@@ -193,13 +194,19 @@
 
 func (u *Upstream) refuseFull(w http.ResponseWriter, r *http.Request, ctx context.Context) {
 	if ctx.Err() != nil {
-		u.ledger.cancel()
-		w.WriteHeader(http.StatusGatewayTimeout)
+		u.giveUp(w, r)
 		return
 	}
 	u.shed(w, r)
 }
 
+// giveUp ends a request whose caller has gone or whose deadline has passed.
+func (u *Upstream) giveUp(w http.ResponseWriter, r *http.Request) {
+	u.ledger.cancel()
+	w.Header().Set(dispatch.HeaderRequestID, r.Header.Get(dispatch.HeaderRequestID))
+	w.WriteHeader(http.StatusGatewayTimeout)
+}
+
 func (u *Upstream) shed(w http.ResponseWriter, r *http.Request) {
 	u.ledger.shed()
 	w.Header().Set(dispatch.HeaderRequestID, r.Header.Get(dispatch.HeaderRequestID))
--- /dev/null
+++ b/upstream/conn_test.go
@@ -0,0 +1,63 @@
+package upstream
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// recordingConn counts the bytes that are written to it.
+type recordingConn struct {
+	net.Conn
+	written int
+}
+
+func (c *recordingConn) Write(p []byte) (int, error) {
+	c.written += len(p)
+	return len(p), nil
+}
+
+// TestWritesOfAnAttempt checks that only the bound connection of a running
+// attempt writes, as seen by a process that goes on after a pause.
+func TestWritesOfAnAttempt(t *testing.T) {
+	now := time.Now()
+	cases := []struct {
+		name  string
+		setUp func(a *attempt, c *conn)
+		want  error
+	}{
+		{"running", func(a *attempt, c *conn) { a.bind(c, false, true) }, nil},
+		{"not bound", func(*attempt, *conn) {}, errRefused},
+		{"not usable", func(a *attempt, c *conn) { a.bind(c, true, false) }, errRefused},
+		{"paused beyond the deadline", func(a *attempt, c *conn) {
+			a.bind(c, false, true)
+			a.deadline = now.Add(-time.Millisecond)
+		}, errDeadline},
+		{"ended", func(a *attempt, c *conn) {
+			a.bind(c, false, true)
+			assert.Assert(t, !a.seal())
+		}, errSealed},
+		{"second connection after a byte", func(a *attempt, c *conn) {
+			first := newConn(&recordingConn{}, now)
+			a.bind(first, true, true)
+			_, err := first.Write([]byte("x"))
+			assert.NilError(t, err)
+			a.bind(c, true, true)
+		}, errRefused},
+		{"second connection before any byte", func(a *attempt, c *conn) {
+			a.bind(newConn(&recordingConn{}, now), true, false)
+			a.bind(c, false, true)
+		}, nil},
+	}
+	for _, tc := range cases {
+		inner := &recordingConn{}
+		c := newConn(inner, now)
+		a := &attempt{deadline: now.Add(time.Hour)}
+		tc.setUp(a, c)
+		_, err := c.Write([]byte("request"))
+		assert.Equal(t, err, tc.want, tc.name)
+		assert.Equal(t, inner.written > 0, tc.want == nil, tc.name)
+	}
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -127,7 +127,7 @@
 		ContentLength: 0,
 	}
 	if e.body != nil {
-		r.Body = &attemptBody{attempt: e.attempt, body: e.body}
+		r.Body = &attemptBody{ctx: e.ctx, attempt: e.attempt, body: e.body}
 		r.ContentLength = e.req.ContentLength
 	}
 	return r.WithContext(ctx)
--- /dev/null
+++ b/upstream/once_test.go
@@ -0,0 +1,307 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"samphireferry.example/ferry/dispatch"
+	"samphireferry.example/ferry/errkind"
+	"samphireferry.example/ferry/routing"
+	standin "samphireferry.example/ferry/standin/upstream"
+	"samphireferry.example/ferry/telemetry"
+	"samphireferry.example/ferry/upstream"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// stage is the point of the second request at which the server closes.
+type stage int
+
+const (
+	closeIdle stage = iota
+	closeOnFirstByte
+	closeInHeader
+	closeAfterHeader
+	closeAfterBody
+	closeInStatusLine
+	closeInAnswerHeader
+	closeInAnswerBody
+	stageCount
+)
+
+// closingServer answers the first request of its first connection and closes
+// that connection at a stage of the second. It counts request heads.
+type closingServer struct {
+	listener net.Listener
+	stage    stage
+	// second counts requests for /second of which any byte came.
+	second  atomic.Int32
+	running sync.WaitGroup
+	closed  chan struct{}
+}
+
+func newClosingServer(t *testing.T, at stage) *closingServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &closingServer{listener: listener, stage: at, closed: make(chan struct{})}
+	s.running.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.running.Go(func() { s.serve(conn) })
+		}
+	})
+	t.Cleanup(func() {
+		listener.Close()
+		s.running.Wait()
+	})
+	return s
+}
+
+func (s *closingServer) serve(conn net.Conn) {
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	reader := bufio.NewReader(conn)
+	first, err := http.ReadRequest(reader)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, first.Body)
+	if first.URL.Path != "/first" {
+		s.second.Add(1)
+		return
+	}
+	fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	if s.stage == closeIdle {
+		conn.Close()
+		close(s.closed)
+		return
+	}
+	if _, err := reader.ReadByte(); err != nil {
+		return
+	}
+	s.second.Add(1)
+	s.closeAt(conn, reader)
+}
+
+func (s *closingServer) closeAt(conn net.Conn, reader *bufio.Reader) {
+	switch s.stage {
+	case closeOnFirstByte:
+	case closeInHeader:
+		_, _ = reader.ReadString('\n')
+	case closeAfterHeader:
+		readHeader(reader)
+	default:
+		readHeader(reader)
+		_, _ = io.CopyN(io.Discard, reader, int64(min(reader.Buffered(), 4)))
+	}
+	switch s.stage {
+	case closeInStatusLine:
+		fmt.Fprint(conn, "HTTP/1.")
+	case closeInAnswerHeader:
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Le")
+	case closeInAnswerBody:
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
+	}
+}
+
+func readHeader(reader *bufio.Reader) {
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil || line == "\r\n" {
+			return
+		}
+	}
+}
+
+// TestSentAtMostOnceOnDeadConnections closes a pooled connection at each stage
+// of a request that net/http would repeat by itself.
+func TestSentAtMostOnceOnDeadConnections(t *testing.T) {
+	requests := map[string]func(path string) *dispatch.Request{
+		"get": func(path string) *dispatch.Request { return request(true, path, "") },
+		"post without body": func(path string) *dispatch.Request {
+			r := request(true, path, "")
+			r.Method = http.MethodPost
+			return r
+		},
+		"post": func(path string) *dispatch.Request { return request(true, path, "body") },
+		"post of unknown length": func(path string) *dispatch.Request {
+			r := request(true, path, "body")
+			r.ContentLength = -1
+			return r
+		},
+	}
+	for at := range stageCount {
+		for name, build := range requests {
+			t.Run(fmt.Sprintf("%d/%s", at, name), func(t *testing.T) {
+				t.Parallel()
+				s := newClosingServer(t, at)
+				client := upstream.New(upstream.Options{})
+				defer client.Close()
+				u := &routing.Upstream{Name: "u1", Address: s.listener.Addr().String(), Slots: 2, Connections: 8}
+				answer, err := client.Send(withTimeout(t, 3*time.Second), u, nil, request(false, "/first", ""))
+				assert.NilError(t, err)
+				_, err = io.ReadAll(answer.Body)
+				assert.NilError(t, err)
+				answer.Body.Close()
+				if at == closeIdle {
+					<-s.closed
+				}
+				req := build("/second")
+				req.Header.Set("Idempotency-Key", "home.unique")
+				req.Header.Set("X-Idempotency-Key", "home.unique")
+				err = sendOnly(withTimeout(t, 3*time.Second), client, u, req)
+				assert.Assert(t, err != nil)
+				assert.Equal(t, s.second.Load(), int32(1))
+				assert.Equal(t, errkind.Of(err).Row().Outcome, errkind.Unknown, "%v", err)
+			})
+		}
+	}
+}
+
+func sendOnly(ctx context.Context, client *upstream.Client, u *routing.Upstream, req *dispatch.Request) error {
+	answer, err := client.Send(ctx, u, nil, req)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	_, err = io.ReadAll(answer.Body)
+	return err
+}
+
+// countingServer counts the connections that are opened to a stand-in.
+func countingServer(s *standin.Upstream) (*httptest.Server, *atomic.Int32) {
+	var opened atomic.Int32
+	server := httptest.NewUnstartedServer(s)
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	return server, &opened
+}
+
+func TestAtMostOnceDialsWhenThePoolIsNotTrusted(t *testing.T) {
+	s := standin.New(standin.Options{Name: "u1"})
+	server, opened := countingServer(s)
+	defer server.Close()
+	client := upstream.New(upstream.Options{TrustedFor: 50 * time.Millisecond})
+	defer client.Close()
+	send := func(atMostOnce bool) {
+		assert.NilError(t, sendOnly(withTimeout(t, 3*time.Second), client, target(server), request(atMostOnce, "/", "body")))
+	}
+	send(false)
+	time.Sleep(100 * time.Millisecond)
+	send(false)
+	assert.Equal(t, opened.Load(), int32(1))
+	time.Sleep(100 * time.Millisecond)
+	send(true)
+	assert.Equal(t, opened.Load(), int32(2))
+}
+
+// TestReadMovesOffASilentConnection leaves one of two pooled connections
+// silent. The other one is not used either, as it was not heard since.
+func TestReadMovesOffASilentConnection(t *testing.T) {
+	s := standin.New(standin.Options{Name: "u1"})
+	server, opened := countingServer(s)
+	defer server.Close()
+	client := upstream.New(upstream.Options{SilenceTimeout: 50 * time.Millisecond})
+	defer client.Close()
+	ctx := withTimeout(t, time.Minute)
+	var both errgroup.Group
+	for range 2 {
+		req := request(false, "/", "")
+		req.RawQuery = "service_ms=30"
+		both.Go(func() error { return sendOnly(ctx, client, target(server), req) })
+	}
+	assert.NilError(t, both.Wait())
+	assert.Equal(t, opened.Load(), int32(2))
+	s.SetFaults(standin.Faults{Requests: []standin.Fault{{Kind: standin.FaultSilent, Times: 1}}})
+	req := request(false, "/", "body")
+	err := sendOnly(ctx, client, target(server), req)
+	reason, _ := upstream.RetryReason(err)
+	assert.Equal(t, reason, telemetry.RetrySilentConnection, "%v", err)
+	assert.NilError(t, ctx.Err())
+	assert.NilError(t, sendOnly(ctx, client, target(server), req))
+	assert.Equal(t, opened.Load(), int32(3))
+}
+
+// TestNothingRunsAfterTheDeadline lets the deadline pass before the request and
+// while its body is held back.
+func TestNothingRunsAfterTheDeadline(t *testing.T) {
+	s := standin.New(standin.Options{Name: "u1"})
+	server := httptest.NewServer(s)
+	defer server.Close()
+	client := upstream.New(upstream.Options{})
+	defer client.Close()
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(-time.Millisecond))
+	defer cancel()
+	err := sendOnly(ctx, client, target(server), request(true, "/", "body"))
+	assert.Equal(t, errkind.Of(err), errkind.DeadlineExceeded)
+
+	req := request(true, "/", "body")
+	reader, writer := io.Pipe()
+	req.Body = reader
+	ctx, cancel = context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	err = sendOnly(ctx, client, target(server), req)
+	go func() {
+		_, _ = io.Copy(writer, strings.NewReader("body"))
+		writer.Close()
+	}()
+	assert.Assert(t, err != nil)
+	_, _ = io.Copy(io.Discard, reader)
+	server.Close()
+	assert.Equal(t, s.Ledger().Snapshot().Executed, 0)
+}
+
+func TestCancellationReachesTheUpstream(t *testing.T) {
+	s := standin.New(standin.Options{Name: "u1", ServiceTime: time.Hour})
+	server := httptest.NewServer(s)
+	defer server.Close()
+	client := upstream.New(upstream.Options{})
+	defer client.Close()
+	ctx, cancel := context.WithCancel(withTimeout(t, time.Minute))
+	time.AfterFunc(50*time.Millisecond, cancel)
+	err := sendOnly(ctx, client, target(server), request(true, "/", "body"))
+	assert.Equal(t, errkind.Of(err), errkind.CallerGone)
+	server.Close()
+	assert.Equal(t, s.Ledger().Snapshot().Cancelled, 1)
+}
+
+func TestBodyErrorNeverPromisesTooMuch(t *testing.T) {
+	s := standin.New(standin.Options{Name: "u1"})
+	server := httptest.NewServer(s)
+	defer server.Close()
+	client := upstream.New(upstream.Options{})
+	defer client.Close()
+	req := request(true, "/", "body")
+	long := strings.NewReader(strings.Repeat("x", 300_000))
+	req.Body = io.MultiReader(long, &failingReader{errkind.New(errkind.BodyTooLarge, "")})
+	req.ContentLength = -1
+	err := sendOnly(withTimeout(t, 3*time.Second), client, target(server), req)
+	assert.Equal(t, errkind.Of(err).Row().Outcome, errkind.Unknown, "%v", err)
+	server.Close()
+	assert.Equal(t, s.Ledger().Snapshot().Executed, 0)
+}
+
+type failingReader struct{ err error }
+
+func (r *failingReader) Read([]byte) (int, error) { return 0, r.err }
