Judgement by failure domain, and of requests that get no answer

Cause: the owner of an upstream counts its requests, and an instance may own the upstreams of one version only; it then has nothing to compare, and neither has any other, as evidence was compared per instance. And a version that never answers was noticed only at its timeouts. Change: samples of the instances of a failure domain are compared as one, those of the fleet as well; attempts are counted as slow when they pass the bound. Ruled out: counting at the instance that received the request, which blames a version for the link to, or the death of, the owner of its upstreams.

--- a/rollouts/controller.go
+++ b/rollouts/controller.go
@@ -21,6 +21,7 @@
 	driver      *Driver
 	verdicts    *verdictSet
 	instances   int
+	domain      string
 	objects     []dynamic.Rollout
 	routes      map[string][]string
 	comparisons map[string]*comparison
@@ -48,6 +49,9 @@
 // the probability of a false alarm.
 func (c *Controller) SetInstances(n int) { c.instances = max(n, 1) }
 
+// SetDomain sets the failure domain of this instance, as its peers know it.
+func (c *Controller) SetDomain(name string) { c.domain = name }
+
 // Configure takes in the roll-outs of a configuration version and the names of
 // the routes of each service.
 func (c *Controller) Configure(version uint64, objects []dynamic.Rollout, routes map[string][]string) {
@@ -64,7 +68,7 @@
 	changed := c.updateComparisons()
 	for _, name := range slices.Sorted(maps.Keys(c.comparisons)) {
 		comparison := c.comparisons[name]
-		finding := comparison.judgeOwn(now, c.step(name))
+		finding := comparison.judgeOwn(now, c.domain, c.step(name))
 		if c.conclude(comparison, finding) {
 			changed = true
 		}
@@ -89,7 +93,7 @@
 		comparison := c.comparisons[name]
 		step := state.AppliedSteps[platform.PrefixRollouts+name]
 		for _, sample := range comparison.samplesOf(peer, step, state.Evidence) {
-			if c.conclude(comparison, comparison.judgePeer(now, sample)) {
+			if c.conclude(comparison, comparison.judgePeer(now, state.Identity.FailureDomain, sample)) {
 				changed = true
 			}
 		}
@@ -155,7 +159,7 @@
 // suspects implements evidence.
 func (c *Controller) suspects(rollout string) bool {
 	comparison := c.comparisons[rollout]
-	return comparison != nil && (comparison.local.Suspects() || comparison.fleet.Suspects())
+	return comparison != nil && comparison.suspects()
 }
 
 func (c *Controller) conclude(comparison *comparison, finding *Finding) bool {
--- a/rollouts/counts.go
+++ b/rollouts/counts.go
@@ -76,8 +76,9 @@
 // bucketBound returns the upper bound of a bucket in milliseconds.
 func bucketBound(bucket int) float64 { return math.Exp2(float64(bucket) / 2) }
 
-// cell is the atomic form of Counts.
+// cell is the atomic form of Counts, with the attempts that are not counted yet.
 type cell struct {
+	waiting  waitList
 	requests atomic.Uint64
 	failures atomic.Uint64
 	latency  [bucketCount]atomic.Uint64
--- a/rollouts/judge.go
+++ b/rollouts/judge.go
@@ -72,13 +72,13 @@
 }
 
 // NewJudge returns a judge for a roll-out with the deadline. The whole fleet
-// has the given number of judges and routes; this one gets the counts of the
-// given number of instances.
-func NewJudge(deadline time.Duration, routes, judges, instances int) *Judge {
+// has the given number of judges and routes; this one gets samples of the given
+// number of strata.
+func NewJudge(deadline time.Duration, routes, judges, strata int) *Judge {
 	tests := max(routes, 1) * measures * max(judges, 1)
 	return &Judge{
 		threshold: float64(tests) / FalseAlarm,
-		slices:    int(deadline/minSlice) * max(instances, 1),
+		slices:    int(deadline/minSlice) * max(strata, 1),
 		routes:    map[string]*routeTest{},
 	}
 }
@@ -86,7 +86,10 @@
 // Sample is what one instance has counted on one route. Counts only rise.
 type Sample struct {
 	Instance string
-	Route    string
+	// Stratum names the instances that are compared as one, such as those of
+	// one failure domain.
+	Stratum string
+	Route   string
 	// Step is the step of the roll-out that the instance applies. Requests
 	// before and after a step are not compared with each other.
 	Step uint64
@@ -102,10 +105,11 @@
 	}
 	test := j.route(sample.Route)
 	test.stepped(sample.Step)
-	s := test.stratum(sample.Instance)
+	s := test.stratum(sample.Stratum)
 	s.take(now, sample)
 	before, after, ok := s.end(now)
 	if !ok {
+		test.extendBaseline(before)
 		return nil
 	}
 	test.add(before, after)
@@ -125,6 +129,16 @@
 	return j.finding != nil
 }
 
+// slowBucket returns the highest bucket of answers that are not slow on the
+// route. It returns false while too little is known.
+func (j *Judge) slowBucket(route string) (int, bool) {
+	test := j.routes[route]
+	if test == nil {
+		return 0, false
+	}
+	return test.slowBucket()
+}
+
 func (j *Judge) route(name string) *routeTest {
 	test := j.routes[name]
 	if test == nil {
@@ -149,11 +163,11 @@
 	return &Finding{Route: route, Measure: measure, Old: test.old, New: test.new}
 }
 
-func (t *routeTest) stratum(instance string) *stratum {
-	s := t.strata[instance]
+func (t *routeTest) stratum(name string) *stratum {
+	s := t.strata[name]
 	if s == nil {
-		s = &stratum{}
-		t.strata[instance] = s
+		s = &stratum{members: map[string]*member{}}
+		t.strata[name] = s
 	}
 	return s
 }
--- a/rollouts/odds_test.go
+++ b/rollouts/odds_test.go
@@ -134,6 +134,7 @@
 			now = now.Add(time.Second / ticksPerSecond)
 			for i := range samples {
 				samples[i].Instance = fmt.Sprint(i)
+				samples[i].Stratum = fmt.Sprint(i)
 				samples[i].Route = "main"
 				samples[i].Old = samples[i].Old.Plus(sampleOf(outage, 2))
 				if random.IntN(ticksPerSecond) == 0 {
--- a/rollouts/recorder.go
+++ b/rollouts/recorder.go
@@ -47,7 +47,7 @@
 }
 
 // Recorder counts the attempts of one roll-out. It may be used by several
-// goroutines at once and does not allocate.
+// goroutines at once.
 type Recorder struct {
 	rollout    string
 	generation uint64
@@ -56,22 +56,31 @@
 	byRoute    map[string]*routeCells
 }
 
-// Record counts one attempt on the route, served by the version. The latency
-// is from sending the request to the end of the answer. Attempts of other
-// versions or routes are not counted. A nil Recorder counts nothing.
+// Record counts one attempt that has ended; Begin and End also notice one that
+// does not end. The latency is that of the head of the answer. Attempts of
+// other versions or routes are not counted. A nil Recorder counts nothing.
 func (r *Recorder) Record(route, version string, result Result, latency time.Duration) {
-	if r == nil || result == Ignored {
-		return
+	cell := r.cell(route, version)
+	if cell != nil && result != Ignored {
+		cell.add(result == Failed, latency)
 	}
-	cells := r.byRoute[route]
-	if cells == nil {
-		return
+}
+
+// cell returns the counters of a version on a route, or nil.
+func (r *Recorder) cell(route, version string) *cell {
+	if r == nil {
+		return nil
 	}
-	switch version {
-	case r.to:
-		cells.after.add(result == Failed, latency)
-	case r.from:
-		cells.before.add(result == Failed, latency)
+	cells := r.byRoute[route]
+	switch {
+	case cells == nil:
+		return nil
+	case version == r.to:
+		return &cells.after
+	case version == r.from:
+		return &cells.before
+	default:
+		return nil
 	}
 }
 
--- a/rollouts/rollout_bench_test.go
+++ b/rollouts/rollout_bench_test.go
@@ -16,6 +16,7 @@
 	for _, r := range rules {
 		b.Run("rule="+r.name+"/version=good", func(b *testing.B) { measureGood(b, r.rule, false) })
 		b.Run("rule="+r.name+"/version=good_noise", func(b *testing.B) { measureGood(b, r.rule, true) })
+		b.Run("rule="+r.name+"/version=good_noise_split", func(b *testing.B) { measureSplit(b, r.rule) })
 		for _, f := range faults {
 			b.Run("rule="+r.name+"/version="+f.name, func(b *testing.B) { measureBad(b, r.rule, f) })
 		}
@@ -23,9 +24,23 @@
 }
 
 func measureGood(b *testing.B, rule rule, noisy bool) {
+	measureAlike(b, func(seed uint64) *simulation { return newSimulation(seed, rule, nil, noisy) })
+}
+
+// measureSplit measures good versions whose upstreams are owned by other
+// instances than those of the old version.
+func measureSplit(b *testing.B, rule rule) {
+	measureAlike(b, func(seed uint64) *simulation {
+		s := newSimulation(seed, rule, nil, true)
+		s.split = true
+		return s
+	})
+}
+
+func measureAlike(b *testing.B, simulate func(seed uint64) *simulation) {
 	done, stopped, seconds := 0, 0, 0.0
 	for i := range b.N {
-		s := newSimulation(uint64(i), rule, nil, noisy)
+		s := simulate(uint64(i))
 		r := s.run()
 		if r.State == shift.Done {
 			done++
--- a/rollouts/rollout_test.go
+++ b/rollouts/rollout_test.go
@@ -17,10 +17,11 @@
 var seedCount = flag.Uint64("rollouts.seeds", 1, "number of random runs")
 
 func TestBadVersionsAreStopped(t *testing.T) {
-	for _, f := range faults {
+	for i, f := range faults {
 		t.Run(f.name, func(t *testing.T) {
 			for seed := range *seedCount {
 				s := newSimulation(seed, sequentialTest, &f, false)
+				s.split = i%2 == 0
 				r := s.run()
 				assert.Equal(t, r.State, shift.TakenBack, "seed %d", seed)
 				assert.Equal(t, r.Reason, shift.ReasonVerdict, "seed %d", seed)
@@ -34,6 +35,7 @@
 func TestGoodVersionsAreDoneInTime(t *testing.T) {
 	for seed := range 2 * *seedCount {
 		s := newSimulation(seed, sequentialTest, nil, seed%2 == 1)
+		s.split = seed%2 == 1
 		r := s.run()
 		assert.Equal(t, r.State, shift.Done, "seed %d: %s %s", seed, r.Reason, r.Detail)
 		assert.Equal(t, s.checker.Total(), int64(0))
--- a/rollouts/simulation_test.go
+++ b/rollouts/simulation_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"samphireferry.example/ferry/config/dynamic"
@@ -21,6 +22,7 @@
 	simInstances  = 10
 	simLatency    = 20 * time.Millisecond
 	simFailures   = 0.003
+	simTimeout    = 10 * time.Second
 	simCompletion = 256 // ticks for which answers can be under way
 )
 
@@ -37,6 +39,8 @@
 	failures float64
 	slowdown float64
 	route    string
+	// hangs makes requests get no answer before their timeout.
+	hangs bool
 	// after and share are the time and the share from which the fault shows.
 	after time.Duration
 	share float64
@@ -46,6 +50,7 @@
 	{name: "fails", failures: 0.5},
 	{name: "fails_mildly", failures: 0.05},
 	{name: "slow", slowdown: 4},
+	{name: "hangs", hangs: true},
 	{name: "fails_later", failures: 0.3, after: 70 * time.Second},
 	{name: "slow_later", slowdown: 4, after: 70 * time.Second},
 	{name: "fails_under_load", failures: 0.3, share: 0.5},
@@ -72,6 +77,8 @@
 	version  string
 	failed   bool
 	latency  time.Duration
+	sentAt   time.Time
+	attempt  *Attempt
 }
 
 type simInstance struct {
@@ -85,10 +92,13 @@
 // simulation runs one roll-out on several instances in virtual time. The first
 // instance drives the record; the others get it by heartbeats.
 type simulation struct {
-	random    *rand.Rand
-	rule      rule
-	fault     *fault
-	noisy     bool
+	random *rand.Rand
+	rule   rule
+	fault  *fault
+	noisy  bool
+	// split lets one of each two instances own the upstreams of the new version
+	// and the other one those of the old version.
+	split     bool
 	object    dynamic.Rollout
 	checker   *invariant.Checker
 	instances []*simInstance
@@ -118,11 +128,12 @@
 	s.now = s.start
 	for i := range simInstances {
 		instance := &simInstance{
-			identity:   &entrypb.Identity{Name: fmt.Sprintf("i%d", i), Incarnation: "1"},
+			identity:   &entrypb.Identity{Name: fmt.Sprintf("i%d", i), Incarnation: "1", FailureDomain: fmt.Sprintf("d%d", i/2)},
 			controller: NewController(s.checker),
 			registry:   splitting.NewRegistry(s.checker),
 		}
 		instance.controller.SetInstances(simInstances)
+		instance.controller.SetDomain(instance.identity.FailureDomain)
 		instance.controller.Configure(1, []dynamic.Rollout{s.object}, map[string][]string{"s": simRoutes})
 		s.instances = append(s.instances, instance)
 	}
@@ -221,18 +232,24 @@
 		failures += sharedFailures
 		factor *= sharedFactor
 	}
-	if isNew && s.fault != nil && s.fault.shows(route, s.now.Sub(s.start), share) {
+	bad := isNew && s.fault != nil && s.fault.shows(route, s.now.Sub(s.start), share)
+	if bad {
 		s.badRequests++
 		failures += s.fault.failures
 		if s.fault.slowdown > 0 {
 			factor *= s.fault.slowdown
 		}
 	}
-	latency := time.Duration(float64(simLatency) * factor)
-	ticks := min(1+int(latency/simTick), simCompletion-1)
-	slot := (s.tick + ticks) % simCompletion
-	failed := s.random.Float64() < failures
-	s.underWay[slot] = append(s.underWay[slot], simAnswer{instance, route, version, failed, latency})
+	a := simAnswer{instance: instance, route: route, version: version, sentAt: s.now}
+	a.latency = time.Duration(float64(simLatency) * factor)
+	a.failed = s.random.Float64() < failures
+	if bad && s.fault.hangs {
+		a.latency = simTimeout
+		a.failed = true
+	}
+	a.attempt = s.owner(a).controller.Recorders().Service("s").Begin(route, version, s.now)
+	slot := (s.tick + min(1+int(a.latency/simTick), simCompletion-1)) % simCompletion
+	s.underWay[slot] = append(s.underWay[slot], a)
 }
 
 // complete records the answers that come in this tick.
@@ -243,7 +260,7 @@
 		if a.failed {
 			result = Failed
 		}
-		a.instance.controller.Recorders().Service("s").Record(a.route, a.version, result, a.latency)
+		a.attempt.End(a.sentAt.Add(a.latency), result)
 		if s.rule == fixedThreshold {
 			s.judgeByThreshold(a)
 		}
@@ -256,6 +273,18 @@
 	}
 }
 
+// owner returns the instance that owns the upstream of the answer.
+func (s *simulation) owner(a simAnswer) *simInstance {
+	if !s.split {
+		return a.instance
+	}
+	i := slices.Index(s.instances, a.instance) &^ 1
+	if a.version == s.object.To {
+		return s.instances[i]
+	}
+	return s.instances[i+1]
+}
+
 // noise returns what both versions suffer: for 10 s in each 40 s a quarter of
 // the requests fail, and for 10 s answers take three times as long.
 func (s *simulation) noise() (failures, factor float64) {
@@ -326,6 +355,7 @@
 func (i *simInstance) disableJudges() {
 	for _, comparison := range i.controller.comparisons {
 		comparison.local.threshold = math.Inf(1)
+		comparison.domains.threshold = math.Inf(1)
 		comparison.fleet.threshold = math.Inf(1)
 	}
 }
--- a/rollouts/stratum.go
+++ b/rollouts/stratum.go
@@ -11,42 +11,52 @@
 	// sliceRequests is the number of requests of each version that the length
 	// of a slice aims at.
 	sliceRequests = 2
-	// maxSampleGap is the time between two samples above which the requests
-	// between them are not used: too much may have changed in between.
+	// maxSampleGap is the time between two samples of an instance above which
+	// the requests between them are not used: too much may have changed.
 	maxSampleGap = 5 * time.Second
 )
 
-// stratum gathers the requests of one instance on one route into slices.
+// stratum gathers the requests of some instances on one route into slices.
+// These instances get requests of both versions in the same proportions, though
+// one of them may own the upstreams of one version only.
 //
 // The length of a slice is fixed when it begins. If it ended with a request of
 // the new version, that one would always be the last of its slice, and would
 // seem worse than the others whenever an outage of both versions begins.
 type stratum struct {
-	last       Sample
-	lastAt     time.Time
+	members    map[string]*member
+	started    bool
 	sliceStart time.Time
 	length     time.Duration
 	old        Counts
 	new        Counts
 }
 
-// take adds what was counted since the last sample to the slice. A slice never
-// spans a step, since the mix of versions changes there.
+// member is the newest sample of one instance.
+type member struct {
+	sample Sample
+	at     time.Time
+}
+
+// take adds what an instance has counted since its last sample to the slice. A
+// slice never spans a step, since the mix of versions changes there.
 func (s *stratum) take(now time.Time, sample Sample) {
-	first := s.lastAt.IsZero()
-	late := now.Sub(s.lastAt) > maxSampleGap
-	before := sample.Old.Minus(s.last.Old)
-	after := sample.New.Minus(s.last.New)
-	stepped := sample.Step != s.last.Step
-	s.last = sample
-	s.lastAt = now
-	if first || late || stepped {
+	if !s.started {
+		s.started = true
 		s.length = firstSlice
 		s.restart(now)
+	}
+	last := s.members[sample.Instance]
+	s.members[sample.Instance] = &member{sample: sample, at: now}
+	if last == nil || now.Sub(last.at) > maxSampleGap {
+		return
+	}
+	if sample.Step != last.sample.Step {
+		s.restart(now)
 		return
 	}
-	s.old = s.old.Plus(before)
-	s.new = s.new.Plus(after)
+	s.old = s.old.Plus(sample.Old.Minus(last.sample.Old))
+	s.new = s.new.Plus(sample.New.Minus(last.sample.New))
 }
 
 // end returns the requests of the slice and begins the next one, once the
