Probes, grants, link budgets and the chooser of owners in the daemon

Cause: requests went to owners in the order of the last heartbeat without bound, and the health of upstreams was known from requests only. Change: the prober feeds the pools; owners grant requests to each peer in their heartbeats; the chooser keeps within grants and link budgets; retries other than after not-run are within the retry budget of package balancing.

--- a/daemon/chooser.go
+++ b/daemon/chooser.go
@@ -1,21 +1,16 @@
 package daemon
 
 import (
-	"cmp"
-	"context"
 	"slices"
+	"time"
 
 	"samphireferry.example/ferry/admission"
 	"samphireferry.example/ferry/dispatch"
 	"samphireferry.example/ferry/membership"
 	"samphireferry.example/ferry/relay"
 	"samphireferry.example/ferry/routing"
-	"samphireferry.example/ferry/rpc/entrypb"
 )
 
-// maxRelays bounds the other instances that are tried for one request.
-const maxRelays = 3
-
 // chooser decides where each request goes. It implements dispatch.Chooser.
 type chooser struct {
 	views *views
@@ -23,27 +18,16 @@
 	relay *relay.Client
 }
 
-// remoteTarget sends requests to another entry instance.
-type remoteTarget struct {
-	relay   *relay.Client
-	address string
-}
-
-// Send implements dispatch.Target.
-func (t *remoteTarget) Send(ctx context.Context, request *dispatch.Request, version string) (*dispatch.Answer, error) {
-	return t.relay.Send(ctx, t.address, request, version)
-}
-
 // Choose implements dispatch.Chooser.
 func (c *chooser) Choose(request *dispatch.Request) dispatch.Choice {
 	v := c.views.load()
 	service := request.Route.Service
 	version, fallback := chooseVersion(v, service, request.Route.Name)
 	domain, _ := v.splits.Domain(service.Name, v.peers.Self.FailureDomain)
-	choice := dispatch.Choice{Version: version, Targets: c.targets(v, service.Name, version, domain)}
+	choice := dispatch.Choice{Version: version, Targets: c.targets(v, service, version, domain)}
 	if fallback != "" {
 		choice.Fallback = fallback
-		choice.FallbackTargets = c.targets(v, service.Name, fallback, domain)
+		choice.FallbackTargets = c.targets(v, service, fallback, domain)
 	}
 	return choice
 }
@@ -71,72 +55,54 @@
 	return service.Versions[0]
 }
 
-// targets returns the places that serve the version, nearest first, beginning
+// targets returns the places that serve the version, best first, beginning
 // with the failure domain that was chosen.
-func (c *chooser) targets(v *view, service, version, domain string) []dispatch.Target {
-	var targets []dispatch.Target
-	pool := v.pools[poolKey{service, version}]
-	own := pool != nil && pool.Load().Slots > 0
-	if own && domain == v.peers.Self.FailureDomain {
-		targets = append(targets, c.local)
+func (c *chooser) targets(v *view, service *routing.Service, version, domain string) []dispatch.Target {
+	key := poolKey{service.Name, version}
+	chooser, pool := v.choosers[key], v.pools[key]
+	if chooser == nil || pool == nil {
+		return nil
 	}
-	for _, p := range relayPeers(v.peers, service, version, domain) {
-		targets = append(targets, &remoteTarget{relay: c.relay, address: p.RPCAddress})
+	names := chooser.Order(time.Now(), pool.Load(), service.Deferrable)
+	names = lastResorts(v, names, pool.Load().Slots > 0)
+	if domain != v.peers.Self.FailureDomain {
+		names = domainFirst(v.peers, names, domain)
 	}
-	if own && domain != v.peers.Self.FailureDomain {
-		targets = append(targets, c.local)
-	}
-	return targets
-}
-
-type candidate struct {
-	peer     *membership.Peer
-	distance admission.Distance
-	chosen   bool
-	free     int
-}
-
-// relayPeers returns the instances that own upstreams of the version, those of
-// the chosen failure domain first, then the nearest, then those with most room.
-func relayPeers(peers *membership.Peers, service, version, domain string) []*membership.Peer {
-	var candidates []candidate
-	for _, p := range peers.All {
-		load := loadOf(p, service, version)
-		if load == nil || load.GetSlots() == 0 || !p.Usable() {
+	targets := make([]dispatch.Target, 0, len(names))
+	for _, name := range names {
+		if name == v.peers.Self.Name {
+			targets = append(targets, c.local)
 			continue
 		}
-		candidates = append(candidates, candidate{
-			peer:     p,
-			distance: distanceTo(peers, p),
-			chosen:   p.FailureDomain == domain,
-			free:     int(load.GetSlots()) - int(load.GetInUse()),
-		})
-	}
-	slices.SortFunc(candidates, compareCandidates)
-	var chosen []*membership.Peer
-	for _, c := range candidates[:min(len(candidates), maxRelays)] {
-		chosen = append(chosen, c.peer)
+		if p := v.peers.ByName(name); p != nil {
+			targets = append(targets, &remoteTarget{relay: c.relay, chooser: chooser, name: name, address: p.RPCAddress})
+		}
 	}
-	return chosen
+	return targets
 }
 
-func compareCandidates(a, b candidate) int {
-	if a.chosen != b.chosen {
-		if a.chosen {
-			return -1
-		}
-		return 1
+// lastResorts adds this instance, whose queue may take the request when all
+// others refuse.
+func lastResorts(v *view, names []string, ownsUpstreams bool) []string {
+	self := v.peers.Self.Name
+	if ownsUpstreams && !slices.Contains(names, self) {
+		names = append(names, self)
 	}
-	return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(b.free, a.free))
+	return names
 }
 
-func loadOf(p *membership.Peer, service, version string) *entrypb.ServiceLoad {
-	for _, load := range p.State.GetLoads() {
-		if load.GetService() == service && load.GetVersion() == version {
-			return load
+// domainFirst puts the instances of the failure domain before the others.
+func domainFirst(peers *membership.Peers, names []string, domain string) []string {
+	sorted := slices.Clone(names)
+	rank := func(name string) int {
+		p := peers.ByName(name)
+		if p != nil && p.FailureDomain == domain {
+			return 0
 		}
+		return 1
 	}
-	return nil
+	slices.SortStableFunc(sorted, func(a, b string) int { return rank(a) - rank(b) })
+	return sorted
 }
 
 // distanceTo returns how far a peer is.
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -41,6 +41,8 @@
 	lease       *controllease.Lease
 	leaseRunner *controllease.Runner
 
+	// divided is when the grants were last divided.
+	divided time.Time
 	dist    *distribution.State
 	watcher *distribution.Watcher
 	table   *routing.Table
@@ -152,6 +154,10 @@
 	c.followRecords(now)
 	c.doControlWork(now)
 	c.noteDeparture()
+	if now.Sub(c.divided) >= c.parts.settings.HeartbeatInterval {
+		c.divided = now
+		c.pools.divideGrants()
+	}
 	c.parts.state.Store(c.state(now))
 }
 
@@ -209,6 +215,8 @@
 		table:     c.table,
 		peers:     c.pools.peers,
 		pools:     c.pools.all,
+		grants:    c.pools.grants,
+		choosers:  c.pools.choosers,
 		recorders: c.rollouts.Recorders(),
 		directory: c.currentDirectory(now),
 		leaving:   c.leaving,
--- a/daemon/heartbeat.go
+++ b/daemon/heartbeat.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"samphireferry.example/ferry/balancing"
 	"samphireferry.example/ferry/rpc/entrypb"
 	"samphireferry.example/ferry/sharetable"
 )
@@ -56,9 +57,10 @@
 	if len(targets) == 0 {
 		return
 	}
-	state := c.state(now)
+	base := c.state(now)
 	for _, target := range targets {
 		address := target.RPCAddress
+		state := withGrants(base, c.pools.grants, target.Name)
 		c.background(heartbeatTimeout, func(ctx context.Context) event {
 			asked := time.Now()
 			answer, err := c.exchange(ctx, address, state)
@@ -78,6 +80,37 @@
 	return client.Heartbeat(ctx, state)
 }
 
+// withGrants returns a heartbeat that shows what the peer may have in flight here.
+func withGrants(state *entrypb.State, grants map[poolKey]*balancing.Grants, peer string) *entrypb.State {
+	own := &entrypb.State{
+		Identity:      state.GetIdentity(),
+		Leaving:       state.GetLeaving(),
+		ConfigVersion: state.GetConfigVersion(),
+		ShareVersion:  state.GetShareVersion(),
+		Verdicts:      state.GetVerdicts(),
+		Evidence:      state.GetEvidence(),
+		StoreAgeMs:    state.GetStoreAgeMs(),
+		AppliedSteps:  state.GetAppliedSteps(),
+		LoadPermille:  state.GetLoadPermille(),
+		StoreRevision: state.GetStoreRevision(),
+		ShareVouches:  state.GetShareVouches(),
+	}
+	for _, load := range state.GetLoads() {
+		granted := uint32(0)
+		if g := grants[poolKey{load.GetService(), load.GetVersion()}]; g != nil && peer != "" {
+			granted = uint32(g.Granted(peer))
+		}
+		own.Loads = append(own.Loads, &entrypb.ServiceLoad{
+			Service: load.GetService(),
+			Version: load.GetVersion(),
+			Slots:   load.GetSlots(),
+			InUse:   load.GetInUse(),
+			Granted: granted,
+		})
+	}
+	return own
+}
+
 // heartbeatReceived is a heartbeat that a peer has sent.
 type heartbeatReceived struct{ state *entrypb.State }
 
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -88,6 +88,7 @@
 	control.watcher.Start()
 	i.stopWatcher = control.watcher.Stop
 	i.running.Go(func() { control.readList(ctx) })
+	i.running.Go(func() { i.parts.prober.Run(ctx) })
 	i.running.Go(func() { i.servePeers() })
 	i.serveOperator()
 	i.callers.Provision(i.callerListener)
--- /dev/null
+++ b/daemon/owner.go
@@ -0,0 +1,54 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"sync"
+
+	"samphireferry.example/ferry/balancing"
+	"samphireferry.example/ferry/dispatch"
+	"samphireferry.example/ferry/errkind"
+	"samphireferry.example/ferry/relay"
+)
+
+// ownerTarget serves relayed requests on the upstreams that this instance owns,
+// within the grant of the instance that relays them.
+type ownerTarget struct {
+	views *views
+	local *localTarget
+}
+
+// Send implements relay.Handler.
+func (t *ownerTarget) Send(ctx context.Context, request *dispatch.Request, version string) (*dispatch.Answer, error) {
+	v := t.views.load()
+	key := poolKey{request.Route.Service.Name, version}
+	pool, grants := v.pools[key], v.grants[key]
+	if pool == nil || grants == nil {
+		return nil, errkind.New(errkind.NoUpstream, "this entry instance owns no upstream of the version")
+	}
+	sender, _ := relay.Sender(ctx)
+	if !grants.Begin(sender, pool.Load()) {
+		return nil, errkind.New(errkind.Overloaded, "the grant of the entry instance that relays is used up")
+	}
+	answer, err := t.local.Send(ctx, request, version)
+	if err != nil {
+		grants.End(sender)
+		return nil, err
+	}
+	answer.Body = &grantedBody{ReadCloser: answer.Body, grants: grants, sender: sender}
+	return answer, nil
+}
+
+// grantedBody ends the use of a grant when the answer is closed.
+type grantedBody struct {
+	io.ReadCloser
+	grants *balancing.Grants
+	sender string
+	once   sync.Once
+}
+
+// Close implements io.Closer.
+func (b *grantedBody) Close() error {
+	b.once.Do(func() { b.grants.End(b.sender) })
+	return b.ReadCloser.Close()
+}
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -31,6 +31,7 @@
 	peers      *entryinstance.Pool
 	upstreams  *upstream.Client
 	limiter    *admission.Limiter
+	prober     *upstream.Prober
 	// dist holds the records of the store. Only its Snapshot may be used
 	// outside the control goroutine.
 	dist *distribution.State
--- a/daemon/records.go
+++ b/daemon/records.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"samphireferry.example/ferry/balancing"
 	"samphireferry.example/ferry/config/dynamic"
 	"samphireferry.example/ferry/distribution"
 	"samphireferry.example/ferry/platform"
@@ -142,6 +143,11 @@
 	}
 }
 
+// probed is the result of the probes of an upstream.
+type probed struct{ result balancing.ProbeResult }
+
+func (e probed) apply(c *control, _ time.Time) { c.pools.observe(e.result) }
+
 // listRead is the platform's list of instances.
 type listRead struct{ list []platform.Instance }
 
--- a/daemon/services.go
+++ b/daemon/services.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"sync"
 
 	"samphireferry.example/ferry/admission"
 	"samphireferry.example/ferry/caller"
@@ -54,35 +53,3 @@
 	}
 	return list
 }
-
-// retryBudget implements dispatch.Budget: each request pays for a tenth of a
-// retry.
-type retryBudget struct {
-	mu     sync.Mutex
-	tokens float64
-}
-
-const (
-	retryRatio     = 0.1
-	maxRetryTokens = 10
-)
-
-func newRetryBudget() *retryBudget { return &retryBudget{tokens: maxRetryTokens} }
-
-// Earn implements dispatch.Budget.
-func (b *retryBudget) Earn() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.tokens = min(maxRetryTokens, b.tokens+retryRatio)
-}
-
-// Spend implements dispatch.Budget.
-func (b *retryBudget) Spend() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
-}
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -25,6 +25,9 @@
 	peers *membership.Peers
 	// pools hold the upstreams that this instance owns.
 	pools map[poolKey]*balancing.Pool
+	// grants and choosers have the keys of pools.
+	grants   map[poolKey]*balancing.Grants
+	choosers map[poolKey]*balancing.Chooser
 	// directory is nil until the instance has a configuration.
 	directory *steering.Directory
 	splits    *splitting.Snapshot
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/google/uuid"
@@ -8,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"samphireferry.example/ferry/admission"
+	"samphireferry.example/ferry/balancing"
 	"samphireferry.example/ferry/caller"
 	"samphireferry.example/ferry/config/dynamic"
 	"samphireferry.example/ferry/config/static"
@@ -41,6 +43,7 @@
 	do.Provide(i, providePeerConfig)
 	do.Provide(i, providePeers)
 	do.Provide(i, provideUpstreams)
+	do.Provide(i, provideProber)
 	do.Provide(i, provideLimiter)
 	do.Provide(i, provideDistribution)
 	do.Provide(i, provideParts)
@@ -110,6 +113,14 @@
 	return upstream.New(upstream.Options{}), nil
 }
 
+func provideProber(i do.Injector) (*upstream.Prober, error) {
+	l := do.MustInvoke[*loop](i)
+	return upstream.NewProber(upstream.ProberOptions{
+		OnResult: func(result balancing.ProbeResult) { l.post(probed{result}) },
+		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}), nil
+}
+
 func provideLimiter(i do.Injector) (*admission.Limiter, error) {
 	checker := do.MustInvoke[*invariant.Checker](i)
 	return admission.NewLimiter(admission.Settings{Checker: checker}, time.Now()), nil
@@ -152,6 +163,7 @@
 		peers:      peers,
 		upstreams:  do.MustInvoke[*upstream.Client](i),
 		limiter:    do.MustInvoke[*admission.Limiter](i),
+		prober:     do.MustInvoke[*upstream.Prober](i),
 		dist:       do.MustInvoke[*distribution.State](i),
 		departed:   make(chan struct{}),
 	}, nil
@@ -189,7 +201,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return relay.NewClient(peers, do.MustInvoke[*invariant.Checker](i)), nil
+	return relay.NewClient(do.MustInvoke[*entrypb.Identity](i).GetName(), peers, do.MustInvoke[*invariant.Checker](i)), nil
 }
 
 func provideDispatcher(i do.Injector) (*dispatch.Dispatcher, error) {
@@ -202,7 +214,7 @@
 		local: do.MustInvoke[*localTarget](i),
 		relay: relays,
 	}
-	return dispatch.NewDispatcher(choose, newRetryBudget(), do.MustInvoke[*telemetry.Metrics](i)), nil
+	return dispatch.NewDispatcher(choose, balancing.NewRetryBudget(), do.MustInvoke[*telemetry.Metrics](i)), nil
 }
 
 func provideEntryServer(i do.Injector) (*entryinstance.Server, error) {
@@ -210,10 +222,11 @@
 	if err != nil {
 		return nil, err
 	}
+	owned := &ownerTarget{views: p.views, local: do.MustInvoke[*localTarget](i)}
 	handler := &entryServer{
 		parts: p,
 		loop:  do.MustInvoke[*loop](i),
-		relay: relay.NewServer(p.views.Table, do.MustInvoke[*localTarget](i).Send),
+		relay: relay.NewServer(p.views.Table, owned.Send),
 		keys:  do.MustInvoke[*requestkeys.Service](i),
 	}
 	return entryinstance.NewServer(do.MustInvoke[entryinstance.Config](i), handler)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -39,10 +39,11 @@
 
 // Budget bounds retries to a part of the requests.
 type Budget interface {
-	// Earn is called once for each request.
-	Earn()
-	// Spend says whether one more retry is within the budget.
-	Spend() bool
+	// Succeed is called for each request that was answered.
+	Succeed()
+	// Spend says whether the request that failed with the error may be sent
+	// again, and takes the retry out of the budget.
+	Spend(atMostOnce bool, err error) bool
 }
 
 // Dispatcher sends requests to targets and retries them where that is safe.
@@ -61,7 +62,6 @@
 // attempt. A request of an at-most-once route is sent again only after an error
 // whose outcome is errkind.NotRun.
 func (d *Dispatcher) Dispatch(ctx context.Context, request *Request) (*Answer, error) {
-	d.budget.Earn()
 	body, err := newAttemptBody(request)
 	if err != nil {
 		return nil, err
@@ -92,6 +92,7 @@
 		var answer *Answer
 		answer, err = a.try(ctx, version, target)
 		if err == nil {
+			a.dispatcher.budget.Succeed()
 			return answer, nil
 		}
 		if !a.mayRetry(err) {
@@ -140,7 +141,7 @@
 	if kind.Row().Outcome == errkind.NotRun {
 		return true
 	}
-	return !a.request.AtMostOnce() && a.dispatcher.budget.Spend()
+	return a.dispatcher.budget.Spend(a.request.AtMostOnce(), err)
 }
 
 // isRetryable says whether another target could answer where this one failed.
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -54,8 +54,10 @@
 
 type fixedBudget bool
 
-func (fixedBudget) Earn()         {}
-func (b fixedBudget) Spend() bool { return bool(b) }
+func (fixedBudget) Succeed() {}
+func (b fixedBudget) Spend(atMostOnce bool, _ error) bool {
+	return bool(b) && !atMostOnce
+}
 
 func TestRetriesFollowTheOutcome(t *testing.T) {
 	done := step{ok: true, body: "done", length: 4}
--- a/relay/client.go
+++ b/relay/client.go
@@ -35,13 +35,15 @@
 // Client sends requests to the owners of upstreams. It is safe for concurrent
 // use.
 type Client struct {
+	sender      string
 	connections Connections
 	invariants  *invariant.Checker
 }
 
-// NewClient returns a client that uses the connections.
-func NewClient(connections Connections, invariants *invariant.Checker) *Client {
-	return &Client{connections: connections, invariants: invariants}
+// NewClient returns a client of the instance with the name sender, which uses
+// the connections.
+func NewClient(sender string, connections Connections, invariants *invariant.Checker) *Client {
+	return &Client{sender: sender, connections: connections, invariants: invariants}
 }
 
 // Send relays the request to the instance at the RPC address, to be run on the
@@ -52,7 +54,8 @@
 // part of the body may have been read even if the owner refused the request;
 // whoever sends it again needs a body that can be read again.
 func (c *Client) Send(ctx context.Context, rpcAddress string, req *dispatch.Request, version string) (*dispatch.Answer, error) {
-	if !c.invariants.Check(!IsRelayed(ctx), OneHop, req.ID) {
+	_, relayed := Sender(ctx)
+	if !c.invariants.Check(!relayed, OneHop, req.ID) {
 		return nil, errkind.New(errkind.NoUpstream, "a relayed request is not relayed again")
 	}
 	if err := ctx.Err(); err != nil {
@@ -75,7 +78,9 @@
 		cancel(nil)
 		return nil, unsent(ctx, err)
 	}
-	answer, err := exchange(callCtx, stream, req, version, cancel)
+	head := encodeHead(ctx, req, version)
+	head.Sender = c.sender
+	answer, err := exchange(callCtx, stream, head, req, cancel)
 	if err != nil {
 		cancel(nil)
 		return nil, sent(ctx, context.Cause(callCtx), err)
@@ -85,32 +90,32 @@
 
 // exchange sends the request and waits for the head of the answer. The cancel
 // function ends the stream; the answer's body calls it when it is done.
-func exchange(ctx context.Context, stream entrypb.Entry_RelayClient, req *dispatch.Request, version string, cancel context.CancelCauseFunc) (*dispatch.Answer, error) {
-	head := &entrypb.RelayRequest{Head: encodeHead(ctx, req, version), End: req.Body == nil}
-	if err := stream.Send(head); err != nil && !errors.Is(err, io.EOF) {
+func exchange(ctx context.Context, stream entrypb.Entry_RelayClient, head *entrypb.RelayHead, req *dispatch.Request, cancel context.CancelCauseFunc) (*dispatch.Answer, error) {
+	first := &entrypb.RelayRequest{Head: head, End: req.Body == nil}
+	if err := stream.Send(first); err != nil && !errors.Is(err, io.EOF) {
 		return nil, err
 	}
 	if req.Body != nil {
 		go sendBody(ctx, stream, req.Body, cancel)
 	}
-	first, err := stream.Recv()
+	response, err := stream.Recv()
 	if err != nil {
 		return nil, err
 	}
-	if refusal := first.GetRefusal(); refusal != nil {
+	if refusal := response.GetRefusal(); refusal != nil {
 		return nil, decodeRefusal(refusal)
 	}
-	if first.GetAnswer() == nil {
+	if response.GetAnswer() == nil {
 		return nil, errors.New("the answer has no head")
 	}
-	body := &answerBody{stream: stream, cancel: cancel, rest: first.GetChunk(), ended: first.GetEnd()}
+	body := &answerBody{stream: stream, cancel: cancel, rest: response.GetChunk(), ended: response.GetEnd()}
 	return &dispatch.Answer{
-		Status:        int(first.GetAnswer().GetStatus()),
-		Header:        decodeHeader(first.GetAnswer().GetHeaders()),
+		Status:        int(response.GetAnswer().GetStatus()),
+		Header:        decodeHeader(response.GetAnswer().GetHeaders()),
 		Body:          body,
-		ContentLength: first.GetAnswer().GetContentLength(),
-		Upstream:      first.GetAnswer().GetUpstream(),
-		Version:       version,
+		ContentLength: response.GetAnswer().GetContentLength(),
+		Upstream:      response.GetAnswer().GetUpstream(),
+		Version:       head.GetVersion(),
 	}, nil
 }
 
--- a/relay/message.go
+++ b/relay/message.go
@@ -16,18 +16,18 @@
 // chunkBytes is the size of the body chunks of one message.
 const chunkBytes = 32 << 10
 
-type relayedKey struct{}
+type senderKey struct{}
 
-// WithRelayed marks the context of a request that came from another instance.
-func WithRelayed(ctx context.Context) context.Context {
-	return context.WithValue(ctx, relayedKey{}, true)
+// WithSender marks the context of a request that the named instance has relayed.
+func WithSender(ctx context.Context, sender string) context.Context {
+	return context.WithValue(ctx, senderKey{}, sender)
 }
 
-// IsRelayed says whether the request came from another entry instance. Such a
-// request must be served here or refused.
-func IsRelayed(ctx context.Context) bool {
-	relayed, _ := ctx.Value(relayedKey{}).(bool)
-	return relayed
+// Sender returns the name of the instance that relayed the request, or false
+// when it came from a caller. A relayed request must be served here or refused.
+func Sender(ctx context.Context) (name string, relayed bool) {
+	name, relayed = ctx.Value(senderKey{}).(string)
+	return name, relayed
 }
 
 func encodeHead(ctx context.Context, req *dispatch.Request, version string) *entrypb.RelayHead {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -63,7 +63,7 @@
 		pool.Close()
 		server.Close()
 	})
-	return NewClient(pool, &invariant.Checker{}), listener.Addr().String(), server.Close
+	return NewClient("sender", pool, &invariant.Checker{}), listener.Addr().String(), server.Close
 }
 
 func testRequest(table *routing.Table, route string, body io.Reader) *dispatch.Request {
@@ -86,7 +86,8 @@
 	want := bytes.Repeat([]byte("0123456789"), 200_000)
 	handler := func(ctx context.Context, req *dispatch.Request, version string) (*dispatch.Answer, error) {
 		_, hasDeadline := ctx.Deadline()
-		assert.Check(t, hasDeadline && IsRelayed(ctx))
+		sender, _ := Sender(ctx)
+		assert.Check(t, hasDeadline && sender == "sender")
 		assert.Check(t, req.Route == table.Route("file") && req.Customer == table.Customer("mit") && version == "v2")
 		sent := testRequest(table, "file", nil)
 		assert.Check(t, req.Path == sent.Path && req.RawQuery == sent.RawQuery && req.Host == sent.Host && req.Method == sent.Method)
@@ -189,7 +190,7 @@
 	}{
 		{"owner is down", context.Background(), true, errkind.NoUpstream},
 		{"deadline has passed", expired, false, errkind.DeadlineExceeded},
-		{"relayed once already", WithRelayed(context.Background()), false, errkind.NoUpstream},
+		{"relayed once already", WithSender(context.Background(), "other"), false, errkind.NoUpstream},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -200,7 +201,8 @@
 			_, err := client.Send(test.ctx, address, testRequest(table, "file", nil), "v1")
 			assert.Equal(t, errkind.Of(err), test.want, "%v", err)
 			assert.Equal(t, test.want.Row().Outcome, errkind.NotRun)
-			assert.Equal(t, client.invariants.Total() == 1, IsRelayed(test.ctx))
+			_, relayed := Sender(test.ctx)
+			assert.Equal(t, client.invariants.Total() == 1, relayed)
 		})
 	}
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -16,7 +16,7 @@
 )
 
 // Handler runs the request on an upstream of this instance, or refuses it. The
-// context is marked by WithRelayed and ends with the sender's deadline or when
+// context is marked by WithSender and ends with the sender's deadline or when
 // the sender gives up. A refusal is an *errkind.Error whose kind says truly
 // whether the request has run.
 type Handler func(ctx context.Context, req *dispatch.Request, version string) (*dispatch.Answer, error)
@@ -61,7 +61,7 @@
 }
 
 func requestContext(ctx context.Context, head *entrypb.RelayHead) (context.Context, context.CancelFunc) {
-	ctx = WithRelayed(ctx)
+	ctx = WithSender(ctx, head.GetSender())
 	if head.GetDeadlineMs() == 0 {
 		return context.WithCancel(ctx)
 	}
