--- a/balancing/acquire.go
+++ b/balancing/acquire.go
@@ -94,19 +94,46 @@
 }
 
 func (p *Pool) wait(ctx context.Context, w *waiter) (Lease, error) {
-	timer := time.NewTimer(w.deadline.Sub(p.options.Now()))
+	timer := time.NewTimer(p.nextWake(w))
 	defer timer.Stop()
-	select {
-	case lease := <-w.ready:
-		return evictedOr(lease)
-	case <-ctx.Done():
-	case <-timer.C:
+	for {
+		select {
+		case lease := <-w.ready:
+			return evictedOr(lease)
+		case <-ctx.Done():
+			return p.leaveQueue(ctx, w)
+		case <-timer.C:
+		}
+		if !p.options.Now().Before(w.deadline) {
+			return p.leaveQueue(ctx, w)
+		}
+		timer.Reset(p.nextWake(w))
 	}
+}
+
+// nextWake gives out the slots that time alone has freed and returns the time
+// until the waiter has to look again.
+func (p *Pool) nextWake(w *waiter) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.options.Now()
+	p.serveQueue(now)
+	next := w.deadline
+	for _, m := range p.members {
+		if at := m.pauseEnds(now); !at.IsZero() && at.Before(next) {
+			next = at
+		}
+	}
+	return next.Sub(now)
+}
+
+// leaveQueue ends a wait, unless a lease has been given in the meantime.
+func (p *Pool) leaveQueue(ctx context.Context, w *waiter) (Lease, error) {
 	p.mu.Lock()
 	removed := p.queue.remove(w)
 	p.mu.Unlock()
 	if removed {
-		return Lease{}, waitError(ctx)
+		return Lease{}, waitError(ctx, w)
 	}
 	lease, err := evictedOr(<-w.ready)
 	if err != nil || ctx.Err() == nil {
@@ -123,10 +150,13 @@
 	return lease, nil
 }
 
-func waitError(ctx context.Context) error {
+func waitError(ctx context.Context, w *waiter) error {
 	if ctx.Err() != nil {
 		return contextError(ctx)
 	}
+	if d, ok := ctx.Deadline(); ok && !d.After(w.deadline) {
+		return errkind.New(errkind.DeadlineExceeded, "")
+	}
 	return errkind.New(errkind.QueueTimeout, "")
 }
 
@@ -207,7 +237,7 @@
 		m.limiter.fail(now)
 		m.health.fail(now)
 	case ResultShed:
-		m.limiter.shed(m.inUse, now)
+		m.limiter.shed(now)
 	}
 }
 
--- a/balancing/limit.go
+++ b/balancing/limit.go
@@ -161,12 +161,11 @@
 	l.distrust = max(0, l.distrust-trustGain)
 }
 
-// shed takes a refusal that came while inUse requests were running.
-func (l *limiter) shed(inUse int, now time.Time) {
+// shed takes a refusal by the upstream.
+func (l *limiter) shed(now time.Time) {
 	l.sheds++
 	backoff := firstShedBackoff << min(l.sheds-1, 10)
 	l.shedUntil = now.Add(min(backoff, lastShedBackoff))
-	l.limit = min(l.limit, float64(max(inUse, 1)))
 	l.lower(shedFactor, 1, now)
 }
 
--- a/balancing/member.go
+++ b/balancing/member.go
@@ -36,6 +36,19 @@
 	return m.health.concurrency(m.limiter.steady(now), now)
 }
 
+// pauseEnds returns when a pause after a refusal or an ejection ends, or the zero
+// time when there is none.
+func (m *member) pauseEnds(now time.Time) time.Time {
+	end := m.limiter.shedUntil
+	if m.health.phase == phaseOut && m.health.until.After(end) {
+		end = m.health.until
+	}
+	if !end.After(now) {
+		return time.Time{}
+	}
+	return end
+}
+
 // ProbeResult is what the probes of an upstream have shown.
 type ProbeResult struct {
 	Upstream string
