--- a/daemon/control.go
+++ b/daemon/control.go
@@ -86,6 +86,7 @@
 			Log:     p.log,
 		}),
 	}
+	c.rollouts.SetDomain(p.identity.GetFailureDomain())
 	c.pools.setPeers(c.registry.Snapshot(now))
 	c.watcher = distribution.NewWatcher(p.store, distribution.WatcherOptions{Seed: rand.Uint64()},
 		func(u distribution.Update) { l.post(storeRead{u}) })
--- a/daemon/local.go
+++ b/daemon/local.go
@@ -37,19 +37,14 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &use{
-		lease:    lease,
-		recorder: v.recorders.Service(service.Name),
-		route:    request.Route.Name,
-		version:  version,
-		start:    time.Now(),
-	}
+	recorder := v.recorders.Service(service.Name)
+	u := &use{lease: lease, attempt: recorder.Begin(request.Route.Name, version, time.Now())}
 	answer, err := t.client.Send(ctx, lease.Upstream, service, request)
 	if err != nil {
 		u.failed(err)
 		return nil, err
 	}
-	u.latency = time.Since(u.start)
+	u.attempt.Head(time.Now())
 	u.status = answer.Status
 	answer.Version = version
 	answer.Body = &leasedBody{body: answer.Body, use: u}
@@ -58,23 +53,16 @@
 
 // use is one use of a slot. It ends once, with what the request showed.
 type use struct {
-	lease    balancing.Lease
-	recorder *rollouts.Recorder
-	route    string
-	version  string
-	start    time.Time
-	latency  time.Duration
-	status   int
-	once     sync.Once
+	lease   balancing.Lease
+	attempt *rollouts.Attempt
+	status  int
+	once    sync.Once
 }
 
 func (u *use) failed(err error) {
 	u.once.Do(func() {
-		if u.latency == 0 {
-			u.latency = time.Since(u.start)
-		}
 		u.lease.Release(resultOf(err))
-		u.recorder.Record(u.route, u.version, rollouts.Classify(0, err), u.latency)
+		u.attempt.End(time.Now(), rollouts.Classify(0, err))
 	})
 }
 
@@ -85,13 +73,16 @@
 			result = balancing.ResultError
 		}
 		u.lease.Release(result)
-		u.recorder.Record(u.route, u.version, rollouts.Classify(u.status, nil), u.latency)
+		u.attempt.End(time.Now(), rollouts.Classify(u.status, nil))
 	})
 }
 
 // abandoned ends the use of an answer that was not read to its end.
 func (u *use) abandoned() {
-	u.once.Do(func() { u.lease.Release(balancing.ResultCanceled) })
+	u.once.Do(func() {
+		u.lease.Release(balancing.ResultCanceled)
+		u.attempt.End(time.Now(), rollouts.Ignored)
+	})
 }
 
 // resultOf returns what the error of an attempt shows about the upstream.
