--- /dev/null
+++ b/demo/shifts_test.go
@@ -0,0 +1,154 @@
+package demo
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"samphireferry.example/ferry/config/dynamic"
+	"samphireferry.example/ferry/load"
+	"samphireferry.example/ferry/moves"
+	"samphireferry.example/ferry/platform"
+	"samphireferry.example/ferry/shift"
+	standinupstream "samphireferry.example/ferry/standin/upstream"
+	"samphireferry.example/ferry/units"
+)
+
+const (
+	secondVersion = "v2"
+	// canaryShare is the largest share of a version that was not judged yet.
+	canaryShare = 0.2
+)
+
+// startLoad sends requests to all routes of the lookup service and to the
+// archive until the test ends.
+func startLoad(t *testing.T, s *System) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	plan := &load.Plan{Duration: units.Duration(load.MaxDuration)}
+	for _, entry := range s.Entries {
+		plan.Customers = append(plan.Customers, load.Customer{
+			Name: entry.CallerAddress(), Key: KeyLarge, Rate: 25, Entries: []string{"http://" + entry.CallerAddress()},
+			Requests: []load.Request{{Path: "/dossiers/1", Weight: 4}, {Path: "/archive"}},
+		}, load.Customer{
+			Name: "public", Rate: 4, Entries: []string{"http://" + entry.CallerAddress()},
+			Requests: []load.Request{{Path: "/notices/1"}},
+		})
+	}
+	assert.NilError(t, plan.Check())
+	done := make(chan struct{})
+	go func() {
+		load.Run(ctx, plan)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+// executed returns the requests that the upstreams with the prefix have run.
+func executed(s *System, prefix string) int {
+	total := 0
+	for name, u := range s.Upstreams {
+		if strings.HasPrefix(name, prefix) {
+			total += int(u.Ledger().Snapshot().Executed)
+		}
+	}
+	return total
+}
+
+// waitForEnd waits until the shift with the key has ended in the generation
+// of the configuration version, and returns its record.
+func waitForEnd[O comparable](t *testing.T, s *System, key string, version uint64, timeout time.Duration) *shift.Record[O] {
+	t.Helper()
+	var last *shift.Record[O]
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		entry, err := s.Platform.Get(t.Context(), key)
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		last, err = shift.Decode[O](entry.Value)
+		if err != nil {
+			return poll.Error(err)
+		}
+		if last.ConfigVersion < version || !last.Ended() {
+			return poll.Continue("%+v", last)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(timeout), poll.WithDelay(100*time.Millisecond))
+	return last
+}
+
+func TestRolloutStopsABadVersionAndFinishesAGoodOne(t *testing.T) {
+	s := startSystem(t, Options{Entries: 6})
+	for n := range s.domains {
+		assert.NilError(t, s.AddUpstream(sizes[0], secondVersion, n))
+	}
+	setFaults(s, standinupstream.Fault{Kind: standinupstream.FaultStatus, Status: 500, Every: 2})
+	waitReady(t, s)
+	startLoad(t, s)
+
+	r := dynamic.Rollout{
+		Name: "second", Service: serviceLookup, From: firstVersion, To: secondVersion,
+		CanaryShare: canaryShare, Step: 0.4,
+		StepInterval: units.Duration(time.Second),
+		Deadline:     units.Duration(90 * time.Second),
+	}
+	s.Set.Versions = append(s.Set.Versions, dynamic.Version{Name: secondVersion, Service: serviceLookup})
+	s.Set.Rollouts = []dynamic.Rollout{r}
+	assert.NilError(t, s.Publish(t.Context()))
+	before := executed(s, "lookup")
+	bad := waitForEnd[dynamic.Rollout](t, s, platform.PrefixRollouts+r.Name, 2, r.Deadline.Std())
+	assert.Equal(t, bad.State, shift.TakenBack)
+	assert.Equal(t, bad.Reason, shift.ReasonVerdict, bad.Detail)
+	stopped := executed(s, "lookup-v2")
+	t.Logf("the bad version got %d of %d requests: %s", stopped, executed(s, "lookup")-before, bad.Detail)
+	assert.Assert(t, float64(stopped) <= canaryShare*float64(executed(s, "lookup")-before))
+
+	time.Sleep(2 * time.Second) // The verdict reaches every instance within seconds.
+	settled := executed(s, "lookup-v2")
+	time.Sleep(3 * time.Second)
+	assert.Equal(t, executed(s, "lookup-v2"), settled, "no request after the verdict")
+
+	setFaults(s)
+	r.Deadline *= 2
+	s.Set.Rollouts = []dynamic.Rollout{r}
+	assert.NilError(t, s.Publish(t.Context()))
+	good := waitForEnd[dynamic.Rollout](t, s, platform.PrefixRollouts+r.Name, 3, r.Deadline.Std())
+	assert.Equal(t, good.State, shift.Done, "%s %s", good.Reason, good.Detail)
+	time.Sleep(2 * time.Second)
+	old := executed(s, "lookup-v1")
+	time.Sleep(2 * time.Second)
+	assert.Equal(t, executed(s, "lookup-v1"), old, "all requests go to the new version")
+}
+
+func setFaults(s *System, faults ...standinupstream.Fault) {
+	for name, u := range s.Upstreams {
+		if strings.HasPrefix(name, "lookup-v2") {
+			u.SetFaults(standinupstream.Faults{Requests: faults})
+		}
+	}
+}
+
+func TestMoveReachesItsCap(t *testing.T) {
+	s := startSystem(t, Options{Entries: 6})
+	waitReady(t, s)
+	startLoad(t, s)
+	m := dynamic.Move{
+		Name: "archive-east", Service: serviceArchive, From: "east-1", To: "east-2",
+		Cap: 0.5, Step: 0.25,
+		StepInterval: units.Duration(time.Second),
+		Deadline:     units.Duration(60 * time.Second),
+	}
+	assert.Assert(t, moves.MinDuration(m) <= m.Deadline.Std())
+	s.Set.Moves = []dynamic.Move{m}
+	assert.NilError(t, s.Publish(t.Context()))
+	r := waitForEnd[dynamic.Move](t, s, platform.PrefixMoves+m.Name, 2, m.Deadline.Std())
+	assert.Equal(t, r.State, shift.Done, "%s %s", r.Reason, r.Detail)
+	assert.Equal(t, r.Share, float64(m.Cap))
+}
--- a/rollouts/doc.go
+++ b/rollouts/doc.go
@@ -18,22 +18,34 @@
 //
 // # Judgement
 //
-// Every instance compares the two versions by its own counts, and by the sums
-// of the counts that its peers report. For each route, and for failures and
-// slow answers apart, it cuts time into slices in which both versions answered.
-// If the versions are alike, the failures of a slice are spread over its
-// requests by chance. The likelihood ratio of a spread with higher odds for the
-// new version has then the mean 1, whatever the failure rate is and however it
-// changes between slices; so an outage that both versions share is no evidence.
-// The products of these ratios, started anew throughout the roll-out with
-// weights that sum to 1, exceed 1/p with a probability of at most p (Ville's
-// inequality), at whatever moment one looks. The bound p is FalseAlarm divided
-// by the number of tests: routes, two measures and instances.
+// The owner of an upstream counts the requests that it sends to it, so that
+// neither the way there nor the death of an owner is blamed on a version. Every
+// instance judges by three sets of counts: its own, those of each failure
+// domain, and those of the whole fleet, as its peers report them. An instance
+// that owns upstreams of one version only thus still judges.
+//
+// For each route, and for failures and slow answers apart, time is cut into
+// slices in which both versions answered. If the versions are alike, the
+// failures of a slice are spread over its requests by chance. The likelihood
+// ratio of a spread with higher odds for the new version has then the mean 1,
+// whatever the failure rate is and however it changes between slices; so an
+// outage that both versions share is no evidence. The products of these ratios,
+// started anew throughout the roll-out with weights that sum to 1, exceed 1/p
+// with a probability of at most p (Ville's inequality), at whatever moment one
+// looks. The bound p is FalseAlarm divided by the number of tests: routes, two
+// measures, and three judges on each instance.
+//
+// An answer is slow when it takes more than twice the time within which nine
+// tenths of the old version's answers came, and at least 5 ms more. A request
+// without an answer counts as slow as soon as it has waited that long.
 //
 // Limits: requests on one route must be alike for both versions; the test does
-// not tell a bad version from upstreams that are bad for another reason. A
-// version with less than about twice the failures or slow answers of the old
-// one passes. After the roll-out is done nothing is compared.
+// not tell a bad version from upstreams that are bad for another reason, such
+// as their failure domain when only the new version is there. A version with
+// less than about twice the failures or slow answers of the old one passes.
+// Refusals that were not run, such as a shed or a connection that never opened,
+// and answers that blame the caller (status 4xx) are no failures. After the
+// roll-out is done nothing is compared.
 //
 // # Verdicts
 //
