--- a/moves/driver.go
+++ b/moves/driver.go
@@ -76,11 +76,15 @@
 	return 0
 }
 
+// stepTime is the time for which a step is under way to the store and to the
+// instances.
+const stepTime = time.Second
+
 // MinDuration returns the time that a move needs when its target is never
-// loaded. A shorter deadline can only end with the move taken back.
+// loaded. A shorter deadline mostly ends with the move taken back.
 func MinDuration(m dynamic.Move) time.Duration {
 	steps := math.Ceil(float64(m.Cap)/stepOf(m) - 1e-9)
-	needed := time.Duration(steps+1) * intervalOf(m)
+	needed := time.Duration(steps+1) * (intervalOf(m) + stepTime)
 	return needed + shift.MarginOver(needed)
 }
 
--- a/rollouts/plan.go
+++ b/rollouts/plan.go
@@ -48,10 +48,11 @@
 	return time.Duration(max(steps, 0) * float64(intervalOf(r)))
 }
 
-// MinDuration returns the time that a roll-out needs at least. A shorter
-// deadline can only end with the roll-out taken back.
+// MinDuration returns the time that a roll-out needs when the new version gets
+// enough requests on every route. A shorter deadline mostly ends with the
+// roll-out taken back.
 func MinDuration(r dynamic.Rollout) time.Duration {
-	needed := intervalOf(r) + remaining(r, canaryOf(r)) + intervalOf(r)
+	needed := intervalOf(r) + time.Duration(slack*float64(remaining(r, canaryOf(r)))) + intervalOf(r)
 	return needed + shift.MarginOver(needed)
 }
 
--- a/shift/driver.go
+++ b/shift/driver.go
@@ -229,7 +229,7 @@
 	if known == nil || known.record.Step != r.Step {
 		return 0
 	}
-	return now.Sub(known.seenAt)
+	return known.sinceSeen(now)
 }
 
 func (d *Driver[O]) newGeneration(now time.Time, previous *Record[O], object O) *Record[O] {
--- a/shift/tracker.go
+++ b/shift/tracker.go
@@ -34,6 +34,15 @@
 	seenAt time.Time
 }
 
+// sinceSeen returns the time since this process first saw the step; 0 when it
+// saw it before it was told the time.
+func (t *tracked[O]) sinceSeen(now time.Time) time.Duration {
+	if t.seenAt.IsZero() {
+		return 0
+	}
+	return now.Sub(t.seenAt)
+}
+
 // Learn takes in a stored record and says whether it is newer than the one
 // known before.
 func (t *Tracker[O]) Learn(now time.Time, value []byte) (bool, error) {
@@ -92,7 +101,7 @@
 	if known == nil {
 		return 0
 	}
-	own := known.record.Elapsed + now.Sub(known.seenAt)
+	own := known.record.Elapsed + known.sinceSeen(now)
 	wall := now.Round(0).Sub(known.record.StartedAt) - ClockTolerance
 	return max(own, wall, 0)
 }
@@ -123,10 +132,14 @@
 	return t.Elapsed(now, r.Name) >= deadline-localMargin(deadline)
 }
 
-// prune drops the records of objects that were removed long ago. Peers do not
-// pass deletions on.
+// prune drops the records of objects that were removed long ago, since peers do
+// not pass deletions on. Records that were seen before the first tick count as
+// seen now.
 func (t *Tracker[O]) prune(now time.Time) {
 	for name, known := range t.records {
+		if known.seenAt.IsZero() {
+			known.seenAt = now
+		}
 		if expired(now, known.record) {
 			delete(t.records, name)
 		}
