--- a/balancing/member.go
+++ b/balancing/member.go
@@ -27,6 +27,28 @@
 	return m.health.concurrency(m.limiter.current(now), now)
 }
 
+// capacity returns the number of requests that may run at once, without regard
+// to a short pause after a refusal.
+func (m *member) capacity(now time.Time) int {
+	if m.stopped() {
+		return 0
+	}
+	return m.health.concurrency(m.limiter.steady(now), now)
+}
+
+// pauseEnds returns when a pause after a refusal or an ejection ends, or the zero
+// time when there is none.
+func (m *member) pauseEnds(now time.Time) time.Time {
+	end := m.limiter.shedUntil
+	if m.health.phase == phaseOut && m.health.until.After(end) {
+		end = m.health.until
+	}
+	if !end.After(now) {
+		return time.Time{}
+	}
+	return end
+}
+
 // ProbeResult is what the probes of an upstream have shown.
 type ProbeResult struct {
 	Upstream string
