--- /dev/null
+++ b/admission/capacity_test.go
@@ -0,0 +1,103 @@
+package admission
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"samphireferry.example/ferry/rpc/entrypb"
+	"samphireferry.example/ferry/sharetable"
+)
+
+// loaded returns a limiter with the customers, of which every second one has
+// no tokens and a demand over its share.
+func loaded(customers int) (*Limiter, []*Bucket) {
+	now := time.Now()
+	l := NewLimiter(Settings{MaxPause: time.Hour, MessagesPerSecond: 1e9, MessageBurst: 1 << 30}, now)
+	var shares []sharetable.Share
+	for i := range customers {
+		whole := sharetable.Customer{Name: fmt.Sprintf("customer %d", i), Rate: 1e4, Burst: 1e4}
+		shares = append(shares, sharetable.Share{Customer: whole, Rate: 1e3, Burst: 1e3})
+	}
+	l.Configure(now, shares, true)
+	var peers []Peer
+	for i := range 16 {
+		peers = append(peers, Peer{Name: fmt.Sprintf("10.0.0.%d:80", i), Distance: Distance(i % 3)})
+	}
+	l.SetPeers(peers)
+	list := l.buckets.Load().list
+	for i, b := range list {
+		b.level = 1e3 * float64(i%2)
+		b.demand.perSecond = 1e4 * float64(1-i%2)
+	}
+	return l, list
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	for _, customers := range []int{8, 512, 4096} {
+		l, buckets := loaded(customers)
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				l.Admit(time.Now(), buckets[i%customers])
+				i++
+			}
+		})
+		b.Run(fmt.Sprintf("customers=%d/parallel", customers), func(b *testing.B) {
+			b.ReportAllocs()
+			var first atomic.Int64
+			b.RunParallel(func(pb *testing.PB) {
+				i := int(first.Add(7919))
+				for pb.Next() {
+					l.Admit(time.Now(), buckets[i%customers])
+					i++
+				}
+			})
+		})
+	}
+}
+
+func BenchmarkPlanLoans(b *testing.B) {
+	for _, customers := range []int{8, 512, 4096} {
+		l, _ := loaded(customers)
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
+			b.ReportAllocs()
+			now := time.Now()
+			for b.Loop() {
+				now = now.Add(time.Nanosecond)
+				for _, request := range l.PlanLoans(now) {
+					l.Granted(now, request.ID, nil)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkLend measures a lender's work on one message and the size of the
+// message and its answer.
+func BenchmarkLend(b *testing.B) {
+	for _, items := range []int{1, 8, 64} {
+		l, buckets := loaded(2 * items)
+		request := &entrypb.LendRequest{Borrower: "10.0.0.1:8080", Incarnation: "0123456789abcdef", ShareVersion: 1 << 20}
+		answer := &entrypb.LendResponse{}
+		var asked []Item
+		for i := range items {
+			name := buckets[2*i+1].Customer()
+			asked = append(asked, Item{Customer: name, Reserve: 1e-9})
+			request.Requests = append(request.Requests, &entrypb.TokenRequest{Customer: name, Reserve: 12.5, Spend: 3})
+			answer.Grants = append(answer.Grants, &entrypb.TokenGrant{Customer: name, Reserve: 12.5, Spend: 3, Remaining: 8.25})
+		}
+		b.Run(fmt.Sprintf("items=%d", items), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				l.Lend(time.Now(), asked)
+			}
+			b.ReportMetric(float64(proto.Size(request)), "request-bytes")
+			b.ReportMetric(float64(proto.Size(answer)), "answer-bytes")
+		})
+	}
+}
--- a/sharetable/member_test.go
+++ b/sharetable/member_test.go
@@ -69,3 +69,17 @@
 		})
 	}
 }
+
+func TestMemberWithoutLimitDoesNotVouch(t *testing.T) {
+	m := NewMember(MemberSettings{Name: "a", Incarnation: "a1"}, start)
+	m.Adopt(tableOf(5, "a1"))
+	m.Applied(5)
+	assert.Assert(t, m.Answer().Vouches)
+	lowered := tableOf(6, "a1")
+	entry := lowered.Members["a"]
+	entry.Limit = nil
+	lowered.Members["a"] = entry
+	m.Adopt(lowered)
+	m.Applied(6)
+	assert.Assert(t, m.Confirmed() && m.Answer().Applied == 6 && !m.Answer().Vouches)
+}
