Check that no more requests run on loans than were lent

Change: the simulated run compares what ran on loans with what was lent; TestSpendTokensCountOnce.

Conclusion: repeated answers are covered on both sides.

--- a/admission/limiter_test.go
+++ b/admission/limiter_test.go
@@ -128,6 +128,24 @@
 	}
 }
 
+// A repeated answer admits no second request.
+func TestSpendTokensCountOnce(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	share := shareOf(0, 0)
+	share[0].Customer.Burst = 100
+	l := newLimiter(t, now, share, 0)
+	for range 4 {
+		_, decision := l.Wait(now, l.Bucket("c"), time.Time{})
+		assert.Assert(t, !decision.Admitted)
+	}
+	loan := l.PlanLoans(now)[0]
+	assert.Equal(t, loan.Items[0].Spend, 4.0)
+	for range 2 {
+		l.Granted(now, loan.ID, []Grant{{Customer: "c", Spend: 2.5}})
+	}
+	assert.Equal(t, l.Bucket("c").Totals().BorrowedSpend, uint64(2))
+}
+
 func TestLenderKeepsWhatItNeeds(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	l := newLimiter(t, now, shareOf(0, 10), 10)
--- a/admission/simulation_test.go
+++ b/admission/simulation_test.go
@@ -47,6 +47,9 @@
 	*fleet
 	bounds   []*bound
 	consumed []float64
+	// unspent is, by customer, what was lent for waiting requests without what
+	// has admitted some.
+	unspent  []float64
 	seen     map[*node]*seen
 	faults   map[string]int
 	members  map[string]bool
@@ -57,9 +60,9 @@
 
 // seen is what the checks last saw of a node.
 type seen struct {
-	version  uint64
-	usable   bool
-	consumed []float64
+	version uint64
+	usable  bool
+	totals  []Totals
 }
 
 func newRun(t *testing.T, seed uint64) *run {
@@ -83,6 +86,7 @@
 	for range r.customers {
 		r.bounds = append(r.bounds, &bound{at: r.now, least: math.Inf(1)})
 		r.consumed = append(r.consumed, 0)
+		r.unspent = append(r.unspent, 0)
 	}
 	r.after = r.check
 	r.shiftDemand()
@@ -121,26 +125,24 @@
 	}
 }
 
-func consumed(n *node, customer string) float64 {
-	b := n.limiter.Bucket(customer)
-	if b == nil {
-		return 0
-	}
-	totals := b.Totals()
-	return float64(totals.Admitted) + totals.LentSpend
-}
-
 // check asserts the invariants after an event of a node.
 func (r *run) check(n *node) {
 	s := r.seen[n]
 	if s == nil {
-		s = &seen{consumed: make([]float64, len(r.customers))}
+		s = &seen{totals: make([]Totals, len(r.customers))}
 		r.seen[n] = s
 	}
 	for c, customer := range r.customers {
-		now := consumed(n, customer.Name)
-		r.consumed[c] += now - s.consumed[c]
-		s.consumed[c] = now
+		if b := n.limiter.Bucket(customer.Name); b != nil {
+			now, before := b.Totals(), s.totals[c]
+			lent := now.LentSpend - before.LentSpend
+			r.consumed[c] += lent + float64(now.Admitted-before.Admitted)
+			r.unspent[c] += lent - float64(now.BorrowedSpend-before.BorrowedSpend)
+			s.totals[c] = now
+		}
+		if r.unspent[c] < -1e-3 {
+			r.t.Fatalf("%v: customer %s: more requests ran on loans than were lent", r.elapsed(), customer.Name)
+		}
 		r.checkBound(c)
 	}
 	version, usable := n.member.Version(), n.limiter.usable(r.now)
