--- a/balancing/limit.go
+++ b/balancing/limit.go
@@ -80,12 +80,15 @@
 // current returns the number of requests that may run at once. It is between 1
 // and the slots, or 0 while the upstream refuses requests.
 func (l *limiter) current(now time.Time) int {
-	if now.Before(l.shedUntil) {
+	if l.paused(now) {
 		return 0
 	}
 	return l.steady(now)
 }
 
+// paused says whether the pause after a refusal is running.
+func (l *limiter) paused(now time.Time) bool { return !l.shedUntil.IsZero() && now.Before(l.shedUntil) }
+
 // steady returns the limit without the pause after a refusal.
 func (l *limiter) steady(now time.Time) int {
 	if l.slots < 1 {
@@ -96,8 +99,12 @@
 }
 
 func (l *limiter) rampLimit(now time.Time) float64 {
+	if l.ramp == 0 {
+		return float64(l.slots)
+	}
 	elapsed := now.Sub(l.rampStart)
-	if l.ramp == 0 || elapsed >= l.ramp {
+	if elapsed >= l.ramp {
+		l.ramp = 0
 		return float64(l.slots)
 	}
 	part := max(0, float64(elapsed)/float64(l.ramp))
@@ -181,4 +188,6 @@
 }
 
 // rampDone says whether no ramp is running.
-func (l *limiter) rampDone(now time.Time) bool { return now.Sub(l.rampStart) >= l.ramp }
+func (l *limiter) rampDone(now time.Time) bool {
+	return l.ramp == 0 || now.Sub(l.rampStart) >= l.ramp
+}
--- a/balancing/pool.go
+++ b/balancing/pool.go
@@ -187,7 +187,7 @@
 	for i := range n {
 		m := p.members[(start+i)%n]
 		allowed := m.allowed(now)
-		usable = usable || allowed > 0 || !m.stopped() && now.Before(m.limiter.shedUntil)
+		usable = usable || allowed > 0 || !m.stopped() && m.limiter.paused(now)
 		if allowed <= m.inUse {
 			continue
 		}
