--- a/balancing/chooser.go
+++ b/balancing/chooser.go
@@ -11,8 +11,12 @@
 // Defaults of ChooserOptions.
 const (
 	defaultLoadMaxAge = 3 * time.Second
-	// staleGrant is the most that an owner with an old report is relied on for.
-	staleGrant = 1
+	// minGrant is the number of requests that may be in flight at an owner
+	// without a grant, or with an old one. The owner refuses what is too much.
+	minGrant = 2
+	// freeDivisor is the part of the reported free slots that one instance may
+	// try beyond its grant.
+	freeDivisor = 2
 	// highUse is the used part of its slots from which an owner counts as busy.
 	highUse = 0.8
 	// samplesPerTier bounds the owners at one distance that are compared.
@@ -61,8 +65,8 @@
 }
 
 // Chooser orders the owners of the upstreams of one service version. It keeps
-// the requests in flight at each owner within the grant. It is safe for
-// concurrent use.
+// the requests in flight at each owner within the grant, or within 2 where the
+// grant is less. It is safe for concurrent use.
 type Chooser struct {
 	options ChooserOptions
 
@@ -213,9 +217,9 @@
 		return 0
 	}
 	if c.stale(o, now) {
-		return min(o.load.Granted, staleGrant)
+		return minGrant
 	}
-	return o.load.Granted
+	return max(o.load.Granted, minGrant, (o.load.Slots-o.load.InUse)/freeDivisor)
 }
 
 func (c *Chooser) linkOpen(o *owner, now time.Time, deferrable bool) bool {
--- a/balancing/experiment_test.go
+++ b/balancing/experiment_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -316,3 +317,11 @@
 		o.p50.Round(10*time.Microsecond), o.p99.Round(10*time.Microsecond), 100*o.headroom, 100*o.worst, 100*o.within, 100*o.answered)
 	return o
 }
+
+func quantiles(values []time.Duration) (p50, p99 time.Duration) {
+	slices.Sort(values)
+	at := func(q float64) time.Duration {
+		return values[int(q*float64(len(values)-1))].Round(10 * time.Microsecond)
+	}
+	return at(0.5), at(0.99)
+}
--- a/balancing/grants.go
+++ b/balancing/grants.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 
@@ -19,8 +20,14 @@
 	// part above 1 waits in the queue of the owner, where each customer gets
 	// its fair part.
 	grantFactor = 2
+	// openFactor is the number of running and waiting requests for each slot up
+	// to which requests beyond a grant are accepted.
+	openFactor = 1.5
 	// demandDecay is the part of a borrower's demand that outlives one division.
 	demandDecay = 0.7
+	// demandGrowth is the growth of the demand of a borrower that has used up
+	// its grant.
+	demandGrowth = 2
 	// idleDivisions is the number of divisions after which an idle borrower is
 	// forgotten.
 	idleDivisions = 20
@@ -53,14 +60,14 @@
 }
 
 // Begin accepts or refuses a relayed request of the borrower. It accepts what
-// is within the grant, and beyond it as long as a slot is free. An accepted
+// is within the grant, and beyond it as long as the queue is short. An accepted
 // request must be ended with End.
 func (g *Grants) Begin(name string, load PoolLoad) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b := g.borrower(name)
-	free := load.Queued == 0 && load.InUse < load.Slots
-	if b.inFlight >= b.grant && !free {
+	room := float64(load.InUse+load.Queued) < openFactor*float64(load.Slots)
+	if b.inFlight >= b.grant && !room {
 		b.refused++
 		return false
 	}
@@ -85,8 +92,8 @@
 	return g.borrower(name).grant
 }
 
-// Divide sets all grants by the demand since the last division. It is called
-// once for each heartbeat.
+// Divide sets all grants by the demand since the last division, and spreads what
+// is left evenly. It is called once for each heartbeat.
 func (g *Grants) Divide(load PoolLoad) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -98,10 +105,14 @@
 	}
 	own := g.ownUse(load)
 	room := max(0, load.Slots*grantFactor-own)
+	shares := maxMinShares(room, wants)
+	rest := room - lo.Sum(shares)
 	total := 0
-	for i, part := range maxMinShares(room, wants) {
-		g.borrowers[names[i]].grant = part
-		total += part
+	for i, name := range names {
+		spare := rest / (len(names) - i)
+		rest -= spare
+		g.borrowers[name].grant = shares[i] + spare
+		total += shares[i] + spare
 	}
 	g.checker.Check(total == 0 || total+own <= load.Slots*grantFactor, InvariantGrants,
 		fmt.Sprintf("%d granted, %d own, %d slots", total, own, load.Slots))
@@ -130,10 +141,15 @@
 	}
 }
 
-// want returns the demand with room for one more request, and starts a new
-// count.
+// want returns the demand and starts a new count. A borrower that has used up its
+// grant may need any number more, so it counts twice. An idle one wants nothing:
+// it gets a part of what is left, and may always try a few requests.
 func (b *borrower) want() int {
-	b.demand = max(float64(b.peak+b.refused), b.demand*demandDecay)
+	seen := float64(b.peak + b.refused)
+	if b.peak >= b.grant {
+		seen = max(seen, demandGrowth*float64(b.peak))
+	}
+	b.demand = max(seen, b.demand*demandDecay)
 	if b.peak+b.refused > 0 {
 		b.idle = 0
 	} else {
@@ -141,7 +157,7 @@
 	}
 	b.peak = b.inFlight
 	b.refused = 0
-	return int(b.demand) + 1
+	return int(math.Round(b.demand))
 }
 
 // maxMinShares divides the room so that nobody gets more than it wants and the
--- a/balancing/pool.go
+++ b/balancing/pool.go
@@ -23,8 +23,10 @@
 const (
 	defaultQueueTimeout = 200 * time.Millisecond
 	defaultRamp         = 10 * time.Second
-	minQueueLength      = 16
-	queuePerSlot        = 4
+	// adoptionRamp is the ramp of an upstream that had another owner.
+	adoptionRamp   = 1 * time.Second
+	minQueueLength = 16
+	queuePerSlot   = 4
 )
 
 // PoolOptions are the settings of a Pool. Zero values stand for the defaults.
@@ -55,6 +57,7 @@
 	byName  map[string]*member
 	// retired are members that are no longer listed but have requests running.
 	retired map[string]*member
+	leaving map[string]bool
 	queue   *fairQueue
 	slots   int
 	inUse   int
@@ -90,6 +93,7 @@
 	p.slots = 0
 	for _, u := range upstreams {
 		m := keepOrNew(old[u.Name], u)
+		m.health.leaving = p.leaving[u.Name]
 		p.byName[u.Name] = m
 		p.members = append(p.members, m)
 		p.slots += u.Slots
@@ -115,18 +119,26 @@
 }
 
 // MarkCold starts the ramp of an upstream that is new, moved or restarted.
-func (p *Pool) MarkCold(upstream string) {
+func (p *Pool) MarkCold(upstream string) { p.startRamp(upstream, p.options.Ramp) }
+
+// MarkAdopted starts the short ramp of an upstream whose former owner may still
+// have requests running on it.
+func (p *Pool) MarkAdopted(upstream string) { p.startRamp(upstream, adoptionRamp) }
+
+func (p *Pool) startRamp(upstream string, ramp time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if m := p.byName[upstream]; m != nil {
-		m.limiter.startRamp(p.options.Now(), p.options.Ramp)
+		m.limiter.startRamp(p.options.Now(), ramp)
 	}
 }
 
-// SetLeaving sets the upstreams that the platform lists as leaving.
+// SetLeaving sets the upstreams that the platform lists as leaving. The map must
+// not be changed afterwards.
 func (p *Pool) SetLeaving(names map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.leaving = names
 	for _, m := range p.members {
 		m.health.leaving = names[m.upstream.Name]
 	}
