Let an instance try the reported free slots of an owner

The requests of the first heartbeat met too small grants. Ruled out: a longer run or a wider bound, which would hide the start. Change: an instance may try as many requests as the owner reported free slots, in place of half of them; the owner still decides from exact knowledge.

--- a/balancing/chooser.go
+++ b/balancing/chooser.go
@@ -14,9 +14,6 @@
 	// minGrant is the number of requests that may be in flight at an owner
 	// without a grant, or with an old one. The owner refuses what is too much.
 	minGrant = 2
-	// freeDivisor is the part of the reported free slots that one instance may
-	// try beyond its grant.
-	freeDivisor = 2
 	// highUse is the used part of its slots from which an owner counts as busy.
 	highUse = 0.8
 	// samplesPerTier bounds the owners at one distance that are compared.
@@ -65,8 +62,9 @@
 }
 
 // Chooser orders the owners of the upstreams of one service version. It keeps
-// the requests in flight at each owner within the grant, or within 2 where the
-// grant is less. It is safe for concurrent use.
+// the requests in flight at each owner within the grant. Where that is less, it
+// may try as many as the reported free slots, and at least 2; the owner decides.
+// It is safe for concurrent use.
 type Chooser struct {
 	options ChooserOptions
 
@@ -219,7 +217,7 @@
 	if c.stale(o, now) {
 		return minGrant
 	}
-	return max(o.load.Granted, minGrant, (o.load.Slots-o.load.InUse)/freeDivisor)
+	return max(o.load.Granted, minGrant, o.load.Slots-o.load.InUse)
 }
 
 func (c *Chooser) linkOpen(o *owner, now time.Time, deferrable bool) bool {
