--- a/config/dynamic/check.go
+++ b/config/dynamic/check.go
@@ -9,8 +9,8 @@
 )
 
 // MaxEncodedBytes is the largest set that can be published. The platform's
-// store holds values of 1 MiB; the rest is for the version and publish id.
-const MaxEncodedBytes = 1<<20 - 1024
+// store holds values of 1 MiB; the rest is for the version and the history.
+const MaxEncodedBytes = 1<<20 - 8192
 
 // maxNameLength is the largest length of a name in bytes.
 const maxNameLength = 64
--- a/config/dynamic/check_change.go
+++ b/config/dynamic/check_change.go
@@ -1,6 +1,8 @@
 package dynamic
 
 import (
+	"strings"
+
 	"github.com/samber/lo"
 )
 
@@ -12,6 +14,7 @@
 	}
 	c := newChecker(set)
 	c.checkNewKeys(published)
+	c.checkWithdrawnKeys(published)
 	c.checkChangedShifts(published)
 	return c.faults
 }
@@ -31,6 +34,20 @@
 	}
 }
 
+// checkWithdrawnKeys keeps a withdrawn key withdrawn, so that publishing an
+// older file does not bring it back.
+func (c *checker) checkWithdrawnKeys(published *Set) {
+	withdrawn := map[string]bool{}
+	for _, key := range published.Keys {
+		withdrawn[strings.ToLower(key.SHA256)] = key.Withdrawn
+	}
+	for i, key := range c.set.Keys {
+		if !key.Withdrawn && withdrawn[strings.ToLower(key.SHA256)] {
+			c.object(KindKey, i, key.Name).fault("withdrawn", "the published key is withdrawn and stays so; add a new key instead")
+		}
+	}
+}
+
 // checkChangedShifts refuses another move or roll-out under the name of a
 // published one, since its progress is recorded under the name.
 func (c *checker) checkChangedShifts(published *Set) {
--- a/config/dynamic/check_test.go
+++ b/config/dynamic/check_test.go
@@ -15,6 +15,7 @@
 const (
 	hashA = "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
 	hashB = "bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb"
+	hashC = "cccccccccccccccccccccccccccccccccccccccccccccccccccccccccccccccc"
 	// hashEmpty is the SHA-256 of no bytes.
 	hashEmpty = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
 )
@@ -164,13 +165,16 @@
 		{func(s *Set) { s.Keys[0].Withdrawn = true }, ``},
 		{func(s *Set) { s.Moves[0].Deadline = minutes(20) }, ``},
 		{func(s *Set) { s.Keys = append(s.Keys, Key{Name: "new", Customer: "gone", SHA256: hashB}) }, `keys new: customer: customer "gone" has left; no new key may be added for it`},
+		{func(s *Set) { s.Keys = append(s.Keys, Key{Name: "new", Customer: "acme", SHA256: hashC}) }, `keys new: withdrawn: the published key is withdrawn and stays so; add a new key instead`},
 		{func(s *Set) { s.Moves[0].To = "east-1" }, `moves m1: name: the published move of this name has another service, source or target; use a new name`},
 		{func(s *Set) { s.Rollouts[0].From = "v0" }, `rollouts r1: name: the published roll-out of this name has another service, source or target; use a new name`},
 	} {
 		t.Run(c.want, func(t *testing.T) {
+			published := goodSet()
+			published.Keys = append(published.Keys, Key{Name: "old", Customer: "acme", SHA256: hashC, Withdrawn: true})
 			set := goodSet()
 			c.change(set)
-			assert.Equal(t, CheckChange(goodSet(), set).Error(), c.want)
+			assert.Equal(t, CheckChange(published, set).Error(), c.want)
 			assert.Equal(t, CheckChange(nil, set).Error(), "")
 		})
 	}
