--- /dev/null
+++ b/cmd/ferryctl/main.go
@@ -0,0 +1,17 @@
+// Command ferryctl is the operators' command line.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"samphireferry.example/ferry/operator/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	os.Exit(ctl.Main(ctx, "ferryctl", os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/operator/ctl/edit.go
@@ -0,0 +1,158 @@
+package ctl
+
+import (
+	"context"
+	"flag"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"samphireferry.example/ferry/config/dynamic"
+	"samphireferry.example/ferry/operator"
+	"samphireferry.example/ferry/units"
+)
+
+// edit applies a change to the published set and prints the new version.
+func (a *app) edit(ctx context.Context, change func(*dynamic.Set) error) error {
+	return a.withPublisher(func(p *operator.Publisher) error {
+		config, changes, err := edit(ctx, p, change)
+		if err != nil {
+			return err
+		}
+		return a.printPublished(config, changes)
+	})
+}
+
+// edit publishes a change and returns what it changed.
+func edit(ctx context.Context, p *operator.Publisher, change func(*dynamic.Set) error) (*dynamic.Config, []dynamic.Change, error) {
+	var changes []dynamic.Change
+	config, err := p.Edit(ctx, func(set *dynamic.Set) error {
+		before, err := set.Clone()
+		if err != nil {
+			return err
+		}
+		if err := change(set); err != nil {
+			return err
+		}
+		changes = dynamic.Diff(before, set)
+		return nil
+	})
+	return config, changes, err
+}
+
+// oneName returns the only argument of a command.
+func oneName(args []string) (string, error) {
+	if len(args) != 1 {
+		return "", usagef("give exactly one name, after the flags")
+	}
+	return args[0], nil
+}
+
+// remove removes the objects that match, or fails when there is none.
+func remove[T any](list *[]T, what, name string, match func(T) bool) error {
+	kept := slices.DeleteFunc(slices.Clone(*list), match)
+	if len(kept) == len(*list) {
+		return errors.Newf("no %s %q is published", what, name)
+	}
+	*list = kept
+	return nil
+}
+
+func (a *app) drainCommand() *ffcli.Command {
+	fs := newFlagSet("drain")
+	var drain dynamic.Drain
+	fs.TextVar(&drain.Deadline, "deadline", units.Duration(0), "bound of the wait for running requests; 0s takes the default")
+	end := fs.Bool("end", false, "end the drain")
+	return a.command("drain", "NAME", "Stops new work on an upstream or a failure domain.", fs,
+		func(ctx context.Context, args []string) error {
+			name, err := oneName(args)
+			if err != nil {
+				return err
+			}
+			return a.edit(ctx, func(set *dynamic.Set) error {
+				if *end {
+					return remove(&set.Drains, "drain of", name, func(d dynamic.Drain) bool { return d.Upstream == name || d.FailureDomain == name })
+				}
+				return addDrain(set, name, drain)
+			})
+		})
+}
+
+// addDrain adds a drain of the upstream or the failure domain with the name.
+func addDrain(set *dynamic.Set, target string, drain dynamic.Drain) error {
+	isUpstream := slices.ContainsFunc(set.Upstreams, func(u dynamic.Upstream) bool { return u.Name == target })
+	isDomain := slices.ContainsFunc(set.FailureDomains, func(d dynamic.FailureDomain) bool { return d.Name == target })
+	switch {
+	case isUpstream && isDomain:
+		return errors.Newf("%q is both an upstream and a failure domain; publish a drain from a file", target)
+	case isUpstream:
+		drain.Upstream = target
+	case isDomain:
+		drain.FailureDomain = target
+	default:
+		return errors.Newf("no upstream or failure domain %q is published", target)
+	}
+	drain.Name = "drain-" + target
+	set.Drains = append(set.Drains, drain)
+	return nil
+}
+
+func (a *app) moveCommand() *ffcli.Command {
+	fs := newFlagSet("move")
+	var move dynamic.Move
+	fs.StringVar(&move.Service, "service", "", "service whose traffic is moved")
+	fs.StringVar(&move.From, "from", "", "failure domain that the traffic leaves")
+	fs.StringVar(&move.To, "to", "", "failure domain that takes the traffic")
+	fs.TextVar(&move.Cap, "cap", units.Share(1), "largest share of the traffic that is moved")
+	fs.TextVar(&move.Step, "step", units.Share(0), "growth of the share at each step; 0% takes the default")
+	shiftFlags(fs, &move.StepInterval, &move.Deadline)
+	end := fs.Bool("remove", false, "remove the move; one that is not done is taken back")
+	return a.command("move", "NAME", "Moves the traffic of a service between failure domains.", fs,
+		func(ctx context.Context, args []string) error {
+			name, err := oneName(args)
+			if err != nil {
+				return err
+			}
+			move.Name = name
+			return a.edit(ctx, func(set *dynamic.Set) error {
+				if *end {
+					return remove(&set.Moves, "move", name, func(m dynamic.Move) bool { return m.Name == name })
+				}
+				set.Moves = append(set.Moves, move)
+				return nil
+			})
+		})
+}
+
+func (a *app) rolloutCommand() *ffcli.Command {
+	fs := newFlagSet("rollout")
+	var rollout dynamic.Rollout
+	fs.StringVar(&rollout.Service, "service", "", "service that gets a new version")
+	fs.StringVar(&rollout.From, "from", "", "version that runs now")
+	fs.StringVar(&rollout.To, "to", "", "version that takes over")
+	fs.TextVar(&rollout.CanaryShare, "canary-share", units.Share(0), "largest share until the version has been judged; 0% takes the default")
+	fs.TextVar(&rollout.Step, "step", units.Share(0), "growth of the share at each step; 0% takes the default")
+	shiftFlags(fs, &rollout.StepInterval, &rollout.Deadline)
+	end := fs.Bool("remove", false, "remove the roll-out; one that is not done is taken back")
+	return a.command("rollout", "NAME", "Rolls a new version of a service out.", fs,
+		func(ctx context.Context, args []string) error {
+			name, err := oneName(args)
+			if err != nil {
+				return err
+			}
+			rollout.Name = name
+			return a.edit(ctx, func(set *dynamic.Set) error {
+				if *end {
+					return remove(&set.Rollouts, "roll-out", name, func(r dynamic.Rollout) bool { return r.Name == name })
+				}
+				set.Rollouts = append(set.Rollouts, rollout)
+				return nil
+			})
+		})
+}
+
+func shiftFlags(fs *flag.FlagSet, interval, deadline *units.Duration) {
+	fs.TextVar(interval, "step-interval", units.Duration(0), "least time between two steps; 0s takes the default")
+	fs.TextVar(deadline, "deadline", units.Duration(0), "bound of the whole, from its first step; required")
+}
