--- a/operator/ctl/files.go
+++ b/operator/ctl/files.go
@@ -16,6 +16,10 @@
 	return a.command("check", "FILE...", "Checks files of objects, without the platform.", newFlagSet("check"),
 		func(_ context.Context, files []string) error {
 			source, err := load(files)
+			var faults dynamic.Faults
+			if a.json && errors.As(err, &faults) {
+				return errors.CombineErrors(err, a.printJSON(faults))
+			}
 			if err != nil {
 				return err
 			}
