--- /dev/null
+++ b/distribution/fleet_run_test.go
@@ -0,0 +1,122 @@
+package distribution
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphireferry.example/ferry/platform"
+	standin "samphireferry.example/ferry/standin/platform"
+)
+
+// faultOf returns one of the faults of the store at random.
+func (f *fleet) faultOf() standin.Faults {
+	return []standin.Faults{
+		{},
+		{Outage: standin.OutageRefuse},
+		{Outage: standin.OutageHang},
+		{SilentWatches: true},
+		{StaleReads: 0.5, StaleAge: standin.Duration(20 * time.Second)},
+		{Delay: standin.Duration(800 * time.Millisecond)},
+	}[f.random.IntN(6)]
+}
+
+// TestFleetNeverGoesBackAndCatchesUp runs instances through store faults, cuts,
+// lost messages and restarts, then heals everything.
+func TestFleetNeverGoesBackAndCatchesUp(t *testing.T) {
+	for seed := range uint64(6) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, seed, 3, 4)
+			defer f.stop()
+			f.loss = 0.3
+			version := uint64(0)
+			for range 60 {
+				f.store.SetFaults(f.faultOf())
+				f.cut.Store(fmt.Sprintf("domain-%d", f.random.IntN(3)), f.random.IntN(2) == 0)
+				if f.random.IntN(3) == 0 {
+					n := f.nodes[f.random.IntN(len(f.nodes))]
+					n.watcher.Stop()
+					f.start(n)
+				}
+				if f.random.IntN(2) == 0 && f.store.Faults() == (standin.Faults{}) {
+					version++
+					f.write(version)
+				}
+				f.run(time.Duration(f.random.IntN(8000)) * time.Millisecond)
+			}
+			f.store.SetFaults(standin.Faults{})
+			f.cut.Clear()
+			version++
+			f.write(version)
+			f.run(20 * time.Second)
+			want, err := f.store.Get(t.Context(), platform.KeyShares)
+			assert.NilError(t, err)
+			moves, _, err := f.store.List(t.Context(), platform.PrefixMoves)
+			assert.NilError(t, err)
+			for _, n := range f.nodes {
+				assert.Equal(t, n.version, version, n.name)
+				assert.Equal(t, n.record, want.Revision, n.name)
+				assert.Equal(t, len(n.state.Records().List(platform.PrefixMoves)), len(moves), n.name)
+				assert.Assert(t, n.state.Ready(time.Now()))
+			}
+			assert.Equal(t, f.checker.Total(), int64(0))
+		})
+	}
+}
+
+// TestCallsStayWithinTheBudget counts the calls of a fleet of today in steady
+// state, and during and after a long outage.
+func TestCallsStayWithinTheBudget(t *testing.T) {
+	for _, c := range []struct {
+		name               string
+		domains, perDomain int
+		callsPerSecond     uint64
+	}{
+		{"today", 6, 2, 40},
+		{"large domains", 3, 40, 40},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 1, c.domains, c.perDomain)
+				defer f.stop()
+				f.write(1)
+				f.run(10 * time.Second)
+				count := func(what string, seconds uint64) {
+					before := f.store.TotalCalls()
+					f.run(time.Duration(seconds) * time.Second)
+					calls := f.store.TotalCalls() - before
+					t.Logf("%s: %d calls in %d s", what, calls, seconds)
+					assert.Assert(t, calls <= c.callsPerSecond*seconds, what)
+				}
+				count("steady", 60)
+				f.store.SetFaults(standin.Faults{Outage: standin.OutageRefuse})
+				count("outage", 120)
+				f.store.SetFaults(standin.Faults{})
+				count("return", 20)
+			})
+		})
+	}
+}
+
+// TestVersionsAreInForceWithinSeconds publishes with messages lost and one of
+// the watches silent. The bound is in the time of the simulation.
+func TestVersionsAreInForceWithinSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const bound = 4 * time.Second
+		f := newFleet(t, 1, 3, 10)
+		defer f.stop()
+		f.loss = 0.2
+		f.run(10 * time.Second)
+		for version := uint64(1); version <= 20; version++ {
+			f.run(time.Duration(f.random.IntN(3000)) * time.Millisecond)
+			f.write(version)
+			f.run(bound)
+			for _, n := range f.nodes {
+				assert.Equal(t, n.version, version, n.name)
+			}
+		}
+	})
+}
--- a/standin/platform/faults.go
+++ b/standin/platform/faults.go
@@ -78,7 +78,16 @@
 	p.notify()
 }
 
-func (f Faults) delayOf(platform.CallKind) time.Duration { return time.Duration(f.Delay) }
+// lostError is the failure of a write whose answer is lost.
+type lostError struct{}
+
+// errAnswerLost makes the HTTP server close the connection without an answer.
+var errAnswerLost error = lostError{}
+
+func (lostError) Error() string { return "answer lost" }
+
+// Unwrap makes the error one of platform.ErrUnavailable.
+func (lostError) Unwrap() error { return platform.ErrUnavailable }
 
 func (f Faults) outage(ctx context.Context) error {
 	switch f.Outage {
--- a/standin/platform/http.go
+++ b/standin/platform/http.go
@@ -116,12 +116,16 @@
 	answer(w, platform.InstancesBody{Instances: rows}, err)
 }
 
-// answer writes the body, or the error answer that belongs to err.
+// answer writes the body, or the error answer that belongs to err. It closes
+// the connection when the answer is lost.
 func answer(w http.ResponseWriter, body any, err error) {
 	if err == nil {
 		writeJSON(w, http.StatusOK, body)
 		return
 	}
+	if errors.Is(err, errAnswerLost) {
+		panic(http.ErrAbortHandler)
+	}
 	status, code := platform.StatusOf(err)
 	writeJSON(w, status, platform.ErrorBody{Code: code, Message: err.Error()})
 }
--- a/standin/platform/lease.go
+++ b/standin/platform/lease.go
@@ -22,7 +22,7 @@
 	}
 	id := p.grant(ttl)
 	if p.answerLost(faults) {
-		return 0, platform.ErrUnavailable
+		return 0, errAnswerLost
 	}
 	return id, nil
 }
@@ -48,7 +48,7 @@
 	}
 	err = p.renew(id)
 	if p.answerLost(faults) {
-		return platform.ErrUnavailable
+		return errAnswerLost
 	}
 	return err
 }
@@ -77,7 +77,7 @@
 	}
 	p.mu.Unlock()
 	if p.answerLost(faults) {
-		return platform.ErrUnavailable
+		return errAnswerLost
 	}
 	return nil
 }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -103,7 +103,7 @@
 	if !allowed {
 		return faults, platform.ErrUnavailable
 	}
-	if err := sleep(ctx, faults.delayOf(kind)); err != nil {
+	if err := sleep(ctx, time.Duration(faults.Delay)); err != nil {
 		return faults, err
 	}
 	faults = p.Faults()
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -48,7 +48,7 @@
 	}
 	revision, err := p.compareAndSwap(key, value, expected, lease)
 	if p.answerLost(faults) {
-		return 0, platform.ErrUnavailable
+		return 0, errAnswerLost
 	}
 	return revision, err
 }
@@ -76,7 +76,7 @@
 	}
 	err = p.delete(key, expected)
 	if p.answerLost(faults) {
-		return platform.ErrUnavailable
+		return errAnswerLost
 	}
 	return err
 }
