Start with the newest of store and peers; flag for longer runs

Change: Fetcher for pulls, a test that a new instance does not serve an old answer of the store while a peer is ahead, and -seeds for longer runs.

--- a/distribution/distribution_test.go
+++ b/distribution/distribution_test.go
@@ -135,3 +135,32 @@
 	_, ok := own.Get("old")
 	assert.Assert(t, !ok)
 }
+
+// TestANewInstanceTakesTheNewestBeforeItServes starts an instance to which the
+// store answers with an old value while a peer has the newest.
+func TestANewInstanceTakesTheNewestBeforeItServes(t *testing.T) {
+	start := time.Unix(1000, 0)
+	peer := NewState(Options{Self: "b", FailureDomain: "d", Started: start})
+	newest := platform.Entry{Key: platform.KeyConfig, Value: stored(t, 9, "new"), Revision: 90}
+	peer.ApplyUpdate(Update{Entries: []platform.Entry{newest}, Revision: 90, Full: true, Heard: start})
+	heartbeat := &entrypb.State{Identity: &entrypb.Identity{Name: "b", FailureDomain: "d"}}
+	peer.Snapshot().AddTo(heartbeat, start)
+	assert.Equal(t, heartbeat.GetConfigVersion(), uint64(9))
+
+	own := NewState(Options{Self: "a", FailureDomain: "d", Started: start})
+	assert.Assert(t, !own.Ready(start))
+	own.ObservePeer(heartbeat, start, start)
+	older := platform.Entry{Key: platform.KeyConfig, Value: stored(t, 8, "old"), Revision: 80}
+	own.ApplyUpdate(Update{Entries: []platform.Entry{older}, Revision: 80, Full: true, Heard: start})
+	assert.Equal(t, own.Config().Version, uint64(8))
+	assert.Assert(t, !own.Ready(start))
+
+	pull, due := own.PlanPull(start)
+	assert.Assert(t, due)
+	changes := own.ApplyPull(pull, peer.Snapshot().Respond(pull.Request(), start), nil, start)
+	assert.Equal(t, changes.Config.Version, uint64(9))
+	assert.Assert(t, own.Ready(start))
+	// The store's old answer comes again and takes nothing back.
+	own.ApplyUpdate(Update{Entries: []platform.Entry{older}, Revision: 80, Full: true, Heard: start})
+	assert.Equal(t, own.Config().Version, uint64(9))
+}
--- a/distribution/exchange.go
+++ b/distribution/exchange.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"context"
 	"time"
 
 	"github.com/samber/lo"
@@ -89,6 +90,22 @@
 	return &entrypb.GetConfigRequest{Revision: uint64(p.After)}
 }
 
+// Fetcher asks a peer for its newer records.
+type Fetcher interface {
+	GetConfig(ctx context.Context, peer string, request *entrypb.GetConfigRequest) (*entrypb.GetConfigResponse, error)
+}
+
+// Fetch carries out the pull. It blocks for fetchTimeout at most, so that its
+// end can be reported before the next pull is planned.
+func (p Pull) Fetch(ctx context.Context, fetcher Fetcher) (*entrypb.GetConfigResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	return fetcher.GetConfig(ctx, p.Peer, p.Request())
+}
+
+// fetchTimeout bounds one pull; it is below pullTimeout.
+const fetchTimeout = 2 * time.Second
+
 // ApplyPull takes in the answer of a peer, or the error of the call.
 func (s *State) ApplyPull(pull Pull, response *entrypb.GetConfigResponse, err error, now time.Time) Changes {
 	s.puller.Done(pull, now)
--- a/distribution/fleet_run_test.go
+++ b/distribution/fleet_run_test.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,9 @@
 	standin "samphireferry.example/ferry/standin/platform"
 )
 
+// seeds is the number of randomised runs; longer runs set it higher.
+var seeds = flag.Uint64("seeds", 6, "number of seeds of the randomised runs")
+
 // faultOf returns one of the faults of the store at random.
 func (f *fleet) faultOf() standin.Faults {
 	return []standin.Faults{
@@ -27,7 +31,7 @@
 // TestFleetNeverGoesBackAndCatchesUp runs instances through store faults, cuts,
 // lost messages and restarts, then heals everything.
 func TestFleetNeverGoesBackAndCatchesUp(t *testing.T) {
-	for seed := range uint64(6) {
+	for seed := range *seeds {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet(t, seed, 3, 4)
 			defer f.stop()
--- a/operator/publisher_test.go
+++ b/operator/publisher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -111,11 +112,14 @@
 	})
 }
 
+// seeds is the number of randomised runs; longer runs set it higher.
+var seeds = flag.Uint64("seeds", 8, "number of seeds of the randomised runs")
+
 // TestRacingOperatorsUnderFaults lets operators add 1 to a number each, while
 // the store loses answers, answers with old values and has outages. The number
 // in the end is the number of edits that took effect, once each.
 func TestRacingOperatorsUnderFaults(t *testing.T) {
-	for seed := range uint64(8) {
+	for seed := range *seeds {
 		synctest.Test(t, func(t *testing.T) {
 			store := standin.New(standin.Options{Seed: seed})
 			mustPublish(t, NewPublisher(store, nil), customers(1))
