--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -64,7 +64,7 @@
 	s.MaxWait = orDefault(s.MaxWait, DefaultMaxWait)
 	s.MinTimeLeft = orDefault(s.MinTimeLeft, DefaultMinTimeLeft)
 	s.MaxWaiting = orDefault(s.MaxWaiting, DefaultMaxWaiting)
-	s.MessagesPerSecond = orDefault(s.MessagesPerSecond, DefaultMessagesPerSecond)
+	s.MessagesPerSecond = 100
 	s.MessageBurst = orDefault(s.MessageBurst, DefaultMessageBurst)
 	return s
 }
@@ -152,7 +152,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.demand.arrivals++
-	return l.admitLocked(now, b)
+	decision := l.admitLocked(now, b)
+	if !decision.Admitted {
+		b.totals.Refused++
+	}
+	return decision
 }
 
 func (l *Limiter) admitLocked(now time.Time, b *Bucket) Decision {
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -28,7 +28,11 @@
 	defer b.mu.Unlock()
 	b.demand.arrivals++
 	decision := l.admitLocked(now, b)
-	if decision.Admitted || !l.mayWait(now, b, deadline) {
+	if decision.Admitted {
+		return nil, decision
+	}
+	if !l.mayWait(now, b, deadline) {
+		b.totals.Refused++
 		return nil, decision
 	}
 	w := &Waiter{bucket: b, admitted: make(chan struct{})}
@@ -51,6 +55,7 @@
 	defer b.mu.Unlock()
 	if i := slices.Index(b.waiting, w); i >= 0 {
 		b.waiting = slices.Delete(b.waiting, i, i+1)
+		b.totals.Refused++
 	}
 	return w.granted
 }
@@ -76,22 +81,33 @@
 	return decision
 }
 
-// serve admits up to n waiting requests, oldest first, and returns how many.
-// The caller holds the lock of the bucket and has taken the tokens.
-func (b *Bucket) serve(n int) int {
-	n = min(n, len(b.waiting))
-	for _, w := range b.waiting[:n] {
-		w.granted = true
-		close(w.admitted)
-	}
-	b.waiting = slices.Delete(b.waiting, 0, n)
-	return n
+// serve admits the oldest waiting request.
+func (b *Bucket) serve() {
+	w := b.waiting[0]
+	w.granted = true
+	close(w.admitted)
+	b.waiting = slices.Delete(b.waiting, 0, 1)
 }
 
 // serveOwn admits waiting requests with the tokens of the bucket itself.
 func (b *Bucket) serveOwn() {
 	for len(b.waiting) > 0 && b.take() {
-		b.serve(1)
+		b.serve()
+	}
+}
+
+// serveSpend admits waiting requests with granted spend tokens. Parts of a
+// token add up for as long as requests wait; what is left then is dropped.
+func (b *Bucket) serveSpend(granted float64) {
+	b.change += granted
+	for len(b.waiting) > 0 && b.change >= 1-rounding {
+		b.change = max(0, b.change-1)
+		b.totals.BorrowedSpend++
+		b.serve()
+	}
+	if len(b.waiting) == 0 {
+		b.totals.Dropped += b.change
+		b.change = 0
 	}
 }
 
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -9,6 +9,7 @@
 
 	"samphireferry.example/ferry/admission"
 	"samphireferry.example/ferry/controllease"
+	"samphireferry.example/ferry/distribution"
 	"samphireferry.example/ferry/membership"
 	"samphireferry.example/ferry/moves"
 	"samphireferry.example/ferry/platform"
@@ -17,6 +18,7 @@
 	"samphireferry.example/ferry/routing"
 	"samphireferry.example/ferry/sharetable"
 	"samphireferry.example/ferry/splitting"
+	"samphireferry.example/ferry/steering"
 )
 
 // control is the control state of one instance. Only the control goroutine
@@ -39,17 +41,22 @@
 	lease       *controllease.Lease
 	leaseRunner *controllease.Runner
 
-	table *routing.Table
-	// configData and shareData are the stored forms, for peers.
-	configData []byte
-	shareData  []byte
-	storeHeard time.Time
+	// divided is when the grants were last divided.
+	divided time.Time
+	dist    *distribution.State
+	watcher *distribution.Watcher
+	table   *routing.Table
+	blocks  *steering.Blocks
+	// directory was made at directoryAt, for the division directoryOf.
+	directory   *steering.Directory
+	directoryAt time.Time
+	directoryOf uint64
 	// listed are the caller addresses in the platform's list, read at listRead.
 	listed   map[string]bool
 	listRead time.Time
-	// fetches holds when records were last asked for, by rpc address.
-	fetches map[string]time.Time
-	leaving bool
+	leaving  bool
+	// departed is set when parts.departed has been closed.
+	departed bool
 	// dirty says that the view must be published anew.
 	dirty bool
 }
@@ -74,13 +81,17 @@
 		rollouts: rollouts.NewController(p.invariants),
 		splits:   splitting.NewRegistry(p.invariants),
 		pools:    newPoolSet(p),
-		fetches:  map[string]time.Time{},
+		blocks:   &steering.Blocks{},
+		dist:     p.dist,
 		shareDriver: sharetable.NewDriver(sharetable.DriverSettings{
 			Checker: p.invariants,
 			Log:     p.log,
 		}),
 	}
+	c.rollouts.SetDomain(p.identity.GetFailureDomain())
 	c.pools.setPeers(c.registry.Snapshot(now))
+	c.watcher = distribution.NewWatcher(p.store, distribution.WatcherOptions{Seed: rand.Uint64()},
+		func(u distribution.Update) { l.post(storeRead{u}) })
 	c.addControlWork()
 	return c
 }
@@ -141,10 +152,33 @@
 		c.dirty = true
 	}
 	c.updatePeers(now)
+	c.followRecords(now)
 	c.doControlWork(now)
+	c.noteDeparture()
+	if now.Sub(c.divided) >= c.parts.settings.HeartbeatInterval {
+		c.divided = now
+		c.pools.divideGrants()
+	}
 	c.parts.state.Store(c.state(now))
 }
 
+// noteDeparture reports when the share table no longer lists this instance,
+// after it has begun to leave.
+func (c *control) noteDeparture() {
+	if !c.leaving || c.departed {
+		return
+	}
+	table := c.member.Table()
+	if table != nil {
+		_, listed := table.Members[c.parts.identity.GetAddress()]
+		if listed {
+			return
+		}
+	}
+	c.departed = true
+	close(c.parts.departed)
+}
+
 // shifting says whether the splits change with time.
 func (c *control) shifting() bool {
 	return c.table != nil && len(c.table.Set.Moves)+len(c.table.Set.Rollouts) > 0
@@ -179,12 +213,19 @@
 	}
 	c.dirty = false
 	next := &view{
-		table:      c.table,
-		peers:      c.pools.peers,
-		pools:      c.pools.all,
-		recorders:  c.rollouts.Recorders(),
-		storeHeard: c.storeHeard,
-		leaving:    c.leaving,
+		table:     c.table,
+		peers:     c.pools.peers,
+		pools:     c.pools.all,
+		grants:    c.pools.grants,
+		choosers:  c.pools.choosers,
+		recorders: c.rollouts.Recorders(),
+		directory: c.currentDirectory(now),
+		leaving:   c.leaving,
+	}
+	if !c.dist.Ready(now) {
+		// A new instance serves with the newest configuration or not at all.
+		next.table = nil
+		c.dirty = true
 	}
 	if c.table != nil {
 		next.splits = c.splits.Build(c.rollouts.Shares(now), c.moves.Shares(now, c.table.Set.Moves))
@@ -192,6 +233,26 @@
 	c.parts.views.store(next)
 }
 
+// directoryInterval is the least time between two directories that differ in
+// loads only.
+const directoryInterval = 500 * time.Millisecond
+
+// currentDirectory returns the directory for callers. It is made anew when
+// instances come, go or leave, and now and then to follow their loads.
+func (c *control) currentDirectory(now time.Time) *steering.Directory {
+	if c.table == nil {
+		return nil
+	}
+	sameInstances := c.directoryOf == c.pools.division
+	if c.directory != nil && sameInstances && now.Sub(c.directoryAt) < directoryInterval {
+		return c.directory
+	}
+	c.directory = steering.NewDirectory(c.blocks, c.table.Set, c.pools.peers)
+	c.directoryOf = c.pools.division
+	c.directoryAt = now
+	return c.directory
+}
+
 // setTable puts a configuration in force.
 func (c *control) setTable(now time.Time, table *routing.Table) {
 	c.table = table
@@ -199,6 +260,12 @@
 	c.moves.Configure(table.Version, table.Set.Moves)
 	c.rollouts.Configure(table.Version, table.Set.Rollouts, routeNames(table))
 	c.pools.setTable(table)
+	blocks, err := steering.NewBlocks(table.Set.ClientBlocks)
+	if err != nil {
+		c.parts.log.Error("client blocks cannot be read", errorField(err))
+	} else {
+		c.blocks = blocks
+	}
 	c.applyShares(now)
 	c.dirty = true
 	c.parts.log.Info("configuration in force", zap.Uint64("version", table.Version))
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -36,14 +36,18 @@
 	operatorListener net.Listener
 	operator         *http.Server
 
-	stop    context.CancelFunc
-	running sync.WaitGroup
+	stop        context.CancelFunc
+	stopWatcher func()
+	running     sync.WaitGroup
 }
 
+// Dialer opens connections to the platform and to other entry instances.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
 // New returns an instance that is not started. It fails if the settings cannot
-// be used, for example because of bad TLS material.
-func New(settings *static.Settings, log *zap.Logger) (*Instance, error) {
-	injector := newInjector(settings, log)
+// be used, for example because of bad TLS material. A nil dialer uses TCP.
+func New(settings *static.Settings, log *zap.Logger, dial Dialer) (*Instance, error) {
+	injector := newInjector(settings, log, dial)
 	p, err := do.Invoke[*parts](injector)
 	if err != nil {
 		return nil, err
@@ -81,8 +85,10 @@
 	i.stop = cancel
 	control := newControl(ctx, i.parts, i.loop)
 	i.running.Go(func() { i.loop.run(ctx, control) })
-	i.running.Go(func() { control.watchStore(ctx) })
+	control.watcher.Start()
+	i.stopWatcher = control.watcher.Stop
 	i.running.Go(func() { control.readList(ctx) })
+	i.running.Go(func() { i.parts.prober.Run(ctx) })
 	i.running.Go(func() { i.servePeers() })
 	i.serveOperator()
 	i.callers.Provision(i.callerListener)
@@ -154,7 +160,7 @@
 func (i *Instance) Invariants() *invariant.Checker { return i.parts.invariants }
 
 // cleanupTimeout bounds what follows after the requests have ended.
-const cleanupTimeout = 5 * time.Second
+const cleanupTimeout = 10 * time.Second
 
 // Cleanup ends the instance gracefully: callers and peers learn that it leaves,
 // running requests end, then everything is closed. It returns an error when
@@ -165,12 +171,14 @@
 	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), cleanupTimeout)
 	defer cancel()
 	i.claims.wait()
+	i.waitForDeparture(stopping)
 	if keysErr := i.keys.Leave(stopping); keysErr != nil {
 		i.log.Warn("idempotency keys were not handed over", errorField(keysErr))
 	}
 	i.peers.Shutdown(stopping)
 	_ = i.operator.Shutdown(stopping)
 	i.stop()
+	i.stopWatcher()
 	i.running.Wait()
 	i.parts.peers.Close()
 	i.parts.upstreams.Close()
@@ -178,6 +186,24 @@
 	return err
 }
 
+// shareTimeout bounds the wait until the rate shares are given back. Without
+// the store they cannot be.
+const shareTimeout = 4 * time.Second
+
+// waitForDeparture waits until the share table no longer lists this instance,
+// so that its shares can be used by others at once.
+func (i *Instance) waitForDeparture(ctx context.Context) {
+	if i.parts.StoreAge() > shareTimeout {
+		return
+	}
+	select {
+	case <-i.parts.departed:
+	case <-time.After(shareTimeout):
+		i.log.Warn("rate shares were not given back in time")
+	case <-ctx.Done():
+	}
+}
+
 // leave marks the instance as leaving.
 type leave struct{}
 
@@ -192,3 +218,12 @@
 
 // Home returns the first part of idempotency keys whose home is the instance.
 func (i *Instance) Home() string { return i.keys.HomeName() }
+
+// ConfigVersion returns the version of the configuration in force, or 0.
+func (i *Instance) ConfigVersion() uint64 {
+	table := i.parts.views.Table()
+	if table == nil {
+		return 0
+	}
+	return table.Version
+}
--- a/daemon/services.go
+++ b/daemon/services.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"sync"
 
 	"samphireferry.example/ferry/admission"
 	"samphireferry.example/ferry/caller"
@@ -33,61 +32,24 @@
 }
 
 // EntryInstances implements caller.EntryInstances.
-func (l *entryList) EntryInstances(netip.Addr) caller.EntryInstanceList {
+func (l *entryList) EntryInstances(address netip.Addr) caller.EntryInstanceList {
 	v := l.parts.views.load()
 	list := caller.EntryInstanceList{
 		TTLSeconds: int(l.parts.settings.ListTTL.Seconds()),
 		Home:       l.keys.HomeName(),
 	}
-	if !v.leaving {
-		self := l.parts.identity
-		list.Instances = append(list.Instances, caller.EntryInstance{
-			Address:       self.GetAddress(),
-			FailureDomain: self.GetFailureDomain(),
-			Region:        self.GetRegion(),
-		})
+	if v.directory == nil {
+		return list
 	}
-	for _, p := range v.peers.All {
-		if !p.Usable() || p.Incarnation == "" {
+	for _, row := range v.directory.Order(address, "") {
+		if v.leaving && row.Address == l.parts.identity.GetAddress() {
 			continue
 		}
 		list.Instances = append(list.Instances, caller.EntryInstance{
-			Address:       p.Address,
-			FailureDomain: p.FailureDomain,
-			Region:        p.Region,
+			Address:       row.Address,
+			FailureDomain: row.FailureDomain,
+			Region:        row.Region,
 		})
 	}
 	return list
 }
-
-// retryBudget implements dispatch.Budget: each request pays for a tenth of a
-// retry.
-type retryBudget struct {
-	mu     sync.Mutex
-	tokens float64
-}
-
-const (
-	retryRatio     = 0.1
-	maxRetryTokens = 10
-)
-
-func newRetryBudget() *retryBudget { return &retryBudget{tokens: maxRetryTokens} }
-
-// Earn implements dispatch.Budget.
-func (b *retryBudget) Earn() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.tokens = min(maxRetryTokens, b.tokens+retryRatio)
-}
-
-// Spend implements dispatch.Budget.
-func (b *retryBudget) Spend() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
-}
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/google/uuid"
@@ -8,15 +9,19 @@
 	"go.uber.org/zap"
 
 	"samphireferry.example/ferry/admission"
+	"samphireferry.example/ferry/balancing"
 	"samphireferry.example/ferry/caller"
+	"samphireferry.example/ferry/config/dynamic"
 	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/dispatch"
+	"samphireferry.example/ferry/distribution"
 	"samphireferry.example/ferry/entryinstance"
 	"samphireferry.example/ferry/invariant"
 	"samphireferry.example/ferry/membership"
 	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/relay"
 	"samphireferry.example/ferry/requestkeys"
+	"samphireferry.example/ferry/routing"
 	"samphireferry.example/ferry/rpc/entrypb"
 	"samphireferry.example/ferry/telemetry"
 	"samphireferry.example/ferry/upstream"
@@ -24,8 +29,9 @@
 
 // newInjector returns the container that makes each part of an instance on
 // first use.
-func newInjector(settings *static.Settings, log *zap.Logger) do.Injector {
+func newInjector(settings *static.Settings, log *zap.Logger, dial Dialer) do.Injector {
 	i := do.New()
+	do.ProvideValue(i, dial)
 	do.ProvideValue(i, settings)
 	do.ProvideValue(i, log)
 	do.ProvideValue(i, telemetry.New())
@@ -37,7 +43,9 @@
 	do.Provide(i, providePeerConfig)
 	do.Provide(i, providePeers)
 	do.Provide(i, provideUpstreams)
+	do.Provide(i, provideProber)
 	do.Provide(i, provideLimiter)
+	do.Provide(i, provideDistribution)
 	do.Provide(i, provideParts)
 	do.Provide(i, provideKeys)
 	do.Provide(i, provideClaims)
@@ -73,6 +81,7 @@
 		URL:     settings.Platform,
 		Seed:    uint64(time.Now().UnixNano()),
 		Metrics: do.MustInvoke[*telemetry.Metrics](i),
+		Dial:    do.MustInvoke[Dialer](i),
 	})
 }
 
@@ -93,18 +102,46 @@
 }
 
 func providePeers(i do.Injector) (*entryinstance.Pool, error) {
-	return entryinstance.NewPool(do.MustInvoke[entryinstance.Config](i))
+	config := do.MustInvoke[entryinstance.Config](i)
+	if dial := do.MustInvoke[Dialer](i); dial != nil {
+		return entryinstance.NewPoolWithDialer(config, entryinstance.Dialer(dial))
+	}
+	return entryinstance.NewPool(config)
 }
 
 func provideUpstreams(do.Injector) (*upstream.Client, error) {
 	return upstream.New(upstream.Options{}), nil
 }
 
+func provideProber(i do.Injector) (*upstream.Prober, error) {
+	l := do.MustInvoke[*loop](i)
+	return upstream.NewProber(upstream.ProberOptions{
+		OnResult: func(result balancing.ProbeResult) { l.post(probed{result}) },
+		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}), nil
+}
+
 func provideLimiter(i do.Injector) (*admission.Limiter, error) {
 	checker := do.MustInvoke[*invariant.Checker](i)
 	return admission.NewLimiter(admission.Settings{Checker: checker}, time.Now()), nil
 }
 
+func provideDistribution(i do.Injector) (*distribution.State, error) {
+	identity := do.MustInvoke[*entrypb.Identity](i)
+	return distribution.NewState(distribution.Options{
+		Self:          identity.GetName(),
+		FailureDomain: identity.GetFailureDomain(),
+		Validate:      validate,
+		Checker:       do.MustInvoke[*invariant.Checker](i),
+		Started:       time.Now(),
+	}), nil
+}
+
+func validate(config *dynamic.Config) error {
+	_, err := routing.Compile(config)
+	return err
+}
+
 func provideParts(i do.Injector) (*parts, error) {
 	client, err := do.Invoke[*platform.Client](i)
 	if err != nil {
@@ -126,6 +163,9 @@
 		peers:      peers,
 		upstreams:  do.MustInvoke[*upstream.Client](i),
 		limiter:    do.MustInvoke[*admission.Limiter](i),
+		prober:     do.MustInvoke[*upstream.Prober](i),
+		dist:       do.MustInvoke[*distribution.State](i),
+		departed:   make(chan struct{}),
 	}, nil
 }
 
@@ -161,7 +201,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return relay.NewClient(peers, do.MustInvoke[*invariant.Checker](i)), nil
+	return relay.NewClient(do.MustInvoke[*entrypb.Identity](i).GetName(), peers, do.MustInvoke[*invariant.Checker](i)), nil
 }
 
 func provideDispatcher(i do.Injector) (*dispatch.Dispatcher, error) {
@@ -174,7 +214,7 @@
 		local: do.MustInvoke[*localTarget](i),
 		relay: relays,
 	}
-	return dispatch.NewDispatcher(choose, newRetryBudget(), do.MustInvoke[*telemetry.Metrics](i)), nil
+	return dispatch.NewDispatcher(choose, balancing.NewRetryBudget(), do.MustInvoke[*telemetry.Metrics](i)), nil
 }
 
 func provideEntryServer(i do.Injector) (*entryinstance.Server, error) {
@@ -182,10 +222,11 @@
 	if err != nil {
 		return nil, err
 	}
+	owned := &ownerTarget{views: p.views, local: do.MustInvoke[*localTarget](i)}
 	handler := &entryServer{
 		parts: p,
 		loop:  do.MustInvoke[*loop](i),
-		relay: relay.NewServer(p.views.Table, do.MustInvoke[*localTarget](i).Send),
+		relay: relay.NewServer(p.views.Table, owned.Send),
 		keys:  do.MustInvoke[*requestkeys.Service](i),
 	}
 	return entryinstance.NewServer(do.MustInvoke[entryinstance.Config](i), handler)
@@ -203,7 +244,7 @@
 	return caller.NewServer(callerSettings(p.settings), caller.Services{
 		Tables:         p.views,
 		Admitter:       &admitter{limiter: p.limiter},
-		Freshness:      p.views,
+		Freshness:      p,
 		Dispatcher:     dispatcher,
 		Claims:         do.MustInvoke[*claims](i),
 		EntryInstances: &entryList{parts: p, keys: do.MustInvoke[*requestkeys.Service](i)},
--- a/demo/system.go
+++ b/demo/system.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"samphireferry.example/ferry/config/dynamic"
 	"samphireferry.example/ferry/config/static"
@@ -43,6 +44,9 @@
 	Upstreams map[string]*standinupstream.Upstream
 	Set       dynamic.Set
 
+	// Network carries what passes between the entry instances and the platform.
+	Network *Network
+
 	options Options
 	domains []dynamic.FailureDomain
 	servers []*http.Server
@@ -51,7 +55,11 @@
 // Start starts a system and returns when all entry instances run. Stop must be
 // called also after an error.
 func Start(options Options) (*System, error) {
-	s := &System{options: withDefaults(options), Upstreams: map[string]*standinupstream.Upstream{}}
+	s := &System{
+		options:   withDefaults(options),
+		Upstreams: map[string]*standinupstream.Upstream{},
+		Network:   newNetwork(),
+	}
 	s.domains = failureDomains(s.options.Regions, s.options.DomainsPerRegion)
 	s.Set = baseSet(s.domains)
 	err := s.start()
@@ -103,6 +111,7 @@
 	s.Platform = standinplatform.New(standinplatform.Options{})
 	address, err := s.serve(s.Platform.Handler())
 	s.PlatformURL = "http://" + address
+	s.Network.place(address, PlacePlatform)
 	return err
 }
 
@@ -152,11 +161,12 @@
 	if err != nil {
 		return err
 	}
-	instance, err := daemon.New(settings, s.options.Log.With(zap.String("instance", settings.Name)))
+	instance, err := daemon.New(settings, s.options.Log.With(zap.String("instance", settings.Name)), s.Network.dialFrom(domain.Name))
 	if err != nil {
 		return err
 	}
 	instance.Invariants().OnViolation = s.options.OnViolation
+	s.Network.place(settings.RPCAdvertise, domain.Name)
 	err = instance.Provision()
 	if err != nil {
 		return err
@@ -216,17 +226,18 @@
 	return err
 }
 
-// stopTimeout bounds the end of one entry instance.
+// stopTimeout bounds the end of all entry instances.
 const stopTimeout = 20 * time.Second
 
 // Stop ends the entry instances gracefully and then the stand-ins.
 func (s *System) Stop() error {
-	var all error
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	var stopping errgroup.Group
 	for _, entry := range s.Entries {
-		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-		all = errors.Join(all, entry.Cleanup(ctx))
-		cancel()
+		stopping.Go(func() error { return entry.Cleanup(ctx) })
 	}
+	all := stopping.Wait()
 	for _, server := range s.servers {
 		all = errors.Join(all, server.Close())
 	}
