--- a/operator/ctl/entry.go
+++ b/operator/ctl/entry.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"strconv"
 
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -32,9 +31,9 @@
 			}
 			var rows [][]string
 			for _, i := range list.Instances {
-				rows = append(rows, []string{i.Address, i.FailureDomain, i.Region, strconv.FormatBool(i.Leaving)})
+				rows = append(rows, []string{i.Address, i.FailureDomain, i.Region})
 			}
-			return a.printTable([]string{"address", "failure domain", "region", "leaving"}, rows)
+			return a.printTable([]string{"address", "failure domain", "region"}, rows)
 		})
 }
 
