A leaving home hands out no home name; mechanisms broken once

Cause: the list of entry instances could still hand out the home of an instance that has started to hand its claims over. Change: Home.Name is empty from then on. Figures: go test -race of entryinstance, membership, relay, steering and requestkeys passes. Broken once each, with what fired, and put back: leaving mark taken back, late heartbeat of a replaced incarnation taken (TestPeerStates); no probe (entryinstance TestSilentConnection); filing sent without Confirm (relay TestSilentConnection); cut answer looks whole (TestFaults, TestOwnerDiesInAnswer); refusal flag ignored (TestFaults); name of the certificate not checked (TestAuthentication).

--- a/requestkeys/home.go
+++ b/requestkeys/home.go
@@ -92,8 +92,12 @@
 	return h
 }
 
-// Name returns the home name to hand out to callers now.
+// Name returns the home name to hand out to callers now. It is empty when the
+// home has started to hand its claims over.
 func (h *Home) Name(now time.Time) string {
+	if h.leaving {
+		return ""
+	}
 	return HomeName(h.config.Incarnation, h.own.slotAt(now))
 }
 
--- a/requestkeys/service.go
+++ b/requestkeys/service.go
@@ -33,7 +33,8 @@
 	return &Service{home: NewHome(config, now()), now: now, peers: peers, clients: clients}
 }
 
-// HomeName returns the home to hand out to callers now.
+// HomeName returns the home to hand out to callers now, or an empty string when
+// the instance is leaving.
 func (s *Service) HomeName() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
