--- a/rollouts/rollout_bench_test.go
+++ b/rollouts/rollout_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"samphireferry.example/ferry/shift"
 )
@@ -72,3 +73,22 @@
 	b.ReportMetric(float64(worst), "worst-bad-requests")
 	b.ReportMetric(100*float64(bad)/float64(requests), "%bad")
 }
+
+// BenchmarkJudgeAdd measures one sample of one instance on one route.
+func BenchmarkJudgeAdd(b *testing.B) {
+	judge := NewJudge(10*time.Minute, 3, 30, 10)
+	sample := Sample{Instance: "a", Route: "main"}
+	now := time.Unix(0, 0)
+	b.ReportAllocs()
+	for i := range b.N {
+		now = now.Add(250 * time.Millisecond)
+		sample.Old.Requests += 100
+		sample.Old.Latency[8] += 100
+		sample.New.Requests += 20
+		sample.New.Latency[8] += 20
+		if i%10 == 0 {
+			sample.Old.Failures++
+		}
+		judge.Add(now, sample)
+	}
+}
