Requests that were not chosen for a move stay out of its target

Cause: the balance between instances could send requests of the source to the target of a move, beside those that the move had chosen.

--- a/daemon/chooser.go
+++ b/daemon/chooser.go
@@ -65,7 +65,9 @@
 	}
 	names := chooser.Order(time.Now(), pool.Load(), service.Deferrable)
 	names = lastResorts(v, names, pool.Load().Slots > 0)
-	if domain != v.peers.Self.FailureDomain {
+	if domain == v.peers.Self.FailureDomain {
+		names = withoutDestinations(v, names, service.Name)
+	} else {
 		names = domainFirst(v.peers, names, domain)
 	}
 	targets := make([]dispatch.Target, 0, len(names))
@@ -91,6 +93,24 @@
 	return names
 }
 
+// withoutDestinations drops the instances of failure domains to which a move
+// leads, so that requests that were not chosen for the move do not exceed its
+// share. When no other instance serves the version, the list stays as it is.
+func withoutDestinations(v *view, names []string, service string) []string {
+	self := v.peers.Self
+	kept := make([]string, 0, len(names))
+	for _, name := range names {
+		p := v.peers.ByName(name)
+		if p == nil || !v.splits.IsDestination(service, self.FailureDomain, p.FailureDomain) {
+			kept = append(kept, name)
+		}
+	}
+	if len(kept) == 0 {
+		return names
+	}
+	return kept
+}
+
 // domainFirst puts the instances of the failure domain before the others.
 func domainFirst(peers *membership.Peers, names []string, domain string) []string {
 	sorted := slices.Clone(names)
--- a/splitting/snapshot.go
+++ b/splitting/snapshot.go
@@ -87,6 +87,21 @@
 	return from, false
 }
 
+// IsDestination says whether a move leads requests of the service from one
+// failure domain to the other. Requests that were not chosen for the move
+// should not go there for other reasons, or the share of the move is exceeded.
+func (s *Snapshot) IsDestination(service, from, to string) bool {
+	if s == nil {
+		return false
+	}
+	for _, split := range s.domains[source{service, from}] {
+		if split.To == to {
+			return true
+		}
+	}
+	return false
+}
+
 type splitterKey struct {
 	kind       string
 	name       string
--- a/splitting/splitter_test.go
+++ b/splitting/splitter_test.go
@@ -101,6 +101,8 @@
 		counts[domain]++
 	}
 	assert.DeepEqual(t, counts, map[string]int{"a": 25, "b": 50, "c": 25})
+	assert.Assert(t, snapshot.IsDestination("s", "a", "c"))
+	assert.Assert(t, !snapshot.IsDestination("s", "b", "c"))
 	domain, moved := snapshot.Domain("s", "b")
 	assert.Assert(t, !moved)
 	assert.Equal(t, domain, "b")
