--- a/rollouts/rollout_bench_test.go
+++ b/rollouts/rollout_bench_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
 	"samphireferry.example/ferry/shift"
 )
 
+// benchInstances is the number of entry instances of one user today.
+const benchInstances = 10
+
 // BenchmarkRollouts measures how roll-outs end, one seed for each iteration.
 // Run it with a fixed number of iterations, such as -benchtime 100x.
 func BenchmarkRollouts(b *testing.B) {
@@ -24,14 +28,14 @@
 }
 
 func measureGood(b *testing.B, rule rule, noisy bool) {
-	measureAlike(b, func(seed uint64) *simulation { return newSimulation(seed, rule, nil, noisy) })
+	measureAlike(b, func(seed uint64) *simulation { return newSimulation(seed, benchInstances, rule, nil, noisy) })
 }
 
 // measureSplit measures good versions whose upstreams are owned by other
 // instances than those of the old version.
 func measureSplit(b *testing.B, rule rule) {
 	measureAlike(b, func(seed uint64) *simulation {
-		s := newSimulation(seed, rule, nil, true)
+		s := newSimulation(seed, benchInstances, rule, nil, true)
 		s.split = true
 		return s
 	})
@@ -58,7 +62,7 @@
 func measureBad(b *testing.B, rule rule, f fault) {
 	takenBack, bad, worst, requests := 0, 0, 0, 0
 	for i := range b.N {
-		s := newSimulation(uint64(i), rule, &f, false)
+		s := newSimulation(uint64(i), benchInstances, rule, &f, false)
 		r := s.run()
 		if r.State == shift.TakenBack {
 			takenBack++
@@ -72,3 +76,22 @@
 	b.ReportMetric(float64(worst), "worst-bad-requests")
 	b.ReportMetric(100*float64(bad)/float64(requests), "%bad")
 }
+
+// BenchmarkJudgeAdd measures one sample of one instance on one route.
+func BenchmarkJudgeAdd(b *testing.B) {
+	judge := NewJudge(10*time.Minute, 3, 30, 10)
+	sample := Sample{Instance: "a", Route: "main"}
+	now := time.Unix(0, 0)
+	b.ReportAllocs()
+	for i := range b.N {
+		now = now.Add(250 * time.Millisecond)
+		sample.Old.Requests += 100
+		sample.Old.Latency[8] += 100
+		sample.New.Requests += 20
+		sample.New.Latency[8] += 20
+		if i%10 == 0 {
+			sample.Old.Failures++
+		}
+		judge.Add(now, sample)
+	}
+}
