Entry instances serve their status to operators

Cause: the operator port served /metrics only, so ferryctl status could name no instance as having a version in force: each one answered 404 and counted as unreachable.

Ruled out: asking the control goroutine for each status (a frozen one would not answer, and operators would add load to it); a field for the operator address in heartbeats (the platform's list has it already, and a generated file would change).

The demonstration lists operator addresses.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -54,7 +54,10 @@
 	// listed are the caller addresses in the platform's list, read at listRead.
 	listed   map[string]bool
 	listRead time.Time
-	leaving  bool
+	// operatorAddresses are those of the platform's list, by name. The map is
+	// replaced, never changed.
+	operatorAddresses map[string]string
+	leaving           bool
 	// departed is set when parts.departed has been closed.
 	departed bool
 	// dirty says that the view must be published anew.
@@ -160,6 +163,7 @@
 		c.pools.divideGrants()
 	}
 	c.parts.state.Store(c.state(now))
+	c.publishStatus(now)
 }
 
 // noteDeparture reports when the share table no longer lists this instance,
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -15,6 +15,7 @@
 	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/entryinstance"
 	"samphireferry.example/ferry/invariant"
+	"samphireferry.example/ferry/operator"
 	"samphireferry.example/ferry/requestkeys"
 	"samphireferry.example/ferry/telemetry"
 )
@@ -144,6 +145,7 @@
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		i.parts.metrics.WritePrometheus(w)
 	})
+	operator.Register(mux, i.parts)
 	return mux
 }
 
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -39,6 +39,8 @@
 	departed chan struct{}
 	// state is the newest heartbeat of this instance. It must not be changed.
 	state atomic.Pointer[entrypb.State]
+	// status is the newest state for operators; nil before the first tick.
+	status atomic.Pointer[controlStatus]
 }
 
 // storeAge returns the time since word from the store arrived by any path.
--- a/daemon/records.go
+++ b/daemon/records.go
@@ -154,9 +154,13 @@
 func (e listRead) apply(c *control, now time.Time) {
 	c.listRead = now
 	c.listed = map[string]bool{}
+	c.operatorAddresses = map[string]string{}
 	leaving := map[string]bool{}
 	for _, row := range e.list {
 		c.listed[row.Address] = true
+		if row.OperatorAddress != "" {
+			c.operatorAddresses[row.Name] = row.OperatorAddress
+		}
 		if row.Role == "upstream" && row.State == platform.InstanceLeaving {
 			leaving[row.Name] = true
 		}
--- a/demo/system.go
+++ b/demo/system.go
@@ -173,12 +173,13 @@
 	}
 	s.Entries = append(s.Entries, instance)
 	s.Platform.SetInstance(platform.Instance{
-		Name:          settings.Name,
-		Role:          "entry",
-		Address:       settings.Listen,
-		RPCAddress:    settings.RPCListen,
-		FailureDomain: domain.Name,
-		State:         platform.InstanceLive,
+		Name:            settings.Name,
+		Role:            "entry",
+		Address:         settings.Listen,
+		RPCAddress:      settings.RPCListen,
+		OperatorAddress: settings.OperatorListen,
+		FailureDomain:   domain.Name,
+		State:           platform.InstanceLive,
 	})
 	return nil
 }
