Customers that have left, and the stable version of a service

Cause: a customer marked as having left was admitted on every route that names no customers, so leaving the group changed nothing but the adding of keys. A service with several versions and no roll-out sent all requests to the first version by name, which need not be the one that runs.

Ruled out: refusing such a customer on open routes too (these admit anybody without a key, so a refusal there would only punish the key); a fault for routes that name no customers (old sets would stop to pass); choosing the newest version by name.

Change: Route.Admits refuses a customer that has left unless the route names it or is open. Service.stable_version names the version that serves outside a roll-out; it is required with several versions and no roll-out, and defaults to the start of the roll-out or to the only version. routing.Service.StableVersion is the compiled form; the chooser does not use it yet. ferryctl rollout -remove -stable-version sets it in the same publish.

Conclusion: work of a customer that has left goes on where operators name it, and nowhere else but on open routes.

--- a/caller/traffic_test.go
+++ b/caller/traffic_test.go
@@ -84,11 +84,12 @@
 		return hex.EncodeToString(hash[:])
 	}
 	table, err := routing.Compile(&dynamic.Config{Version: 1, Set: dynamic.Set{
-		Customers: []dynamic.Customer{{Name: "a", Rate: 10, Burst: 10}, {Name: "b", Rate: 10, Burst: 10}},
+		Customers: []dynamic.Customer{{Name: "a", Rate: 10, Burst: 10}, {Name: "b", Rate: 10, Burst: 10}, {Name: "c", Rate: 10, Burst: 10, Left: true}},
 		Keys: []dynamic.Key{
 			{Name: "a1", Customer: "a", SHA256: sum("key-a")},
 			{Name: "a2", Customer: "a", SHA256: sum("key-gone"), Withdrawn: true},
 			{Name: "b1", Customer: "b", SHA256: sum("key-b")},
+			{Name: "c1", Customer: "c", SHA256: sum("key-c")},
 		},
 		Services: []dynamic.Service{{Name: "lookup"}, {Name: "ledger"}},
 		Routes: []dynamic.Route{
@@ -129,6 +130,7 @@
 		"unknown key":        {path: "/read", key: "key-x", want: errkind.KeyUnknown},
 		"withdrawn key":      {path: "/read", key: "key-gone", want: errkind.KeyWithdrawn},
 		"wrong key on open":  {path: "/open", key: "key-x", want: errkind.KeyUnknown},
+		"customer has left":  {path: "/read", key: "key-c", want: errkind.CustomerNotAllowed},
 		"other customer":     {path: "/own", key: "key-a", want: errkind.CustomerNotAllowed},
 		"cut off":            {path: "/strict", key: "key-a", change: func(f *fakes) { f.age = time.Hour }, want: errkind.KeyUnverified},
 		"body too large":     {path: "/read", key: "key-a", body: strings.Repeat("x", 101), want: errkind.BodyTooLarge},
--- a/config/dynamic/check_services.go
+++ b/config/dynamic/check_services.go
@@ -3,11 +3,16 @@
 import (
 	"net/netip"
 	"strings"
+
+	"github.com/samber/lo"
 )
 
 func (c *checker) checkServices() {
+	versions := lo.CountValuesBy(c.set.Versions, func(v Version) string { return v.Service })
+	shifted := lo.SliceToMap(c.set.Rollouts, func(r Rollout) (string, bool) { return r.Service, true })
 	for i, service := range c.set.Services {
 		o := c.object(KindService, i, service.Name)
+		o.checkStableVersion(service, versions[service.Name], shifted[service.Name])
 		o.checkPath("health_path", service.HealthPath)
 		o.checkPath("load_path", service.LoadPath)
 	}
@@ -18,6 +23,15 @@
 	c.checkUpstreams()
 }
 
+// checkStableVersion makes sure that one version serves outside a roll-out.
+func (o object) checkStableVersion(service Service, versions int, shifted bool) {
+	if service.StableVersion != "" {
+		o.referVersion("stable_version", service.Name, service.StableVersion)
+		return
+	}
+	o.require(versions <= 1 || shifted, "stable_version", "missing; the service has %d versions and no roll-out", versions)
+}
+
 func (o object) checkPath(field, path string) {
 	o.require(path == "" || strings.HasPrefix(path, "/"), field, "%q does not start with \"/\"", path)
 }
--- a/config/dynamic/check_test.go
+++ b/config/dynamic/check_test.go
@@ -88,6 +88,9 @@
 		{func(s *Set) {
 			s.Keys = append(s.Keys, Key{Name: "acme-2", Customer: "acme", SHA256: strings.ToUpper(hashA)})
 		}, `keys acme-2: sha256: key "acme-1" has the same hash`},
+		{func(s *Set) { s.Services[0].StableVersion = "v9" }, `services lookup: stable_version: service "lookup" has no version "v9"`},
+		{func(s *Set) { s.Services[0].StableVersion = "l1" }, `services lookup: stable_version: service "lookup" has no version "l1"`},
+		{func(s *Set) { s.Rollouts = nil }, `services lookup: stable_version: missing; the service has 2 versions and no roll-out`},
 		{func(s *Set) { s.Services[1].HealthPath = "healthz" }, `services ledger: health_path: "healthz" does not start with "/"`},
 		{func(s *Set) { s.Versions = append(s.Versions, Version{Name: "v9", Service: "none"}) }, `versions none/v9: service: no service "none"`},
 		{func(s *Set) { s.Upstreams[0].Version = "l1" }, `upstreams u1: version: service "lookup" has no version "l1"`},
--- a/config/dynamic/objects.go
+++ b/config/dynamic/objects.go
@@ -56,7 +56,8 @@
 	// Weight is the relative part of an overloaded service. Default 1.
 	Weight int `json:"weight,omitempty"`
 	// Left marks a customer that has left the group. Its keys go on working
-	// on the routes that name it; no new key may be added for it.
+	// on the routes that name it in Customers and on open ones; no new key may
+	// be added for it.
 	Left bool `json:"left,omitempty"`
 }
 
@@ -73,6 +74,10 @@
 // Service is a program that runs on upstreams.
 type Service struct {
 	Name string `json:"name"`
+	// StableVersion is the version that serves requests outside a roll-out.
+	// Required when the service has several versions and no roll-out. Default:
+	// the version that its roll-out comes from, or the only one.
+	StableVersion string `json:"stable_version,omitempty"`
 	// Deferrable marks work that yields to other services under overload.
 	Deferrable bool `json:"deferrable,omitempty"`
 	// EchoRequestID says that upstreams return the Ferry-Request-Id header.
@@ -148,7 +153,8 @@
 	// OpenCustomer is the customer whose rate pays for requests without key.
 	// Required on open routes.
 	OpenCustomer string `json:"open_customer,omitempty"`
-	// Customers limits the route to these customers. Empty admits all.
+	// Customers limits the route to these customers. Empty admits all but those
+	// that have left; an open route admits these too.
 	Customers []string `json:"customers,omitempty"`
 	// KeyHeader names a header that carries the key in place of
 	// "Authorization: Bearer".
--- a/operator/ctl/edit.go
+++ b/operator/ctl/edit.go
@@ -135,6 +135,7 @@
 	fs.TextVar(&rollout.Step, "step", units.Share(0), "growth of the share at each step; 0% takes the default")
 	shiftFlags(fs, &rollout.StepInterval, &rollout.Deadline)
 	end := fs.Bool("remove", false, "remove the roll-out; one that is not done is taken back")
+	stable := fs.String("stable-version", "", "with -remove: version that serves from now on; needed while the service has several and names none")
 	return a.command("rollout", "NAME", "Rolls a new version of a service out.", fs,
 		func(ctx context.Context, args []string) error {
 			name, err := oneName(args)
@@ -144,7 +145,7 @@
 			rollout.Name = name
 			return a.edit(ctx, func(set *dynamic.Set) error {
 				if *end {
-					return remove(&set.Rollouts, "roll-out", name, func(r dynamic.Rollout) bool { return r.Name == name })
+					return removeRollout(set, name, *stable)
 				}
 				set.Rollouts = append(set.Rollouts, rollout)
 				return nil
@@ -152,6 +153,18 @@
 		})
 }
 
+// removeRollout removes the roll-out with the name and, if a stable version is
+// given, makes it that of the service.
+func removeRollout(set *dynamic.Set, name, stable string) error {
+	for _, r := range set.Rollouts {
+		i := slices.IndexFunc(set.Services, func(s dynamic.Service) bool { return s.Name == r.Service })
+		if r.Name == name && stable != "" && i >= 0 {
+			set.Services[i].StableVersion = stable
+		}
+	}
+	return remove(&set.Rollouts, "roll-out", name, func(r dynamic.Rollout) bool { return r.Name == name })
+}
+
 func shiftFlags(fs *flag.FlagSet, interval, deadline *units.Duration) {
 	fs.TextVar(interval, "step-interval", units.Duration(0), "least time between two steps; 0s takes the default")
 	fs.TextVar(deadline, "deadline", units.Duration(0), "bound of the whole, from its first step; required")
--- a/routing/table.go
+++ b/routing/table.go
@@ -40,6 +40,8 @@
 	Rate   float64
 	Burst  int
 	Weight int
+	// Left says that only open routes and those that name the customer admit it.
+	Left bool
 }
 
 // Key is one key of a table.
@@ -74,7 +76,10 @@
 	LoadPath       string
 	HealthInterval time.Duration
 	Versions       []string
-	Upstreams      []*Upstream
+	// StableVersion serves requests outside a roll-out; empty if the service
+	// has no version.
+	StableVersion string
+	Upstreams     []*Upstream
 }
 
 // Route is one route of a table.
@@ -88,7 +93,7 @@
 	AtMostOnce   bool
 	Open         bool
 	OpenCustomer *Customer
-	// Customers is nil when the route admits all.
+	// Customers is nil when the route is not limited to some customers.
 	Customers   map[string]bool
 	KeyHeader   string
 	KeyQuery    string
@@ -98,9 +103,13 @@
 	CutOffAfter time.Duration
 }
 
-// Admits says whether the customer may use the route.
+// Admits says whether the customer may use the route. One that has left may
+// use the routes that name it, and those that are open to all.
 func (r *Route) Admits(customer *Customer) bool {
-	return r.Customers == nil || r.Customers[customer.Name]
+	if r.Customers == nil {
+		return r.Open || !customer.Left
+	}
+	return r.Customers[customer.Name]
 }
 
 // Table is the immutable form of one configuration version.
@@ -160,6 +169,7 @@
 			Rate:   c.Rate.PerSecond(),
 			Burst:  c.Burst,
 			Weight: max(c.Weight, 1),
+			Left:   c.Left,
 		})
 	}
 	slices.SortFunc(t.Customers, func(a, b *Customer) int { return cmp.Compare(a.Name, b.Name) })
@@ -173,6 +183,7 @@
 	for _, s := range set.Services {
 		t.Services = append(t.Services, &Service{
 			Name:           s.Name,
+			StableVersion:  s.StableVersion,
 			Deferrable:     s.Deferrable,
 			EchoRequestID:  s.EchoRequestID,
 			QueueTimeout:   cmp.Or(s.QueueTimeout.Std(), defaultQueueTimeout),
@@ -191,9 +202,24 @@
 			s.Versions = append(s.Versions, v.Name)
 		}
 	}
+	t.fillStableVersions(set.Rollouts)
 	t.addUpstreams(set)
 }
 
+// fillStableVersions sets the stable versions that the set leaves out.
+func (t *Table) fillStableVersions(rollouts []dynamic.Rollout) {
+	from := map[string]string{}
+	for _, r := range rollouts {
+		from[r.Service] = r.From
+	}
+	for _, s := range t.Services {
+		s.StableVersion = cmp.Or(s.StableVersion, from[s.Name])
+		if s.StableVersion == "" && len(s.Versions) > 0 {
+			s.StableVersion = s.Versions[0]
+		}
+	}
+}
+
 func (t *Table) addUpstreams(set *dynamic.Set) {
 	drainedUpstreams := map[string]bool{}
 	drainedDomains := map[string]bool{}
