Commands of operators against a running system

Cause: ferryctl was tested against a stand-in platform and made-up statuses only; nothing showed that its commands take effect on entry instances.

Ruled out: starting the binaries (the entry function runs the same code, and a system in one process shows what each upstream executed); bounds on time.

Change: tests in package demo that run check, diff, publish, status -version -wait, get, drain, drain -end, move, move -remove, rollout, rollout -remove, key create, key withdraw and entry-instances, six operators who publish from one version at once, and six who add drains at once.

Conclusion: each command takes effect on every instance, and status says when.

--- a/demo/operators_test.go
+++ b/demo/operators_test.go
@@ -3,16 +3,23 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"samphireferry.example/ferry/config/dynamic"
 	"samphireferry.example/ferry/operator"
 	"samphireferry.example/ferry/operator/ctl"
+	"samphireferry.example/ferry/shift"
+	"samphireferry.example/ferry/units"
 )
 
 // ferryctl runs a command of operators against the system; it returns the exit
@@ -82,3 +89,212 @@
 		assert.Equal(t, status, http.StatusUnauthorized, body)
 	}
 }
+
+// objectFile writes the objects to a file and returns its path.
+func objectFile(t *testing.T, set dynamic.Set) string {
+	t.Helper()
+	data, err := json.MarshalIndent(set, "", "  ")
+	assert.NilError(t, err)
+	path := filepath.Join(t.TempDir(), "objects.hujson")
+	assert.NilError(t, os.WriteFile(path, data, 0o600))
+	return path
+}
+
+// waitInForce waits until the published version is in force everywhere.
+func waitInForce(t *testing.T, s *System) string {
+	t.Helper()
+	return done(t, s, "status", "-wait", "60s", "-timeout", "90s")
+}
+
+// waitForStatus waits until every entry instance answers reads with the status.
+func waitForStatus(t *testing.T, s *System, key string, want int) {
+	t.Helper()
+	for _, entry := range s.Entries {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			status, body := get(t, "http://"+entry.CallerAddress()+"/dossiers/1", key)
+			if status == want {
+				return poll.Success()
+			}
+			return poll.Continue("%d %s", status, body)
+		}, poll.WithTimeout(inForceTimeout))
+	}
+}
+
+// waitForShift waits until a move or roll-out has the state on all instances.
+func waitForShift(t *testing.T, s *System, shifts func(operator.Report) []operator.ShiftReport, state shift.State) operator.ShiftReport {
+	t.Helper()
+	var last operator.ShiftReport
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, last = range shifts(report(t, s)) {
+			if last.State == string(state) && len(last.Behind) == 0 {
+				return poll.Success()
+			}
+		}
+		return poll.Continue("%+v", last)
+	}, poll.WithTimeout(inForceTimeout))
+	return last
+}
+
+func moveReports(r operator.Report) []operator.ShiftReport    { return r.Moves }
+func rolloutReports(r operator.Report) []operator.ShiftReport { return r.Rollouts }
+
+// readEverywhere sends reads to each entry instance.
+func readEverywhere(t *testing.T, s *System) {
+	t.Helper()
+	for i := range 8 * len(s.Entries) {
+		url := "http://" + s.Entries[i%len(s.Entries)].CallerAddress() + "/dossiers/1"
+		status, body := get(t, url, KeyLarge)
+		assert.Equal(t, status, http.StatusOK, body)
+	}
+}
+
+func TestOperatorsDay(t *testing.T) {
+	s := startSystem(t, Options{Entries: 6})
+	waitReady(t, s)
+	waitInForce(t, s)
+
+	t.Run("publish", func(t *testing.T) {
+		next, err := s.Set.Clone()
+		assert.NilError(t, err)
+		next.Customers[1].Burst = 6
+		file := objectFile(t, *next)
+		assert.Assert(t, strings.Contains(done(t, s, "check", file), "no fault"))
+		assert.Assert(t, strings.Contains(done(t, s, "diff", file), "changed customers petite: burst"))
+		assert.Assert(t, strings.Contains(done(t, s, "publish", file), "published version 2"))
+		output := done(t, s, "status", "--version", "2", "--wait", "60s", "--timeout", "90s")
+		assert.Assert(t, strings.Contains(output, "version 2 is in force everywhere"), output)
+		assert.Assert(t, strings.Contains(done(t, s, "diff", file), "no change"))
+		assert.Assert(t, strings.Contains(done(t, s, "get", "customers", "petite"), `"burst": 6`))
+		next.Customers[1].Rate = 0
+		code, output := ferryctl(t, s, "publish", objectFile(t, *next))
+		assert.Equal(t, code, ctl.ExitFailed, output)
+		assert.Equal(t, report(t, s).Version, uint64(2))
+	})
+
+	t.Run("drain", func(t *testing.T) {
+		const drained = "lookup-v1-01"
+		done(t, s, "drain", drained)
+		waitInForce(t, s)
+		before := s.Upstreams[drained].Ledger().Snapshot().Executed
+		readEverywhere(t, s)
+		assert.Equal(t, s.Upstreams[drained].Ledger().Snapshot().Executed, before)
+		done(t, s, "drain", "-end", drained)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			readEverywhere(t, s)
+			if s.Upstreams[drained].Ledger().Snapshot().Executed > before {
+				return poll.Success()
+			}
+			return poll.Continue("%s has no request", drained)
+		}, poll.WithTimeout(inForceTimeout))
+	})
+
+	t.Run("move", func(t *testing.T) {
+		done(t, s, "move", "-service", serviceLookup, "-from", "east-1", "-to", "east-2", "-cap", "40%",
+			"-step", "20%", "-step-interval", "1s", "-deadline", "60s", "eastward")
+		end := waitForShift(t, s, moveReports, shift.Done)
+		assert.Equal(t, end.Share, 0.4)
+		done(t, s, "move", "-remove", "eastward")
+		end = waitForShift(t, s, moveReports, shift.TakenBack)
+		assert.Equal(t, end.Reason, string(shift.ReasonRemoved))
+		assert.Equal(t, end.Share, 0.0)
+	})
+
+	t.Run("keys", func(t *testing.T) {
+		created := done(t, s, "key", "create", "-customer", "laurier", "-name", "laurier-2")
+		key, _, _ := strings.Cut(created, "\n")
+		waitForStatus(t, s, key, http.StatusOK)
+		done(t, s, "key", "withdraw", "laurier-2")
+		waitInForce(t, s)
+		waitForStatus(t, s, key, http.StatusUnauthorized)
+		keys := report(t, s).WithdrawnKeys
+		assert.Equal(t, len(keys), 1)
+		assert.Equal(t, len(keys[0].NotYet), 0, "%v", keys)
+		waitForStatus(t, s, KeyLarge, http.StatusOK)
+	})
+
+	t.Run("entry instances", func(t *testing.T) {
+		output := done(t, s, "entry-instances", "-entry", "http://"+s.Entries[0].CallerAddress())
+		for _, entry := range s.Entries {
+			assert.Assert(t, strings.Contains(output, entry.CallerAddress()), output)
+		}
+	})
+
+	t.Run("racing operators", func(t *testing.T) { raceOperators(t, s) })
+}
+
+// raceOperators lets several operators publish from the same version, and
+// several change the published objects, at the same time.
+func raceOperators(t *testing.T, s *System) {
+	const operators = 6
+	run := func(args func(n int) []string) (codes [operators]int) {
+		var running sync.WaitGroup
+		for n := range operators {
+			running.Go(func() {
+				var output bytes.Buffer
+				all := append([]string{args(n)[0]}, append([]string{"-platform", s.PlatformURL}, args(n)[1:]...)...)
+				codes[n] = ctl.Main(t.Context(), "ferryctl", all, &output, &output)
+			})
+		}
+		running.Wait()
+		return codes
+	}
+	var published dynamic.Config
+	assert.NilError(t, json.Unmarshal([]byte(done(t, s, "get", "-json")), &published))
+	files := make([]string, operators)
+	for n := range operators {
+		next, err := published.Set.Clone()
+		assert.NilError(t, err)
+		next.Customers = append(next.Customers, dynamic.Customer{Name: fmt.Sprint("new-", n), Rate: units.Rate(1), Burst: 1})
+		files[n] = objectFile(t, *next)
+	}
+	codes := run(func(n int) []string {
+		return []string{"publish", "-base-version", fmt.Sprint(published.Version), files[n]}
+	})
+	winners := 0
+	for n, code := range codes {
+		got, _ := ferryctl(t, s, "get", "customers", fmt.Sprint("new-", n))
+		assert.Equal(t, got, code, "the customer is there if its operator was told so")
+		if code == ctl.ExitDone {
+			winners++
+		}
+	}
+	assert.Equal(t, winners, 1)
+
+	names := []string{"lookup-v1-02", "lookup-v1-03", "ledger-v1-02", "ledger-v1-03", "archive-v1-02", "archive-v1-03"}
+	codes = run(func(n int) []string { return []string{"drain", names[n]} })
+	for n, code := range codes {
+		got, _ := ferryctl(t, s, "get", "drains", "drain-"+names[n])
+		assert.Equal(t, got, code, "the drain is there if its operator was told so")
+	}
+	waitInForce(t, s)
+}
+
+func TestRolloutCommands(t *testing.T) {
+	s := startSystem(t, Options{Entries: 6, Change: func(set *dynamic.Set) {
+		set.Services[0].StableVersion = firstVersion
+		set.Versions = append(set.Versions, dynamic.Version{Name: secondVersion, Service: serviceLookup})
+	}})
+	for n := range s.domains {
+		assert.NilError(t, s.AddUpstream(sizes[0], secondVersion, n))
+	}
+	waitReady(t, s)
+	startLoad(t, s)
+	done(t, s, "publish", objectFile(t, s.Set))
+	done(t, s, "rollout", "-service", serviceLookup, "-from", firstVersion, "-to", secondVersion,
+		"-canary-share", "20%", "-step", "80%", "-step-interval", "1s", "-deadline", "180s", "second")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, r := range report(t, s).Rollouts {
+			if r.Share > 0 && executed(s, "lookup-v2") > 0 {
+				return poll.Success()
+			}
+		}
+		return poll.Continue("no share yet")
+	}, poll.WithTimeout(inForceTimeout))
+	done(t, s, "rollout", "-remove", "-stable-version", firstVersion, "second")
+	end := waitForShift(t, s, rolloutReports, shift.TakenBack)
+	assert.Equal(t, end.Reason, string(shift.ReasonRemoved))
+	waitInForce(t, s)
+	before := executed(s, "lookup-v2")
+	readEverywhere(t, s)
+	assert.Equal(t, executed(s, "lookup-v2"), before)
+}
