Requests look for room for as long as they may queue; pools by service version

Cause: TestStopUnderLongStreams failed: ten reads at once on a fresh instance that owns no upstream of the service got no_upstream, since its grants were still small. Ruled out: cold ramps (upstreams had free slots), missing heartbeats (the same read passed a moment later). Change: the dispatcher tries the targets again, after pauses that double from 10 ms, within the queue timeout of the service; the daemon uses balancing.Pools; system tests with real processes: kill, freeze, platform hanging, restart at the same address without the platform, stop under streams.

--- a/daemon/bench_test.go
+++ b/daemon/bench_test.go
@@ -59,16 +59,17 @@
 	limiter.Tick(time.Now())
 	limiter.Configure(time.Now(), sharetable.Divide(sharetable.All(), customersOf(table), nil), true)
 	service := table.Service("lookup")
-	pool := balancing.NewPool(balancing.PoolOptions{Ramp: time.Nanosecond})
-	pool.Update(service.Upstreams)
+	key := balancing.VersionKey{Service: "lookup", Version: "v1"}
+	pools := balancing.NewPools(balancing.PoolOptions{Ramp: time.Nanosecond})
+	pools.Update(table, service.Upstreams)
+	pool := pools.Get(key).Pool
 	self := balancing.Instance{Name: "self", FailureDomain: "east-1", Region: "east"}
-	key := poolKey{"lookup", "v1"}
 	all := newViews()
 	all.store(&view{
 		table:    table,
 		peers:    membership.NewPeers(membership.Peer{Name: "self", FailureDomain: "east-1"}, nil),
-		pools:    map[poolKey]*balancing.Pool{key: pool},
-		choosers: map[poolKey]*balancing.Chooser{key: balancing.NewChooser(balancing.ChooserOptions{Self: self})},
+		pools:    pools,
+		choosers: map[balancing.VersionKey]*balancing.Chooser{key: balancing.NewChooser(balancing.ChooserOptions{Self: self})},
 	})
 	choose := &chooser{views: all, local: &localTarget{views: all}}
 	time.Sleep(time.Second)
@@ -84,7 +85,7 @@
 		request.Route = route
 		choice := choose.Choose(request)
 		lease, err := pool.Acquire(b.Context(), balancing.Ticket{Customer: known.Customer.Name})
-		if err != nil || len(choice.Targets) == 0 {
+		if err != nil || len(choice.Targets("v1")) == 0 {
 			b.Fatal(err)
 		}
 		lease.Release(balancing.ResultOK)
--- a/daemon/chooser.go
+++ b/daemon/chooser.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"samphireferry.example/ferry/admission"
+	"samphireferry.example/ferry/balancing"
 	"samphireferry.example/ferry/dispatch"
 	"samphireferry.example/ferry/membership"
 	"samphireferry.example/ferry/relay"
@@ -24,12 +25,13 @@
 	service := request.Route.Service
 	version, fallback := chooseVersion(v, service, request.Route.Name)
 	domain, _ := v.splits.Domain(service.Name, v.peers.Self.FailureDomain)
-	choice := dispatch.Choice{Version: version, Targets: c.targets(v, service, version, domain)}
-	if fallback != "" {
-		choice.Fallback = fallback
-		choice.FallbackTargets = c.targets(v, service, fallback, domain)
+	return dispatch.Choice{
+		Version:  version,
+		Fallback: fallback,
+		Targets: func(version string) []dispatch.Target {
+			return c.targets(c.views.load(), service, version, domain)
+		},
 	}
-	return choice
 }
 
 // chooseVersion returns the version for one request, and the version to fall
@@ -58,13 +60,17 @@
 // targets returns the places that serve the version, best first, beginning
 // with the failure domain that was chosen.
 func (c *chooser) targets(v *view, service *routing.Service, version, domain string) []dispatch.Target {
-	key := poolKey{service.Name, version}
-	chooser, pool := v.choosers[key], v.pools[key]
-	if chooser == nil || pool == nil {
+	key := balancing.VersionKey{Service: service.Name, Version: version}
+	chooser := v.choosers[key]
+	if chooser == nil {
 		return nil
 	}
-	names := chooser.Order(time.Now(), pool.Load(), service.Deferrable)
-	names = lastResorts(v, names, pool.Load().Slots > 0)
+	var own balancing.PoolLoad
+	if owned := v.pools.Get(key); owned != nil {
+		own = owned.Pool.Load()
+	}
+	names := chooser.Order(time.Now(), own, service.Deferrable)
+	names = lastResorts(v, names, own.Slots > 0)
 	if domain == v.peers.Self.FailureDomain {
 		names = withoutDestinations(v, names, service.Name)
 	} else {
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -34,7 +34,7 @@
 	moves    *moves.Driver
 	rollouts *rollouts.Controller
 	splits   *splitting.Registry
-	pools    *poolSet
+	owners   *ownership
 
 	shareDriver *sharetable.Driver
 	executor    *reconcile.Executor
@@ -80,7 +80,7 @@
 		moves:    moves.NewDriver(p.invariants),
 		rollouts: rollouts.NewController(p.invariants),
 		splits:   splitting.NewRegistry(p.invariants),
-		pools:    newPoolSet(p),
+		owners:   newOwnership(p),
 		blocks:   &steering.Blocks{},
 		dist:     p.dist,
 		shareDriver: sharetable.NewDriver(sharetable.DriverSettings{
@@ -89,7 +89,7 @@
 		}),
 	}
 	c.rollouts.SetDomain(p.identity.GetFailureDomain())
-	c.pools.setPeers(c.registry.Snapshot(now))
+	c.owners.setPeers(c.registry.Snapshot(now))
 	c.watcher = distribution.NewWatcher(p.store, distribution.WatcherOptions{Seed: rand.Uint64()},
 		func(u distribution.Update) { l.post(storeRead{u}) })
 	c.addControlWork()
@@ -157,7 +157,7 @@
 	c.noteDeparture()
 	if now.Sub(c.divided) >= c.parts.settings.HeartbeatInterval {
 		c.divided = now
-		c.pools.divideGrants()
+		c.owners.pools.Divide()
 	}
 	c.parts.state.Store(c.state(now))
 }
@@ -187,7 +187,7 @@
 // doControlWork drives the records in the store, if this instance holds the
 // control lease.
 func (c *control) doControlWork(now time.Time) {
-	c.lease.SetMembers(len(c.pools.peers.All) + 1)
+	c.lease.SetMembers(len(c.owners.peers.All) + 1)
 	c.leaseRunner.Tick(c.ctx, now)
 	c.setShareView(now)
 	c.setShiftInputs()
@@ -197,10 +197,10 @@
 // updatePeers takes over what the registry knows.
 func (c *control) updatePeers(now time.Time) {
 	peers := c.registry.Snapshot(now)
-	if peers == c.pools.peers {
+	if peers == c.owners.peers {
 		return
 	}
-	c.pools.setPeers(peers)
+	c.owners.setPeers(peers)
 	c.parts.limiter.SetPeers(lenders(peers))
 	c.rollouts.SetInstances(len(peers.All) + 1)
 	c.dirty = true
@@ -214,10 +214,9 @@
 	c.dirty = false
 	next := &view{
 		table:     c.table,
-		peers:     c.pools.peers,
-		pools:     c.pools.all,
-		grants:    c.pools.grants,
-		choosers:  c.pools.choosers,
+		peers:     c.owners.peers,
+		pools:     c.owners.pools,
+		choosers:  c.owners.choosers,
 		recorders: c.rollouts.Recorders(),
 		directory: c.currentDirectory(now),
 		leaving:   c.leaving,
@@ -243,12 +242,12 @@
 	if c.table == nil {
 		return nil
 	}
-	sameInstances := c.directoryOf == c.pools.division
+	sameInstances := c.directoryOf == c.owners.division
 	if c.directory != nil && sameInstances && now.Sub(c.directoryAt) < directoryInterval {
 		return c.directory
 	}
-	c.directory = steering.NewDirectory(c.blocks, c.table.Set, c.pools.peers)
-	c.directoryOf = c.pools.division
+	c.directory = steering.NewDirectory(c.blocks, c.table.Set, c.owners.peers)
+	c.directoryOf = c.owners.division
 	c.directoryAt = now
 	return c.directory
 }
@@ -259,7 +258,7 @@
 	c.registry.SetRegions(table.Regions)
 	c.moves.Configure(table.Version, table.Set.Moves)
 	c.rollouts.Configure(table.Version, table.Set.Rollouts, routeNames(table))
-	c.pools.setTable(table)
+	c.owners.setTable(table)
 	blocks, err := steering.NewBlocks(table.Set.ClientBlocks)
 	if err != nil {
 		c.parts.log.Error("client blocks cannot be read", errorField(err))
--- a/daemon/heartbeat.go
+++ b/daemon/heartbeat.go
@@ -20,11 +20,11 @@
 		Leaving:      c.leaving,
 		ShareVersion: c.member.Acknowledged(),
 		ShareVouches: c.member.Vouches(),
-		Loads:        c.pools.loads(),
+		Loads:        c.owners.loads(),
 		Verdicts:     c.rollouts.Verdicts(),
 		Evidence:     c.rollouts.Evidence(),
 		AppliedSteps: c.steps(),
-		LoadPermille: c.loadPermille(),
+		LoadPermille: c.owners.loadPermille(),
 	}
 	c.dist.Snapshot().AddTo(state, now)
 	return state
@@ -37,20 +37,6 @@
 	return steps
 }
 
-// loadPermille returns the part of the slots of all pools that is in use.
-func (c *control) loadPermille() uint32 {
-	slots, inUse := 0, 0
-	for _, pool := range c.pools.all {
-		load := pool.Load()
-		slots += load.Slots
-		inUse += load.InUse + load.Queued
-	}
-	if slots == 0 {
-		return 0
-	}
-	return uint32(min(1000, 1000*inUse/slots))
-}
-
 // sendHeartbeats exchanges heartbeats with the peers that are due.
 func (c *control) sendHeartbeats(now time.Time) {
 	targets := c.registry.Due(now)
@@ -60,7 +46,7 @@
 	base := c.state(now)
 	for _, target := range targets {
 		address := target.RPCAddress
-		state := withGrants(base, c.pools.grants, target.Name)
+		state := withGrants(base, c.owners.pools, target.Name)
 		c.background(heartbeatTimeout, func(ctx context.Context) event {
 			asked := time.Now()
 			answer, err := c.exchange(ctx, address, state)
@@ -81,7 +67,7 @@
 }
 
 // withGrants returns a heartbeat that shows what the peer may have in flight here.
-func withGrants(state *entrypb.State, grants map[poolKey]*balancing.Grants, peer string) *entrypb.State {
+func withGrants(state *entrypb.State, pools *balancing.Pools, peer string) *entrypb.State {
 	own := &entrypb.State{
 		Identity:      state.GetIdentity(),
 		Leaving:       state.GetLeaving(),
@@ -97,8 +83,8 @@
 	}
 	for _, load := range state.GetLoads() {
 		granted := uint32(0)
-		if g := grants[poolKey{load.GetService(), load.GetVersion()}]; g != nil && peer != "" {
-			granted = uint32(g.Granted(peer))
+		if owned := pools.Get(keyOf(load)); owned != nil && peer != "" {
+			granted = uint32(owned.Grants.Granted(peer))
 		}
 		own.Loads = append(own.Loads, &entrypb.ServiceLoad{
 			Service: load.GetService(),
--- a/daemon/local.go
+++ b/daemon/local.go
@@ -25,11 +25,11 @@
 func (t *localTarget) Send(ctx context.Context, request *dispatch.Request, version string) (*dispatch.Answer, error) {
 	v := t.views.load()
 	service := request.Route.Service
-	pool := v.pools[poolKey{service.Name, version}]
-	if pool == nil {
+	owned := v.pools.Get(balancing.VersionKey{Service: service.Name, Version: version})
+	if owned == nil {
 		return nil, errkind.New(errkind.NoUpstream, "this entry instance owns no upstream of the version")
 	}
-	lease, err := pool.Acquire(ctx, balancing.Ticket{
+	lease, err := owned.Pool.Acquire(ctx, balancing.Ticket{
 		Customer:   request.Customer.Name,
 		Weight:     request.Customer.Weight,
 		Deferrable: service.Deferrable,
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -21,21 +21,20 @@
 // Send implements relay.Handler.
 func (t *ownerTarget) Send(ctx context.Context, request *dispatch.Request, version string) (*dispatch.Answer, error) {
 	v := t.views.load()
-	key := poolKey{request.Route.Service.Name, version}
-	pool, grants := v.pools[key], v.grants[key]
-	if pool == nil || grants == nil {
+	owned := v.pools.Get(balancing.VersionKey{Service: request.Route.Service.Name, Version: version})
+	if owned == nil {
 		return nil, errkind.New(errkind.NoUpstream, "this entry instance owns no upstream of the version")
 	}
 	sender, _ := relay.Sender(ctx)
-	if !grants.Begin(sender, pool.Load()) {
+	if !owned.Grants.Begin(sender, owned.Pool.Load()) {
 		return nil, errkind.New(errkind.Overloaded, "the grant of the entry instance that relays is used up")
 	}
 	answer, err := t.local.Send(ctx, request, version)
 	if err != nil {
-		grants.End(sender)
+		owned.Grants.End(sender)
 		return nil, err
 	}
-	answer.Body = &grantedBody{ReadCloser: answer.Body, grants: grants, sender: sender}
+	answer.Body = &grantedBody{ReadCloser: answer.Body, grants: owned.Grants, sender: sender}
 	return answer, nil
 }
 
--- /dev/null
+++ b/daemon/ownership.go
@@ -0,0 +1,185 @@
+package daemon
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"samphireferry.example/ferry/balancing"
+	"samphireferry.example/ferry/membership"
+	"samphireferry.example/ferry/routing"
+	"samphireferry.example/ferry/rpc/entrypb"
+	"samphireferry.example/ferry/upstream"
+)
+
+// ownership divides the upstreams among the live instances, keeps the pools of
+// those that this instance owns, and knows the owners of the others.
+type ownership struct {
+	parts *parts
+	table *routing.Table
+	peers *membership.Peers
+	// pools hold the upstreams that this instance owns.
+	pools *balancing.Pools
+	// choosers order the owners for requests from here. The map is replaced,
+	// never changed.
+	choosers map[balancing.VersionKey]*balancing.Chooser
+	links    *linkSet
+	owned    []*routing.Upstream
+	// live are the instances among which the upstreams were divided.
+	live []balancing.Instance
+	// division numbers the divisions.
+	division uint64
+}
+
+func newOwnership(p *parts) *ownership {
+	return &ownership{
+		parts: p,
+		peers: &membership.Peers{},
+		pools: balancing.NewPools(balancing.PoolOptions{Checker: p.invariants}),
+		links: newLinkSet(),
+	}
+}
+
+func (o *ownership) setTable(table *routing.Table) {
+	o.table = table
+	o.divide()
+	o.updateChoosers()
+}
+
+// setPeers divides the upstreams anew when the set of live instances changed.
+func (o *ownership) setPeers(peers *membership.Peers) {
+	o.peers = peers
+	live := liveInstances(peers)
+	if !slices.Equal(live, o.live) {
+		o.live = live
+		o.divide()
+	}
+	o.updateChoosers()
+}
+
+func (o *ownership) divide() {
+	if o.table == nil {
+		return
+	}
+	o.division++
+	o.owned = nil
+	for _, service := range o.table.Services {
+		o.owned = append(o.owned, balancing.Owned(o.peers.Self.Name, service.Upstreams, o.live)...)
+	}
+	o.pools.Update(o.table, o.owned)
+	o.links.update(o.table, o.peers, time.Now())
+	o.setChoosers()
+	o.parts.upstreams.Retain(o.owned)
+	o.parts.prober.Update(o.probeTargets())
+}
+
+// setChoosers makes a chooser for each version of each service.
+func (o *ownership) setChoosers() {
+	next := map[balancing.VersionKey]*balancing.Chooser{}
+	for _, service := range o.table.Services {
+		for _, version := range service.Versions {
+			key := balancing.VersionKey{Service: service.Name, Version: version}
+			next[key] = o.choosers[key]
+			if next[key] == nil {
+				next[key] = balancing.NewChooser(balancing.ChooserOptions{Self: selfInstance(o.peers), Links: o.links.to})
+			}
+		}
+	}
+	o.choosers = next
+}
+
+// updateChoosers tells the choosers what the newest heartbeats say.
+func (o *ownership) updateChoosers() {
+	loads := map[balancing.VersionKey][]balancing.OwnerLoad{}
+	for _, p := range o.peers.All {
+		if !p.Usable() {
+			continue
+		}
+		for _, load := range p.State.GetLoads() {
+			key := keyOf(load)
+			loads[key] = append(loads[key], ownerLoad(p, load))
+		}
+	}
+	for key, chooser := range o.choosers {
+		chooser.Update(loads[key])
+	}
+}
+
+func keyOf(load *entrypb.ServiceLoad) balancing.VersionKey {
+	return balancing.VersionKey{Service: load.GetService(), Version: load.GetVersion()}
+}
+
+func ownerLoad(p *membership.Peer, load *entrypb.ServiceLoad) balancing.OwnerLoad {
+	return balancing.OwnerLoad{
+		Instance: balancing.Instance{Name: p.Name, FailureDomain: p.FailureDomain, Region: p.Region},
+		Slots:    int(load.GetSlots()),
+		InUse:    int(load.GetInUse()),
+		Granted:  int(load.GetGranted()),
+		At:       p.LastHeard,
+	}
+}
+
+// probeTargets lists the upstreams to probe.
+func (o *ownership) probeTargets() []upstream.ProbeTarget {
+	return lo.Map(o.owned, func(u *routing.Upstream, _ int) upstream.ProbeTarget {
+		service := o.table.Service(u.Service)
+		return upstream.ProbeTarget{
+			Upstream:   u.Name,
+			Address:    u.Address,
+			HealthPath: service.HealthPath,
+			LoadPath:   service.LoadPath,
+			Interval:   service.HealthInterval,
+		}
+	})
+}
+
+// loads describes the pools in a heartbeat, without grants.
+func (o *ownership) loads() []*entrypb.ServiceLoad {
+	var loads []*entrypb.ServiceLoad
+	for _, vp := range o.pools.All() {
+		load := vp.Pool.Load()
+		if load.Slots == 0 && load.InUse == 0 {
+			continue
+		}
+		loads = append(loads, &entrypb.ServiceLoad{
+			Service: vp.Key.Service,
+			Version: vp.Key.Version,
+			Slots:   uint32(load.Slots),
+			InUse:   uint32(load.InUse),
+		})
+	}
+	return loads
+}
+
+// loadPermille returns the part of the slots of all pools that is in use, in
+// thousandths.
+func (o *ownership) loadPermille() uint32 {
+	slots, inUse := 0, 0
+	for _, vp := range o.pools.All() {
+		load := vp.Pool.Load()
+		slots += load.Slots
+		inUse += load.InUse + load.Queued
+	}
+	if slots == 0 {
+		return 0
+	}
+	return uint32(min(1000, 1000*inUse/slots))
+}
+
+func selfInstance(peers *membership.Peers) balancing.Instance {
+	self := peers.Self
+	return balancing.Instance{Name: self.Name, FailureDomain: self.FailureDomain, Region: self.Region}
+}
+
+// liveInstances returns the instances that can own upstreams: this one and all
+// that are neither silent nor leaving.
+func liveInstances(peers *membership.Peers) []balancing.Instance {
+	instances := []balancing.Instance{selfInstance(peers)}
+	for _, p := range peers.All {
+		if p.Health != membership.Silent && !p.Leaving {
+			instances = append(instances, balancing.Instance{Name: p.Name, FailureDomain: p.FailureDomain, Region: p.Region})
+		}
+	}
+	return instances
+}
--- a/daemon/records.go
+++ b/daemon/records.go
@@ -30,7 +30,7 @@
 	if !ok {
 		return
 	}
-	peer := c.pools.peers.ByName(pull.Peer)
+	peer := c.owners.peers.ByName(pull.Peer)
 	if peer == nil {
 		c.dist.ForgetPeer(pull.Peer)
 		return
@@ -52,7 +52,7 @@
 
 // liveInDomain returns the names of the live instances of the failure domain.
 func (c *control) liveInDomain() []string {
-	peers := c.pools.peers
+	peers := c.owners.peers
 	names := []string{peers.Self.Name}
 	for _, p := range peers.InDomain(peers.Self.FailureDomain) {
 		if p.Usable() {
@@ -146,7 +146,7 @@
 // probed is the result of the probes of an upstream.
 type probed struct{ result balancing.ProbeResult }
 
-func (e probed) apply(c *control, _ time.Time) { c.pools.observe(e.result) }
+func (e probed) apply(c *control, _ time.Time) { c.owners.pools.Observe(e.result) }
 
 // listRead is the platform's list of instances.
 type listRead struct{ list []platform.Instance }
@@ -162,7 +162,7 @@
 		}
 	}
 	c.registry.SetInstances(e.list, now)
-	c.pools.setLeaving(leaving)
+	c.owners.pools.SetLeaving(leaving)
 }
 
 func errorField(err error) zap.Field { return zap.String("error", errors.UnwrapAll(err).Error()) }
--- a/daemon/rpc.go
+++ b/daemon/rpc.go
@@ -29,7 +29,7 @@
 		return nil, status.Error(codes.Unavailable, "the instance is starting")
 	}
 	s.loop.post(heartbeatReceived{state})
-	return withGrants(own, s.parts.views.load().grants, state.GetIdentity().GetName()), nil
+	return withGrants(own, s.parts.views.load().pools, state.GetIdentity().GetName()), nil
 }
 
 // GetConfig implements entrypb.EntryServer.
--- a/daemon/shares.go
+++ b/daemon/shares.go
@@ -47,7 +47,7 @@
 
 // setShareView tells the driver which instances are there.
 func (c *control) setShareView(now time.Time) {
-	peers := c.pools.peers
+	peers := c.owners.peers
 	candidates := []sharetable.Candidate{{
 		Name:         c.parts.identity.GetAddress(),
 		Incarnation:  c.parts.identity.GetIncarnation(),
@@ -156,7 +156,7 @@
 // the region in a small fleet, where a failure domain may have a single
 // instance, and those of the failure domain in a large one.
 func (c *control) witnessGroup(domain, region string) string {
-	if len(c.pools.peers.All) < membership.FullMeshLimit {
+	if len(c.owners.peers.All) < membership.FullMeshLimit {
 		return "region/" + region
 	}
 	return "domain/" + domain
@@ -164,7 +164,7 @@
 
 // peerByAddress returns the peer with the caller address, or nil.
 func (c *control) peerByAddress(address string) *membership.Peer {
-	for _, p := range c.pools.peers.All {
+	for _, p := range c.owners.peers.All {
 		if p.Address == address {
 			return p
 		}
--- a/daemon/shifts.go
+++ b/daemon/shifts.go
@@ -17,9 +17,9 @@
 		return
 	}
 	sum := newLoadSum(time.Now())
-	sum.add(c.pools.peers.Self.FailureDomain, c.pools.loads(), time.Now())
+	sum.add(c.owners.peers.Self.FailureDomain, c.owners.loads(), time.Now())
 	applied := shift.AppliedSteps(c.steps())
-	for _, p := range c.pools.peers.All {
+	for _, p := range c.owners.peers.All {
 		if p.State == nil || p.Health == membership.Silent {
 			continue
 		}
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -11,12 +11,6 @@
 	"samphireferry.example/ferry/steering"
 )
 
-// poolKey names the upstreams of one version of a service.
-type poolKey struct {
-	service string
-	version string
-}
-
 // view is what traffic goroutines know of the control state. It is immutable,
 // apart from the pools, which are safe for concurrent use.
 type view struct {
@@ -24,10 +18,9 @@
 	table *routing.Table
 	peers *membership.Peers
 	// pools hold the upstreams that this instance owns.
-	pools map[poolKey]*balancing.Pool
-	// grants and choosers have the keys of pools.
-	grants   map[poolKey]*balancing.Grants
-	choosers map[poolKey]*balancing.Chooser
+	pools *balancing.Pools
+	// choosers order the owners of each version of a service.
+	choosers map[balancing.VersionKey]*balancing.Chooser
 	// directory is nil until the instance has a configuration.
 	directory *steering.Directory
 	splits    *splitting.Snapshot
@@ -42,7 +35,7 @@
 
 func newViews() *views {
 	v := &views{}
-	v.current.Store(&view{})
+	v.current.Store(&view{peers: &membership.Peers{}, pools: balancing.NewPools(balancing.PoolOptions{})})
 	return v
 }
 
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -10,8 +11,13 @@
 	"samphireferry.example/ferry/telemetry"
 )
 
-// maxAttempts bounds the attempts of one request over all targets.
-const maxAttempts = 4
+const (
+	// maxAttempts bounds the attempts of one request that may have run.
+	maxAttempts = 3
+	// firstPause is the time after which all targets are tried again when each
+	// has refused the request. It doubles each time.
+	firstPause = 10 * time.Millisecond
+)
 
 // Target is one place to which a request can be sent: the upstreams of this
 // entry instance, or another entry instance.
@@ -21,15 +27,16 @@
 	Send(ctx context.Context, request *Request, version string) (*Answer, error)
 }
 
-// Choice is where one request goes.
+// Choice is where one request goes. It is made once for each request, since
+// it counts for the share of a version or of a move.
 type Choice struct {
-	// Version is the version of the service. Targets are tried in order.
+	// Version is the version of the service.
 	Version string
-	Targets []Target
 	// Fallback is the version to use when no target has taken Version; empty
 	// means none.
-	Fallback        string
-	FallbackTargets []Target
+	Fallback string
+	// Targets returns the places to try now, in order.
+	Targets func(version string) []Target
 }
 
 // Chooser decides where requests go. It is called once for each request.
@@ -66,13 +73,8 @@
 	if err != nil {
 		return nil, err
 	}
-	choice := d.chooser.Choose(request)
-	a := &attempts{dispatcher: d, request: request, body: body}
-	answer, err := a.tryAll(ctx, choice.Version, choice.Targets)
-	if err == nil || choice.Fallback == "" || !a.mayRetry(err) {
-		return answer, err
-	}
-	return a.tryAll(ctx, choice.Fallback, choice.FallbackTargets)
+	a := &attempts{dispatcher: d, request: request, body: body, choice: d.chooser.Choose(request)}
+	return a.run(ctx)
 }
 
 // attempts is the state of one request over its attempts.
@@ -80,15 +82,56 @@
 	dispatcher *Dispatcher
 	request    *Request
 	body       *attemptBody
-	made       int
+	choice     Choice
+	// made counts all attempts, risky those that may have run.
+	made  int
+	risky int
 }
 
-func (a *attempts) tryAll(ctx context.Context, version string, targets []Target) (*Answer, error) {
-	err := error(errkind.New(errkind.NoUpstream, ""))
-	for _, target := range targets {
-		if a.made >= maxAttempts {
+// run tries all targets until one answers, an error is final, or the request
+// has waited for as long as it may wait in a queue.
+func (a *attempts) run(ctx context.Context) (*Answer, error) {
+	waitUntil := time.Now().Add(a.request.Route.Service.QueueTimeout)
+	for pause := firstPause; ; pause *= 2 {
+		answer, err := a.tryVersions(ctx)
+		if err == nil || !hasNoRoom(err) || !a.body.canRepeat() {
+			return answer, err
+		}
+		if time.Now().Add(pause).After(waitUntil) || !wait(ctx, pause) {
 			return nil, err
 		}
+	}
+}
+
+// hasNoRoom says whether a target may take the request a little later.
+func hasNoRoom(err error) bool {
+	kind := errkind.Of(err)
+	return kind == errkind.Overloaded || kind == errkind.NoUpstream
+}
+
+// wait returns false when the context ends first.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (a *attempts) tryVersions(ctx context.Context) (*Answer, error) {
+	answer, err := a.tryAll(ctx, a.choice.Version)
+	if err == nil || a.choice.Fallback == "" || errkind.Of(err).Row().Outcome != errkind.NotRun || !a.body.canRepeat() {
+		return answer, err
+	}
+	return a.tryAll(ctx, a.choice.Fallback)
+}
+
+func (a *attempts) tryAll(ctx context.Context, version string) (*Answer, error) {
+	err := error(errkind.New(errkind.NoUpstream, ""))
+	for _, target := range a.choice.Targets(version) {
 		var answer *Answer
 		answer, err = a.try(ctx, version, target)
 		if err == nil {
@@ -141,7 +184,8 @@
 	if kind.Row().Outcome == errkind.NotRun {
 		return true
 	}
-	return a.dispatcher.budget.Spend(a.request.AtMostOnce(), err)
+	a.risky++
+	return a.risky < maxAttempts && a.dispatcher.budget.Spend(a.request.AtMostOnce(), err)
 }
 
 // isRetryable says whether another target could answer where this one failed.
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -52,6 +55,10 @@
 
 func (c fixedChooser) Choose(*Request) Choice { return c.choice }
 
+func always(targets ...Target) func(string) []Target {
+	return func(string) []Target { return targets }
+}
+
 type fixedBudget bool
 
 func (fixedBudget) Succeed() {}
@@ -59,6 +66,10 @@
 	return bool(b) && !atMostOnce
 }
 
+func testRoute(atMostOnce bool) *routing.Route {
+	return &routing.Route{AtMostOnce: atMostOnce, Service: &routing.Service{QueueTimeout: 200 * time.Millisecond}}
+}
+
 func TestRetriesFollowTheOutcome(t *testing.T) {
 	done := step{ok: true, body: "done", length: 4}
 	fails := func(kind errkind.Kind) step { return step{kind: kind} }
@@ -88,13 +99,13 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			target := &scriptedTarget{steps: c.steps}
-			chooser := fixedChooser{Choice{Version: "v1", Targets: []Target{target, target, target}}}
+			chooser := fixedChooser{Choice{Version: "v1", Targets: always(target, target, target)}}
 			d := NewDispatcher(chooser, fixedBudget(!c.noBudget), telemetry.New())
 			length := int64(len("vote"))
 			if c.length > 0 {
 				length = c.length
 			}
-			request := &Request{Route: &routing.Route{AtMostOnce: c.atMostOnce}, Method: "POST", Body: strings.NewReader("vote"), ContentLength: length}
+			request := &Request{Route: testRoute(c.atMostOnce), Method: "POST", Body: strings.NewReader("vote"), ContentLength: length}
 			answer, err := d.Dispatch(context.Background(), request)
 			assert.Equal(t, len(target.bodies), c.attempts)
 			if !c.ok {
@@ -113,16 +124,38 @@
 func TestFallbackVersionIsTriedAfterRefusals(t *testing.T) {
 	canary := &scriptedTarget{steps: []step{{kind: errkind.NoUpstream}}}
 	stable := &scriptedTarget{steps: []step{{ok: true, body: "done", length: 4}}}
-	chooser := fixedChooser{Choice{Version: "v2", Targets: []Target{canary}, Fallback: "v1", FallbackTargets: []Target{stable}}}
+	chooser := fixedChooser{Choice{Version: "v2", Fallback: "v1", Targets: func(version string) []Target {
+		if version == "v1" {
+			return []Target{stable}
+		}
+		return []Target{canary}
+	}}}
 	d := NewDispatcher(chooser, fixedBudget(true), telemetry.New())
-	_, err := d.Dispatch(context.Background(), &Request{Route: &routing.Route{AtMostOnce: true}})
+	_, err := d.Dispatch(context.Background(), &Request{Route: testRoute(true)})
 	assert.NilError(t, err)
 }
 
+func TestTargetsAreTriedAgainWithinTheQueueTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		full := step{kind: errkind.Overloaded}
+		target := &scriptedTarget{steps: []step{full, full, full, {ok: true, body: "done", length: 4}}}
+		d := NewDispatcher(fixedChooser{Choice{Targets: always(target)}}, fixedBudget(true), telemetry.New())
+		_, err := d.Dispatch(context.Background(), &Request{Route: testRoute(true)})
+		assert.NilError(t, err)
+
+		start := time.Now()
+		always := &scriptedTarget{steps: slices.Repeat([]step{full}, 100)}
+		d = NewDispatcher(fixedChooser{Choice{Targets: func(string) []Target { return []Target{always} }}}, fixedBudget(true), telemetry.New())
+		_, err = d.Dispatch(context.Background(), &Request{Route: testRoute(true)})
+		assert.Equal(t, errkind.Of(err), errkind.Overloaded)
+		assert.Assert(t, time.Since(start) <= 200*time.Millisecond)
+	})
+}
+
 func TestPassedDeadlineIsNotRun(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), -1)
 	defer cancel()
-	d := NewDispatcher(fixedChooser{Choice{Targets: []Target{&scriptedTarget{}}}}, fixedBudget(true), telemetry.New())
-	_, err := d.Dispatch(ctx, &Request{Route: &routing.Route{AtMostOnce: true}})
+	d := NewDispatcher(fixedChooser{Choice{Targets: always(&scriptedTarget{})}}, fixedBudget(true), telemetry.New())
+	_, err := d.Dispatch(ctx, &Request{Route: testRoute(true)})
 	assert.Equal(t, errkind.Of(err), errkind.DeadlineExceeded)
 }
--- a/systemtest/processes_test.go
+++ b/systemtest/processes_test.go
@@ -19,7 +19,7 @@
 type filings struct {
 	mu   sync.Mutex
 	last map[string]answer
-	// claimedNotRun holds keys of which every answer said not-run.
+	// notRun holds keys of which every answer said not-run.
 	notRun map[string]bool
 }
 
@@ -27,8 +27,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.last[key] = a
-	_, before := f.notRun[key]
-	f.notRun[key] = a.outcome == "not-run" && (!before || f.notRun[key])
+	before, known := f.notRun[key]
+	f.notRun[key] = a.outcome == "not-run" && (!known || before)
 }
 
 // fileDuring runs the harm while callers file through all entry instances.
@@ -157,12 +157,11 @@
 	for key, a := range f.last {
 		assert.Equal(t, a.outcome, "ran", "%s: %+v", key, a)
 	}
-	t.Run("process starts at the address of an earlier one", func(t *testing.T) {
-		assert.NilError(t, s.entries[0].cmd.Process.Kill())
-		<-s.entries[0].ended
-		s.entries[0].restart(t)
-		waitServing(t, s.entries[0].address)
-	})
+	// A process starts at the address of an earlier one, without the platform.
+	assert.NilError(t, s.entries[0].cmd.Process.Kill())
+	<-s.entries[0].ended
+	s.entries[0].restart(t)
+	waitServing(t, s.entries[0].address)
 	s.setFaults(t, standinplatform.Faults{})
 	for _, e := range s.entries {
 		waitServing(t, e.address)
