--- /dev/null
+++ b/upstream/random_test.go
@@ -0,0 +1,83 @@
+package upstream_test
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphireferry.example/ferry/errkind"
+	standin "samphireferry.example/ferry/standin/upstream"
+	"samphireferry.example/ferry/units"
+	"samphireferry.example/ferry/upstream"
+)
+
+var randomFaults = []standin.Fault{
+	{Kind: standin.FaultDropBefore, Every: 13},
+	{Kind: standin.FaultDropAfter, Every: 11},
+	{Kind: standin.FaultTruncate, Every: 17},
+	{Kind: standin.FaultCrossed, Every: 7},
+	{Kind: standin.FaultNoEcho, Every: 19},
+	{Kind: standin.FaultShed, Every: 5},
+	{Kind: standin.FaultSilent, Every: 53},
+	{Kind: standin.FaultSlow, Every: 29, Delay: units.Duration(400 * time.Millisecond)},
+}
+
+// TestRandomFaults sends many requests at once through every fault. Each
+// at-most-once request runs at most once, never when its error says not-run, and
+// each answer is whole and the caller's own.
+func TestRandomFaults(t *testing.T) {
+	s := standin.New(standin.Options{Name: "u1", Slots: 8})
+	server := httptest.NewServer(s)
+	defer server.Close()
+	client := upstream.New(upstream.Options{SilenceTimeout: 20 * time.Millisecond})
+	defer client.Close()
+	s.SetFaults(standin.Faults{Requests: randomFaults})
+
+	const senders, each = 8, 60
+	var mu sync.Mutex
+	notRun := map[string]bool{}
+	answered := 0
+	var running sync.WaitGroup
+	for sender := range senders {
+		random := rand.New(rand.NewPCG(5, uint64(sender)))
+		running.Go(func() {
+			for i := range each {
+				key := fmt.Sprintf("home.%d-%d", sender, i)
+				body := []string{"", "body"}[random.IntN(2)]
+				req := request(random.IntN(2) == 0, "/"+key, body)
+				req.RawQuery = fmt.Sprintf("bytes=%d", 1+random.IntN(100_000))
+				req.Header.Set("Idempotency-Key", key)
+				answer, err := client.Send(withTimeout(t, 200*time.Millisecond), target(server), echoing, req)
+				var got []byte
+				if err == nil {
+					got, err = io.ReadAll(answer.Body)
+					answer.Body.Close()
+				}
+				if err == nil && answer.Status == 200 {
+					want := standin.Body("/"+key, req.RawQuery, int(answer.ContentLength))
+					assert.Check(t, string(got) == string(want), "%s got another answer", key)
+				}
+				mu.Lock()
+				notRun[key] = err != nil && errkind.Of(err).Row().Outcome == errkind.NotRun
+				if err == nil {
+					answered++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	running.Wait()
+	server.Close()
+	ledger := s.Ledger().Snapshot()
+	assert.Assert(t, ledger.MaxExecutions() <= 1)
+	for key, claimed := range notRun {
+		assert.Assert(t, !claimed || ledger.Executions[key] == 0, "%s ran", key)
+	}
+	assert.Assert(t, answered > senders*each/3, "%d answered", answered)
+}
