--- a/balancing/health.go
+++ b/balancing/health.go
@@ -42,6 +42,7 @@
 
 	probeFailed bool
 	draining    bool
+	cold        bool
 	leaving     bool
 }
 
--- a/balancing/limit.go
+++ b/balancing/limit.go
@@ -186,8 +186,3 @@
 	l.lowered = now
 	l.limit = min(l.limit, max(floor, l.limit*factor))
 }
-
-// rampDone says whether no ramp is running.
-func (l *limiter) rampDone(now time.Time) bool {
-	return l.ramp == 0 || now.Sub(l.rampStart) >= l.ramp
-}
--- a/balancing/pool.go
+++ b/balancing/pool.go
@@ -157,10 +157,12 @@
 	wasDown := m.health.probeFailed && now.Sub(m.health.succeeded) > evidenceAge
 	m.health.probeFailed = !result.Healthy
 	m.health.draining = result.Draining
+	becameCold := result.Cold && !m.health.cold
+	m.health.cold = result.Cold
 	if result.Load >= 0 {
 		m.limiter.report(result.Load, m.inUse, result.At)
 	}
-	if result.Healthy && (result.Cold && m.limiter.rampDone(now) || wasDown) {
+	if result.Healthy && (becameCold || wasDown) {
 		m.limiter.startRamp(now, p.options.Ramp)
 	}
 	p.serveQueue(now)
--- a/balancing/pools_test.go
+++ b/balancing/pools_test.go
@@ -52,7 +52,11 @@
 		time.Sleep(defaultRamp - adoptionRamp)
 		assert.Equal(t, slots(), 18)
 
-		p.Observe(ProbeResult{Upstream: "b", Healthy: true, Cold: true, Load: -1, At: time.Now()})
+		cold := ProbeResult{Upstream: "b", Healthy: true, Cold: true, Load: -1, At: time.Now()}
+		p.Observe(cold)
 		assert.Equal(t, slots(), 10, "a restarted upstream")
+		time.Sleep(defaultRamp)
+		p.Observe(cold)
+		assert.Equal(t, slots(), 18, "an upstream that says it is cold for good")
 	})
 }
--- a/upstream/contract_test.go
+++ b/upstream/contract_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"samphireferry.example/ferry/balancing"
 	"samphireferry.example/ferry/errkind"
 	"samphireferry.example/ferry/routing"
 	standin "samphireferry.example/ferry/standin/upstream"
@@ -28,6 +29,8 @@
 	kind   errkind.Kind
 	wantOK bool
 	reason telemetry.RetryReason
+	// result is what the attempt shows about the upstream.
+	result balancing.Result
 	// orStatus is the status of an answer that may come in place of the error.
 	orStatus int
 	// runs is the number of executions.
@@ -36,18 +39,18 @@
 
 var contractCases = []contractCase{
 	{name: "none", fault: standin.Fault{}, wantOK: true, runs: 1},
-	{name: "error status", fault: standin.Fault{Kind: standin.FaultStatus, Status: 500}, wantOK: true, runs: 1},
+	{name: "error status", fault: standin.Fault{Kind: standin.FaultStatus, Status: 500}, wantOK: true, result: balancing.ResultError, runs: 1},
 	{name: "slow", fault: standin.Fault{Kind: standin.FaultSlow, Delay: units.Duration(20 * time.Millisecond)}, wantOK: true, runs: 1},
 	{name: "later than the deadline", fault: standin.Fault{Kind: standin.FaultSlow, Delay: units.Duration(time.Hour)}, kind: errkind.UpstreamTimeout, orStatus: http.StatusGatewayTimeout, runs: 1},
-	{name: "silent", fault: standin.Fault{Kind: standin.FaultSilent}, kind: errkind.UpstreamTimeout, runs: 0},
-	{name: "dropped before running", fault: standin.Fault{Kind: standin.FaultDropBefore}, kind: errkind.UpstreamFailed, reason: telemetry.RetryUpstreamFailed, runs: 0},
-	{name: "dropped after running", fault: standin.Fault{Kind: standin.FaultDropAfter}, kind: errkind.UpstreamFailed, reason: telemetry.RetryUpstreamFailed, runs: 1},
-	{name: "truncated", fault: standin.Fault{Kind: standin.FaultTruncate}, kind: errkind.AnswerTruncated, reason: telemetry.RetryAnswerTruncated, runs: 1},
-	{name: "without length", fault: standin.Fault{Kind: standin.FaultNoLength}, noEcho: true, kind: errkind.AnswerTruncated, reason: telemetry.RetryAnswerTruncated, runs: 1},
-	{name: "crossed", fault: standin.Fault{Kind: standin.FaultCrossed}, kind: errkind.AnswerMismatched, reason: telemetry.RetryAnswerMismatched, runs: 1},
-	{name: "without echo", fault: standin.Fault{Kind: standin.FaultNoEcho}, kind: errkind.AnswerMismatched, reason: telemetry.RetryAnswerMismatched, runs: 1},
+	{name: "silent", fault: standin.Fault{Kind: standin.FaultSilent}, kind: errkind.UpstreamTimeout, result: balancing.ResultFailed, runs: 0},
+	{name: "dropped before running", fault: standin.Fault{Kind: standin.FaultDropBefore}, kind: errkind.UpstreamFailed, reason: telemetry.RetryUpstreamFailed, result: balancing.ResultFailed, runs: 0},
+	{name: "dropped after running", fault: standin.Fault{Kind: standin.FaultDropAfter}, kind: errkind.UpstreamFailed, reason: telemetry.RetryUpstreamFailed, result: balancing.ResultFailed, runs: 1},
+	{name: "truncated", fault: standin.Fault{Kind: standin.FaultTruncate}, kind: errkind.AnswerTruncated, reason: telemetry.RetryAnswerTruncated, result: balancing.ResultFailed, runs: 1},
+	{name: "without length", fault: standin.Fault{Kind: standin.FaultNoLength}, noEcho: true, kind: errkind.AnswerTruncated, reason: telemetry.RetryAnswerTruncated, result: balancing.ResultFailed, runs: 1},
+	{name: "crossed", fault: standin.Fault{Kind: standin.FaultCrossed}, kind: errkind.AnswerMismatched, reason: telemetry.RetryAnswerMismatched, result: balancing.ResultFailed, runs: 1},
+	{name: "without echo", fault: standin.Fault{Kind: standin.FaultNoEcho}, kind: errkind.AnswerMismatched, reason: telemetry.RetryAnswerMismatched, result: balancing.ResultFailed, runs: 1},
 	{name: "without echo but not promised", fault: standin.Fault{Kind: standin.FaultNoEcho}, noEcho: true, wantOK: true, runs: 1},
-	{name: "shed", fault: standin.Fault{Kind: standin.FaultShed}, kind: errkind.Overloaded, reason: telemetry.RetryUpstreamShed, runs: 0},
+	{name: "shed", fault: standin.Fault{Kind: standin.FaultShed}, kind: errkind.Overloaded, reason: telemetry.RetryUpstreamShed, result: balancing.ResultShed, runs: 0},
 }
 
 // TestFaultsOfAnUpstream runs every fault with an idempotent and an at-most-once
@@ -88,6 +91,9 @@
 	status, body, err := sendAndRead(t, client, server, service, atMostOnce, "/second", query)
 	after := s.Ledger().Snapshot()
 
+	if c.orStatus == 0 {
+		assert.Equal(t, upstream.ResultOf(status, err), c.result)
+	}
 	if c.orStatus != 0 && err == nil {
 		assert.Equal(t, status, c.orStatus)
 	} else if c.wantOK {
