Ask for the last part of a token; wait up to 300 ms

Cause: a waiting request that had got 0.8 to 1 token in parts was never asked for again, timed out, and its parts were dropped. Seen in a trace of a customer with rate 5/s: 51 tokens dropped at 79 refusals in 250 s.

Change: at least 0.2 tokens are asked for a waiting request. The longest wait is 300 ms in place of 150 ms.

--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -21,7 +21,7 @@
 	// DefaultLoanTimeout is the longest wait for the answer to a loan request.
 	DefaultLoanTimeout = 200 * time.Millisecond
 	// DefaultMaxWait is the longest wait of a request for a token.
-	DefaultMaxWait = 150 * time.Millisecond
+	DefaultMaxWait = 300 * time.Millisecond
 	// DefaultMinTimeLeft is what a request must have left to be made to wait.
 	DefaultMinTimeLeft = 400 * time.Millisecond
 	// DefaultMaxWaiting is the number of waiting requests of one customer.
--- a/admission/loans.go
+++ b/admission/loans.go
@@ -100,8 +100,8 @@
 	if n.reserve < smallestAsked {
 		n.reserve = 0
 	}
-	if n.spend < smallestAsked {
-		n.spend = 0
+	if n.spend > rounding {
+		n.spend = max(n.spend, smallestAsked)
 	}
 	return n
 }
@@ -119,7 +119,7 @@
 // the nearest peer that can probably lend all of it, or else the one that can
 // lend most, and so on for the rest.
 func (l *Limiter) spread(now time.Time, n need, peers []*peerState, requests map[*peerState]*LoanRequest) {
-	for n.reserve > 0 || n.spend > 0 {
+	for n.reserve > rounding || n.spend > rounding {
 		p, expected := best(now, n, peers, requests)
 		if p == nil {
 			return
@@ -132,6 +132,9 @@
 		requests[p].Items = append(requests[p].Items, item)
 		n.spend = positive(n.spend - item.Spend)
 		n.reserve = positive(n.reserve - item.Reserve)
+		if n.reserve < smallestAsked {
+			n.reserve = 0
+		}
 	}
 }
 
