--- a/admission/bucket.go
+++ b/admission/bucket.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"samphireferry.example/ferry/invariant"
@@ -21,6 +22,8 @@
 // a routing table.
 type Bucket struct {
 	customer string
+	// active is set while requests come; other buckets need no loans.
+	active atomic.Bool
 
 	mu    sync.Mutex
 	share sharetable.Share
@@ -125,6 +128,24 @@
 	b.totals.Dropped += granted - fits
 }
 
+// arrived counts one request.
+func (b *Bucket) arrived() {
+	b.demand.arrivals++
+	if !b.active.Load() {
+		b.active.Store(true)
+	}
+}
+
+// rest marks the bucket as idle when there is hardly any demand.
+func (b *Bucket) rest(horizon time.Duration) {
+	if len(b.waiting) == 0 && b.demand.within(horizon) < idleDemand {
+		b.active.Store(false)
+	}
+}
+
+// idleDemand is the demand, in tokens within the horizon, of an idle bucket.
+const idleDemand = 0.01
+
 // within says whether the bucket keeps its invariant.
 func (b *Bucket) within() bool {
 	return b.level >= -rounding && b.reserved >= -rounding &&
--- a/admission/capacity_test.go
+++ b/admission/capacity_test.go
@@ -32,6 +32,7 @@
 	for i, b := range list {
 		b.level = 1e3 * float64(i%2)
 		b.demand.perSecond = 1e4 * float64(1-i%2)
+		b.active.Store(true)
 	}
 	return l, list
 }
--- a/admission/exchange.go
+++ b/admission/exchange.go
@@ -9,6 +9,9 @@
 // DefaultPlanInterval is the time between two plans of loans.
 const DefaultPlanInterval = 20 * time.Millisecond
 
+// shortestPlanInterval is the least time between two plans.
+const shortestPlanInterval = 2 * time.Millisecond
+
 // Sender carries loan requests to other entry instances.
 type Sender interface {
 	// Lend sends the request to its peer and returns the answer. It must not
@@ -35,13 +38,16 @@
 	ticker := time.NewTicker(e.interval)
 	defer ticker.Stop()
 	defer e.running.Wait()
+	var planned time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		case <-e.limiter.Wanted():
+			time.Sleep(shortestPlanInterval - time.Since(planned))
 		}
+		planned = time.Now()
 		for _, request := range e.limiter.PlanLoans(time.Now()) {
 			e.running.Go(func() { e.send(ctx, request) })
 		}
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -151,7 +151,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.demand.arrivals++
+	b.arrived()
 	decision := l.admitLocked(now, b)
 	if !decision.Admitted {
 		b.totals.Refused++
--- a/admission/limiter_test.go
+++ b/admission/limiter_test.go
@@ -119,6 +119,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			l := newLimiter(t, now, shareOf(0, 4), 0)
 			l.Bucket("c").demand.perSecond = 1000
+			l.Bucket("c").active.Store(true)
 			loans := l.PlanLoans(now)
 			assert.Equal(t, loans[0].Peer, "near")
 			assert.Equal(t, loans[0].Items[0].Reserve, 4.0)
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -26,7 +26,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.demand.arrivals++
+	b.arrived()
 	decision := l.admitLocked(now, b)
 	if decision.Admitted {
 		return nil, decision
