Paused owners refuse relays; keys are handed over while requests go on

Cause: an owner that was frozen would run relayed requests that waited in its sockets, after their senders had given up; claims were handed over only at the end of a stop; every instance read the instance list every 2 s. The pulse is proved in a unit test only.

--- a/caller/server.go
+++ b/caller/server.go
@@ -120,6 +120,12 @@
 	return errors.Wrap(err, "requests were cut at the end of the shutdown timeout")
 }
 
+// Close closes the listener and all connections at once.
+func (s *Server) Close() {
+	_ = s.http.Close()
+	<-s.done
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if s.leaving.Load() {
--- a/config/static/settings_test.go
+++ b/config/static/settings_test.go
@@ -42,6 +42,7 @@
 		"no platform":        {valid("-platform", ""), "platform: missing, and no seeds are given"},
 		"bad platform":       {valid("-platform", "ftp://x"), `platform: "ftp://x" is not an http or https URL`},
 		"bad seed":           {valid("-seeds", "x"), `seeds: "x" is not an IP address and port such as "10.0.0.1:8080"`},
+		"name":               {valid("-name", "a b"), `name: "a b" is not 1 to 64 letters, digits, colons, dots, hyphens or underscores`},
 		"half of TLS":        {valid("-tls-cert", "x"), "tls-cert, tls-key and tls-ca: give all three or none"},
 		"plain text":         {valid("-rpc-listen", "10.0.0.1:8081"), "rpc-listen: other than loopback needs tls-cert, tls-key and tls-ca, or allow-plaintext"},
 		"level":              {valid("-log-level", "loud"), `log-level: unrecognized level: "loud"`},
--- a/config/static/validate.go
+++ b/config/static/validate.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"net/netip"
 	"net/url"
+	"regexp"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,7 +15,7 @@
 func (s *Settings) fillDefaults() {
 	s.Advertise = cmp.Or(s.Advertise, s.Listen)
 	s.RPCAdvertise = cmp.Or(s.RPCAdvertise, s.RPCListen)
-	s.Name = cmp.Or(s.Name, s.Advertise)
+	s.Name = cmp.Or(s.Name, strings.NewReplacer("[", "", "]", "").Replace(s.Advertise))
 }
 
 // Validate returns one error for all settings that are missing, out of range
@@ -28,7 +30,13 @@
 	)
 }
 
+// nameFormat is what idempotency keys can hold.
+var nameFormat = regexp.MustCompile(`^[A-Za-z0-9:._-]{1,64}$`)
+
 func (s *Settings) checkIdentity() error {
+	if s.Advertise != "" && !nameFormat.MatchString(s.Name) {
+		return errors.Newf("name: %q is not 1 to 64 letters, digits, colons, dots, hyphens or underscores", s.Name)
+	}
 	if s.Region == "" {
 		return errors.New("region: missing")
 	}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -1,8 +1,11 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -45,8 +48,10 @@
 	divided time.Time
 	dist    *distribution.State
 	watcher *distribution.Watcher
-	table   *routing.Table
-	blocks  *steering.Blocks
+	// watching says whether this instance watches the store.
+	watching atomic.Bool
+	table    *routing.Table
+	blocks   *steering.Blocks
 	// directory was made at directoryAt, for the division directoryOf.
 	directory   *steering.Directory
 	directoryAt time.Time
@@ -140,6 +145,7 @@
 
 // tick does what time alone makes due.
 func (c *control) tick(now time.Time) {
+	c.parts.pulse.tick(now)
 	paused := c.member.Tick(now)
 	if c.parts.limiter.Tick(now) || paused {
 		c.parts.log.Warn("control goroutine was paused; rate shares must be confirmed again")
@@ -159,7 +165,9 @@
 		c.divided = now
 		c.owners.pools.Divide()
 	}
-	c.parts.state.Store(c.state(now))
+	state := c.state(now)
+	c.registry.SetSelf(state)
+	c.parts.state.Store(state)
 }
 
 // noteDeparture reports when the share table no longer lists this instance,
@@ -298,7 +306,10 @@
 	return names
 }
 
-// lenders returns the peers that can be asked for loans, with their distance.
+// maxLenders bounds the peers that are asked for loans.
+const maxLenders = 64
+
+// lenders returns the nearest peers that can be asked for loans.
 func lenders(peers *membership.Peers) []admission.Peer {
 	var all []admission.Peer
 	for _, p := range peers.All {
@@ -307,5 +318,6 @@
 		}
 		all = append(all, admission.Peer{Name: p.Address, Distance: distanceTo(peers, p)})
 	}
-	return all
+	slices.SortStableFunc(all, func(a, b admission.Peer) int { return cmp.Compare(a.Distance, b.Distance) })
+	return all[:min(len(all), maxLenders)]
 }
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -159,6 +159,23 @@
 // Invariants returns the checker of the instance.
 func (i *Instance) Invariants() *invariant.Checker { return i.parts.invariants }
 
+// Close ends the instance at once. Running requests are cut.
+func (i *Instance) Close() {
+	i.callers.Close()
+	i.peers.Close()
+	_ = i.operator.Close()
+	i.end()
+}
+
+// end stops the control goroutine and closes all connections.
+func (i *Instance) end() {
+	i.stop()
+	i.stopWatcher()
+	i.running.Wait()
+	i.parts.peers.Close()
+	i.parts.upstreams.Close()
+}
+
 // cleanupTimeout bounds what follows after the requests have ended.
 const cleanupTimeout = 10 * time.Second
 
@@ -167,25 +184,37 @@
 // requests were cut because the context ended.
 func (i *Instance) Cleanup(ctx context.Context) error {
 	i.loop.post(leave{})
+	handedOver := make(chan struct{})
+	go func() {
+		defer close(handedOver)
+		i.handOverKeys(ctx)
+	}()
 	err := i.callers.Cleanup(ctx)
+	<-handedOver
 	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), cleanupTimeout)
 	defer cancel()
 	i.claims.wait()
 	i.waitForDeparture(stopping)
-	if keysErr := i.keys.Leave(stopping); keysErr != nil {
-		i.log.Warn("idempotency keys were not handed over", errorField(keysErr))
-	}
 	i.peers.Shutdown(stopping)
 	_ = i.operator.Shutdown(stopping)
-	i.stop()
-	i.stopWatcher()
-	i.running.Wait()
-	i.parts.peers.Close()
-	i.parts.upstreams.Close()
+	i.end()
 	i.log.Info("entry instance stopped")
 	return err
 }
 
+// handOverTimeout bounds the hand-over of the claims of idempotency keys.
+const handOverTimeout = 10 * time.Second
+
+// handOverKeys passes the claims of this home to a peer while requests go on.
+func (i *Instance) handOverKeys(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	err := i.keys.Leave(ctx)
+	if err != nil {
+		i.log.Warn("idempotency keys were not handed over", errorField(err))
+	}
+}
+
 // shareTimeout bounds the wait until the rate shares are given back. Without
 // the store they cannot be.
 const shareTimeout = 4 * time.Second
--- a/daemon/local.go
+++ b/daemon/local.go
@@ -61,18 +61,14 @@
 
 func (u *use) failed(err error) {
 	u.once.Do(func() {
-		u.lease.Release(resultOf(err))
+		u.lease.Release(upstream.ResultOf(0, err))
 		u.attempt.End(time.Now(), rollouts.Classify(0, err))
 	})
 }
 
 func (u *use) answered() {
 	u.once.Do(func() {
-		result := balancing.ResultOK
-		if u.status >= 500 {
-			result = balancing.ResultError
-		}
-		u.lease.Release(result)
+		u.lease.Release(upstream.ResultOf(u.status, nil))
 		u.attempt.End(time.Now(), rollouts.Classify(u.status, nil))
 	})
 }
@@ -85,22 +81,6 @@
 	})
 }
 
-// resultOf returns what the error of an attempt shows about the upstream.
-func resultOf(err error) balancing.Result {
-	kind := errkind.Of(err)
-	switch kind {
-	case errkind.NoUpstream:
-		return balancing.ResultUnreachable
-	case errkind.Overloaded:
-		return balancing.ResultShed
-	case errkind.CallerGone, errkind.DeadlineExceeded, errkind.BodyCut, errkind.SlowSender,
-		errkind.BodyTooLargeSent, errkind.Leaving:
-		return balancing.ResultCanceled
-	default:
-		return balancing.ResultFailed
-	}
-}
-
 // leasedBody ends the use of a slot when the answer has been read or closed.
 type leasedBody struct {
 	body io.ReadCloser
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"time"
 
 	"samphireferry.example/ferry/balancing"
 	"samphireferry.example/ferry/dispatch"
@@ -16,10 +17,14 @@
 type ownerTarget struct {
 	views *views
 	local *localTarget
+	pulse *pulse
 }
 
 // Send implements relay.Handler.
 func (t *ownerTarget) Send(ctx context.Context, request *dispatch.Request, version string) (*dispatch.Answer, error) {
+	if !t.pulse.steady(time.Now()) {
+		return nil, errkind.New(errkind.Overloaded, "the owner of the upstreams was paused")
+	}
 	v := t.views.load()
 	owned := v.pools.Get(balancing.VersionKey{Service: request.Route.Service.Name, Version: version})
 	if owned == nil {
--- a/daemon/ownership.go
+++ b/daemon/ownership.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/samber/lo"
-
 	"samphireferry.example/ferry/balancing"
 	"samphireferry.example/ferry/membership"
 	"samphireferry.example/ferry/routing"
@@ -71,7 +69,7 @@
 	o.links.update(o.table, o.peers, time.Now())
 	o.setChoosers()
 	o.parts.upstreams.Retain(o.owned)
-	o.parts.prober.Update(o.probeTargets())
+	o.parts.prober.Update(upstream.ProbeTargets(o.table, o.owned))
 }
 
 // setChoosers makes a chooser for each version of each service.
@@ -120,20 +118,6 @@
 	}
 }
 
-// probeTargets lists the upstreams to probe.
-func (o *ownership) probeTargets() []upstream.ProbeTarget {
-	return lo.Map(o.owned, func(u *routing.Upstream, _ int) upstream.ProbeTarget {
-		service := o.table.Service(u.Service)
-		return upstream.ProbeTarget{
-			Upstream:   u.Name,
-			Address:    u.Address,
-			HealthPath: service.HealthPath,
-			LoadPath:   service.LoadPath,
-			Interval:   service.HealthInterval,
-		}
-	})
-}
-
 // loads describes the pools in a heartbeat, without grants.
 func (o *ownership) loads() []*entrypb.ServiceLoad {
 	var loads []*entrypb.ServiceLoad
--- a/daemon/records.go
+++ b/daemon/records.go
@@ -16,8 +16,14 @@
 	"samphireferry.example/ferry/rpc/entrypb"
 )
 
-// listInterval is the time between two reads of the instance list.
-const listInterval = 2 * time.Second
+const (
+	// listInterval is the time between two reads of the instance list by an
+	// instance that watches the store.
+	listInterval = 2 * time.Second
+	// idleListInterval is the same for the others, which hear of changes by
+	// heartbeats.
+	idleListInterval = 30 * time.Second
+)
 
 // pullTimeout bounds the call to a peer for newer records.
 const pullTimeout = 2 * time.Second
@@ -25,7 +31,9 @@
 // followRecords watches the store, if it is this instance's turn, and pulls
 // from peers that have newer records.
 func (c *control) followRecords(now time.Time) {
-	c.watcher.SetActive(c.dist.ShouldWatch(c.liveInDomain(), now))
+	watches := c.dist.ShouldWatch(c.liveInDomain(), now)
+	c.watcher.SetActive(watches)
+	c.watching.Store(watches)
 	pull, ok := c.dist.PlanPull(now)
 	if !ok {
 		return
@@ -125,21 +133,25 @@
 
 // readList reads the platform's list of instances until the context ends.
 func (c *control) readList(ctx context.Context) {
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	var last time.Time
 	for ctx.Err() == nil {
-		list, err := c.parts.lister.Instances(ctx)
-		if err == nil {
-			c.loop.post(listRead{list: list})
+		if c.watching.Load() || time.Since(last) >= idleListInterval {
+			last = time.Now()
+			c.readListOnce(ctx)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
 		}
-		pause(ctx, listInterval)
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+func (c *control) readListOnce(ctx context.Context) {
+	list, err := c.parts.lister.Instances(ctx)
+	if err == nil {
+		c.loop.post(listRead{list: list})
 	}
 }
 
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/samber/do/v2"
 	"go.uber.org/zap"
 
@@ -67,7 +66,7 @@
 	settings := do.MustInvoke[*static.Settings](i)
 	return &entrypb.Identity{
 		Name:          settings.Name,
-		Incarnation:   uuid.NewString(),
+		Incarnation:   membership.NewIncarnation(settings.Name, rand.Uint64()),
 		Address:       settings.Advertise,
 		RpcAddress:    settings.RPCAdvertise,
 		FailureDomain: settings.FailureDomain,
@@ -164,6 +163,7 @@
 		upstreams:  do.MustInvoke[*upstream.Client](i),
 		limiter:    do.MustInvoke[*admission.Limiter](i),
 		prober:     do.MustInvoke[*upstream.Prober](i),
+		pulse:      newPulse(time.Now()),
 		dist:       do.MustInvoke[*distribution.State](i),
 		departed:   make(chan struct{}),
 	}, nil
@@ -222,7 +222,7 @@
 	if err != nil {
 		return nil, err
 	}
-	owned := &ownerTarget{views: p.views, local: do.MustInvoke[*localTarget](i)}
+	owned := &ownerTarget{views: p.views, local: do.MustInvoke[*localTarget](i), pulse: p.pulse}
 	handler := &entryServer{
 		parts: p,
 		loop:  do.MustInvoke[*loop](i),
--- a/demo/system.go
+++ b/demo/system.go
@@ -9,7 +9,6 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"samphireferry.example/ferry/config/dynamic"
 	"samphireferry.example/ferry/config/static"
@@ -226,18 +225,12 @@
 	return err
 }
 
-// stopTimeout bounds the end of all entry instances.
-const stopTimeout = 20 * time.Second
-
-// Stop ends the entry instances gracefully and then the stand-ins.
+// Stop ends all entry instances and stand-ins at once.
 func (s *System) Stop() error {
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	var stopping errgroup.Group
 	for _, entry := range s.Entries {
-		stopping.Go(func() error { return entry.Cleanup(ctx) })
+		entry.Close()
 	}
-	all := stopping.Wait()
+	var all error
 	for _, server := range s.servers {
 		all = errors.Join(all, server.Close())
 	}
