--- a/admission/need.go
+++ b/admission/need.go
@@ -36,32 +36,44 @@
 	b.refill(now)
 	b.demand.update(now)
 	b.serveOwn()
-	horizon := l.settings.Horizon
 	b.serveSpend(0)
-	b.rest(horizon)
-	waiting := float64(len(b.waiting)) - b.spendAsked - b.change
-	ahead := max(waiting, b.wanted(horizon)) - b.level - b.reserved
-	room := float64(b.share.Burst) - b.level - b.reserved - b.share.Rate*loanTrip.Seconds()
-	owners := float64(len(l.peers) + 1)
+	b.rest(l.settings.Horizon)
+	n := b.equalPart(len(l.peers) + 1)
+	n.reserve, n.spend = b.lacking(l.settings.Horizon)
+	return n
+}
+
+// equalPart returns a need of nothing, with the equal part of each instance.
+func (b *Bucket) equalPart(instances int) need {
+	customer := b.share.Customer
+	owners := float64(instances)
 	if b.share.Holders != nil {
 		owners = float64(len(b.share.Holders))
 	}
-	n := need{
+	return need{
 		bucket:     b,
 		holders:    b.share.Holders,
-		reserve:    positive(min(ahead, room)),
-		equalBurst: max(1, float64(b.share.Customer.Burst)/owners),
-		equalRate:  b.share.Customer.Rate / owners,
-		over:       b.demand.perSecond > b.share.Customer.Rate,
+		equalBurst: max(1, float64(customer.Burst)/owners),
+		equalRate:  customer.Rate / owners,
+		over:       b.demand.perSecond > customer.Rate,
 	}
-	n.spend = positive(waiting - b.level - b.reserved - n.reserve)
-	if n.reserve < smallestAsked {
-		n.reserve = 0
+}
+
+// lacking returns the tokens that the bucket lacks and has room for, and those
+// that waiting requests lack besides.
+func (b *Bucket) lacking(horizon time.Duration) (reserve, spend float64) {
+	have := b.level + b.reserved
+	waiting := float64(len(b.waiting)) - b.spendAsked - b.change
+	room := float64(b.share.Burst) - have - b.share.Rate*loanTrip.Seconds()
+	reserve = positive(min(max(waiting, b.wanted(horizon))-have, room))
+	spend = positive(waiting - have - reserve)
+	if reserve < smallestAsked && waiting <= 0 {
+		reserve = 0
 	}
-	if n.spend > rounding {
-		n.spend = max(n.spend, smallestAsked)
+	if spend > rounding {
+		spend = max(spend, smallestAsked)
 	}
-	return n
+	return reserve, spend
 }
 
 // wanted returns the tokens that the bucket should have for the demand of the
