--- /dev/null
+++ b/daemon/rpc.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"samphireferry.example/ferry/admission"
+	"samphireferry.example/ferry/relay"
+	"samphireferry.example/ferry/requestkeys"
+	"samphireferry.example/ferry/rpc/entrypb"
+)
+
+// entryServer serves the other entry instances.
+type entryServer struct {
+	entrypb.UnimplementedEntryServer
+	parts *parts
+	loop  *loop
+	relay *relay.Server
+	keys  *requestkeys.Service
+}
+
+// Heartbeat implements entrypb.EntryServer.
+func (s *entryServer) Heartbeat(_ context.Context, state *entrypb.State) (*entrypb.State, error) {
+	own := s.parts.state.Load()
+	if own == nil {
+		return nil, status.Error(codes.Unavailable, "the instance is starting")
+	}
+	s.loop.post(heartbeatReceived{state})
+	return withGrants(own, s.parts.views.load().pools, state.GetIdentity().GetName()), nil
+}
+
+// GetConfig implements entrypb.EntryServer.
+func (s *entryServer) GetConfig(_ context.Context, request *entrypb.GetConfigRequest) (*entrypb.GetConfigResponse, error) {
+	return s.parts.dist.Snapshot().Respond(request, time.Now()), nil
+}
+
+// Lend implements entrypb.EntryServer.
+func (s *entryServer) Lend(_ context.Context, request *entrypb.LendRequest) (*entrypb.LendResponse, error) {
+	grants := s.parts.limiter.Lend(time.Now(), itemsOf(request))
+	return lendResponse(grants), nil
+}
+
+func lendResponse(grants []admission.Grant) *entrypb.LendResponse {
+	response := &entrypb.LendResponse{}
+	for _, g := range grants {
+		response.Grants = append(response.Grants, &entrypb.TokenGrant{
+			Customer:  g.Customer,
+			Reserve:   g.Reserve,
+			Spend:     g.Spend,
+			Remaining: g.Remaining,
+		})
+	}
+	return response
+}
+
+// Relay implements entrypb.EntryServer.
+func (s *entryServer) Relay(stream entrypb.Entry_RelayServer) error { return s.relay.Serve(stream) }
+
+// Claim implements entrypb.EntryServer.
+func (s *entryServer) Claim(ctx context.Context, request *entrypb.ClaimRequest) (*entrypb.ClaimResponse, error) {
+	return s.keys.Claim(ctx, request)
+}
+
+// Complete implements entrypb.EntryServer.
+func (s *entryServer) Complete(ctx context.Context, request *entrypb.CompleteRequest) (*entrypb.CompleteResponse, error) {
+	return s.keys.Complete(ctx, request)
+}
+
+// HandOver implements entrypb.EntryServer.
+func (s *entryServer) HandOver(ctx context.Context, request *entrypb.HandOverRequest) (*entrypb.HandOverResponse, error) {
+	return s.keys.HandOver(ctx, request)
+}
