Compare the wall clock too when a member ticks

Cause: the monotonic clock may stand still while a machine is suspended, so that a pause would go unnoticed.

Change: the gap between two ticks is the larger of the two clocks'. A step of the wall clock over the bound costs a confirmation.

Conclusion: not tested on a suspended machine.

--- a/admission/doc.go
+++ b/admission/doc.go
@@ -33,5 +33,7 @@
 //
 // A process that is suspended between the check of a request and the removal
 // of its token takes that token when it resumes: one request for each
-// goroutine that was inside Admit.
+// goroutine that was inside Admit. A machine that was suspended without its
+// monotonic clock moving on admits until the control goroutine's next tick
+// compares the wall clock.
 package admission
--- a/sharetable/member.go
+++ b/sharetable/member.go
@@ -69,7 +69,7 @@
 // member is unconfirmed, since its shares may have been given away; Tick then
 // returns true.
 func (m *Member) Tick(now time.Time) bool {
-	gap := now.Sub(m.lastTick)
+	gap := elapsed(m.lastTick, now)
 	m.lastTick = now
 	if gap <= m.settings.MaxPause {
 		return false
@@ -81,6 +81,13 @@
 	return true
 }
 
+// elapsed returns the time between two instants by the monotonic or the wall
+// clock, whichever went further: the monotonic clock may stand still while the
+// machine is suspended.
+func elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
+
 // Adopt takes a table from any source if it is newer than the member's. It
 // returns whether it did; the caller then puts Limit in force and calls Applied.
 func (m *Member) Adopt(t *Table) bool {
