Judgement of shared strata: the weakest of three alignments counts

Cause: samples of different instances are taken at different moments. Change: the new version's requests of a slice are compared with the old version's of the slices before and after it too, and the weakest evidence counts; slices of several instances last 1 s at least. A slice may count 200 times, not 50.

--- a/rollouts/comparison.go
+++ b/rollouts/comparison.go
@@ -48,8 +48,8 @@
 		generation: generation,
 		recorder:   recorder,
 		local:      NewJudge(deadline, len(routes), judges, 1),
-		domains:    NewJudge(deadline, len(routes), judges, instances),
-		fleet:      NewJudge(deadline, len(routes), judges, 1),
+		domains:    newSharedJudge(deadline, len(routes), judges, instances),
+		fleet:      newSharedJudge(deadline, len(routes), judges, 1),
 		peers:      map[peerRoute]Sample{},
 	}
 }
--- a/rollouts/detector.go
+++ b/rollouts/detector.go
@@ -4,7 +4,7 @@
 
 // maxSliceRatio bounds the ratio of one slice, so that a single burst of
 // failures is not enough for a verdict.
-const maxSliceRatio = 50
+const maxSliceRatio = 200
 
 // The weights of the evidence from each moment on; they sum to 1.
 const (
@@ -41,14 +41,17 @@
 // stepped gives more weight to the evidence from the next slice on.
 func (d *detector) stepped() { d.nextWeight = max(d.nextWeight, stepWeight) }
 
-// add takes in one slice.
-func (d *detector) add(t table2x2) {
+// add takes in one slice, with the tables that it may have; the weakest
+// evidence of them counts.
+func (d *detector) add(tables ...table2x2) {
 	weight := min(d.nextWeight, d.weightLeft)
 	d.weightLeft -= weight
 	d.nextWeight = d.laterOne
-	t = t.scaled()
 	for i, theta := range oddsTested {
-		ratio := min(math.Exp(t.logLikelihoodRatio(theta)), maxSliceRatio)
+		ratio := float64(maxSliceRatio)
+		for _, t := range tables {
+			ratio = min(ratio, math.Exp(t.scaled().logLikelihoodRatio(theta)))
+		}
 		d.evidence[i] = (d.evidence[i] + weight) * ratio
 	}
 }
--- a/rollouts/example_test.go
+++ b/rollouts/example_test.go
@@ -24,5 +24,5 @@
 		sample.New.Failures++
 	}
 	// Output:
-	// failures on route dossiers: new version failed 5 of 5, old version 0 of 95
+	// failures on route dossiers: new version failed 3 of 3, old version 0 of 57
 }
--- a/rollouts/judge.go
+++ b/rollouts/judge.go
@@ -54,6 +54,7 @@
 // Judge compares the versions of one generation of a roll-out. It is pure and
 // is used by one goroutine.
 type Judge struct {
+	shared    bool
 	threshold float64
 	slices    int
 	routes    map[string]*routeTest
@@ -62,6 +63,7 @@
 
 // routeTest is the evidence on one route.
 type routeTest struct {
+	shared   bool
 	strata   map[string]*stratum
 	old      Counts
 	new      Counts
@@ -71,6 +73,13 @@
 	step     uint64
 }
 
+// newSharedJudge returns a judge whose strata are of several instances.
+func newSharedJudge(deadline time.Duration, routes, judges, strata int) *Judge {
+	j := NewJudge(deadline, routes, judges, strata)
+	j.shared = true
+	return j
+}
+
 // NewJudge returns a judge for a roll-out with the deadline. The whole fleet
 // has the given number of judges and routes; this one gets samples of the given
 // number of strata.
@@ -107,12 +116,14 @@
 	test.stepped(sample.Step)
 	s := test.stratum(sample.Stratum)
 	s.take(now, sample)
-	before, after, ok := s.end(now)
-	if !ok {
-		test.extendBaseline(before)
+	ended, over := s.end(now)
+	if !over {
 		return nil
 	}
-	test.add(before, after)
+	if trial := s.trial(ended); trial.usable() {
+		test.add(trial)
+	}
+	test.extendBaseline(ended.old)
 	j.finding = j.find(sample.Route, test)
 	return j.finding
 }
@@ -143,6 +154,7 @@
 	test := j.routes[name]
 	if test == nil {
 		test = &routeTest{
+			shared:   j.shared,
 			strata:   map[string]*stratum{},
 			failures: newDetector(j.slices),
 			latency:  newDetector(j.slices),
@@ -166,7 +178,7 @@
 func (t *routeTest) stratum(name string) *stratum {
 	s := t.strata[name]
 	if s == nil {
-		s = &stratum{members: map[string]*member{}}
+		s = &stratum{shared: t.shared, members: map[string]*member{}}
 		t.strata[name] = s
 	}
 	return s
@@ -182,25 +194,30 @@
 	t.latency.stepped()
 }
 
-// add tests one slice.
-func (t *routeTest) add(before, after Counts) {
-	t.old = t.old.Plus(before)
-	t.new = t.new.Plus(after)
-	t.failures.add(table2x2{
-		newRequests: after.Requests,
-		oldRequests: before.Requests,
-		newEvents:   after.Failures,
-		oldEvents:   before.Failures,
-	})
-	if bucket, ok := t.slowBucket(); ok {
-		t.latency.add(table2x2{
-			newRequests: after.answered(),
-			oldRequests: before.answered(),
-			newEvents:   after.slower(bucket),
-			oldEvents:   before.slower(bucket),
+// add tests one trial.
+func (t *routeTest) add(trial trial) {
+	t.old = t.old.Plus(trial.old[len(trial.old)/2])
+	t.new = t.new.Plus(trial.new)
+	bucket, known := t.slowBucket()
+	var failures, slow []table2x2
+	for _, old := range trial.old {
+		failures = append(failures, table2x2{
+			newRequests: trial.new.Requests,
+			oldRequests: old.Requests,
+			newEvents:   trial.new.Failures,
+			oldEvents:   old.Failures,
 		})
+		slow = append(slow, table2x2{
+			newRequests: trial.new.answered(),
+			oldRequests: old.answered(),
+			newEvents:   trial.new.slower(bucket),
+			oldEvents:   old.slower(bucket),
+		})
+	}
+	t.failures.add(failures...)
+	if known {
+		t.latency.add(slow...)
 	}
-	t.extendBaseline(before)
 }
 
 // slowBucket returns the highest bucket of answers that are not slow, read
--- a/rollouts/rollout_test.go
+++ b/rollouts/rollout_test.go
@@ -54,7 +54,10 @@
 	assert.Assert(t, first.controller.Shares(s.now)[0].Share > 0)
 	assert.Assert(t, first.controller.addVerdict("r", 1, "test"))
 	assert.Equal(t, first.controller.Shares(s.now)[0].Share, 0.0, "at once, on its own evidence")
-	s.heartbeats()
+	for range simHeartbeat {
+		s.tick++
+		s.heartbeats()
+	}
 	for _, instance := range s.instances {
 		assert.Equal(t, instance.controller.Shares(s.now)[0].Share, 0.0)
 	}
--- a/rollouts/simulation_test.go
+++ b/rollouts/simulation_test.go
@@ -161,9 +161,7 @@
 		s.send(instance)
 	}
 	s.drive()
-	if s.tick%simHeartbeat == 0 {
-		s.heartbeats()
-	}
+	s.heartbeats()
 }
 
 func (s *simulation) drive() {
@@ -187,8 +185,13 @@
 	return shift.AppliedSteps{key: lowest}
 }
 
+// heartbeats sends the state of each instance to all others in each interval,
+// at moments that differ between instances.
 func (s *simulation) heartbeats() {
-	for _, from := range s.instances {
+	for i, from := range s.instances {
+		if s.tick%simHeartbeat != i%simHeartbeat {
+			continue
+		}
 		driver := from.controller.Driver()
 		state := &entrypb.State{
 			Identity:     from.identity,
@@ -284,12 +287,12 @@
 	return s.instances[i+1]
 }
 
-// noise returns what both versions suffer: for 10 s in each 40 s a quarter of
+// noise returns what both versions suffer: for 10 s in each 40 s most of
 // the requests fail, and for 10 s answers take three times as long.
 func (s *simulation) noise() (failures, factor float64) {
 	switch int(s.now.Sub(s.start)/(10*time.Second)) % 4 {
 	case 1:
-		return 0.25, 1
+		return 0.9, 1
 	case 3:
 		return 0, 3
 	default:
--- a/rollouts/stratum.go
+++ b/rollouts/stratum.go
@@ -6,6 +6,9 @@
 	// minSlice and maxSlice bound the length of a slice.
 	minSlice = 250 * time.Millisecond
 	maxSlice = 20 * time.Second
+	// sharedSlice is the least length of a slice of several instances. It is not
+	// below the time between two heartbeats.
+	sharedSlice = time.Second
 	// firstSlice is the length before the rate of requests is known.
 	firstSlice = time.Second
 	// sliceRequests is the number of requests of each version that the length
@@ -23,13 +26,46 @@
 // The length of a slice is fixed when it begins. If it ended with a request of
 // the new version, that one would always be the last of its slice, and would
 // seem worse than the others whenever an outage of both versions begins.
+//
+// Samples of different instances are taken at different moments. If they are
+// the owners of different versions, the begin of an outage of both versions
+// falls into an earlier slice for one of them. The new version's requests of a
+// slice are therefore compared with the old version's of the slices before and
+// after it as well, and the weakest evidence counts.
 type stratum struct {
+	shared bool
+	// earlier and latest are the last two slices of a shared stratum.
+	earlier *slice
+	latest  *slice
+
 	members    map[string]*member
 	started    bool
 	sliceStart time.Time
 	length     time.Duration
-	old        Counts
-	new        Counts
+	current    slice
+}
+
+// slice is what was counted in some time.
+type slice struct {
+	old Counts
+	new Counts
+}
+
+// trial is one comparison: the new version's requests with those of the old
+// version, of one or several slices.
+type trial struct {
+	new Counts
+	old []Counts
+}
+
+// usable says whether both versions answered.
+func (t *trial) usable() bool {
+	for i := range t.old {
+		if t.old[i].Requests == 0 {
+			return false
+		}
+	}
+	return len(t.old) > 0 && t.new.Requests > 0
 }
 
 // member is the newest sample of one instance.
@@ -53,30 +89,43 @@
 	}
 	if sample.Step != last.sample.Step {
 		s.restart(now)
+		s.earlier, s.latest = nil, nil
 		return
 	}
-	s.old = s.old.Plus(sample.Old.Minus(last.sample.Old))
-	s.new = s.new.Plus(sample.New.Minus(last.sample.New))
+	s.current.old = s.current.old.Plus(sample.Old.Minus(last.sample.Old))
+	s.current.new = s.current.new.Plus(sample.New.Minus(last.sample.New))
 }
 
-// end returns the requests of the slice and begins the next one, once the
-// slice is over. It returns false when the slice cannot be used, since a
-// version has answered nothing in it.
-func (s *stratum) end(now time.Time) (before, after Counts, ok bool) {
+// end ends the slice once its time is over, and begins the next one.
+func (s *stratum) end(now time.Time) (ended slice, over bool) {
 	elapsed := now.Sub(s.sliceStart)
 	if elapsed < s.length {
-		return Counts{}, Counts{}, false
+		return slice{}, false
+	}
+	ended = s.current
+	s.length = nextLength(elapsed, min(ended.old.Requests, ended.new.Requests))
+	if s.shared {
+		s.length = max(s.length, sharedSlice)
 	}
-	before = s.old
-	after = s.new
-	s.length = nextLength(elapsed, min(before.Requests, after.Requests))
 	s.restart(now)
-	return before, after, before.Requests > 0 && after.Requests > 0
+	return ended, true
+}
+
+// trial returns the comparison that an ended slice makes possible.
+func (s *stratum) trial(ended slice) trial {
+	if !s.shared {
+		return trial{new: ended.new, old: []Counts{ended.old}}
+	}
+	earlier, middle := s.earlier, s.latest
+	s.earlier, s.latest = s.latest, &ended
+	if earlier == nil {
+		return trial{}
+	}
+	return trial{new: middle.new, old: []Counts{earlier.old, middle.old, ended.old}}
 }
 
 func (s *stratum) restart(now time.Time) {
-	s.old = Counts{}
-	s.new = Counts{}
+	s.current = slice{}
 	s.sliceStart = now
 }
 
