--- a/rollouts/doc.go
+++ b/rollouts/doc.go
@@ -35,6 +35,11 @@
 // looks. The bound p is FalseAlarm divided by the number of tests: routes, two
 // measures, and three judges on each instance.
 //
+// Counts of different instances are not taken at the same moment. Where several
+// instances are compared as one, the new version's requests of a slice are also
+// compared with the old version's of the slices before and after it, and the
+// weakest evidence counts.
+//
 // An answer is slow when it takes more than twice the time within which nine
 // tenths of the old version's answers came, and at least 5 ms more. A request
 // without an answer counts as slow as soon as it has waited that long.
--- a/rollouts/odds_test.go
+++ b/rollouts/odds_test.go
@@ -156,3 +156,35 @@
 	counts.Latency[9] = requests
 	return counts
 }
+
+// TestSharedOutagesSeenAtDifferentMoments has two instances in each stratum.
+// One owns the upstreams of the old version and the other those of the new one,
+// and their samples come at different moments.
+func TestSharedOutagesSeenAtDifferentMoments(t *testing.T) {
+	const strata, seconds, ticksPerSecond, interval = 10, 120, 10, 5
+	for seed := range uint64(5) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		judge := newSharedJudge(seconds*time.Second, 1, 20, strata)
+		var old, new [strata]Counts
+		now := time.Unix(0, 0)
+		outage := false
+		for tick := range seconds * ticksPerSecond {
+			if tick%97 == 0 {
+				outage = !outage
+			}
+			now = now.Add(time.Second / ticksPerSecond)
+			for i := range strata {
+				old[i] = old[i].Plus(sampleOf(outage, 2))
+				new[i] = new[i].Plus(sampleOf(outage, random.Uint64N(5)))
+				sample := Sample{Instance: "old", Stratum: fmt.Sprint(i), Route: "main", Old: old[i]}
+				if tick%interval == 1 {
+					sample = Sample{Instance: "new", Stratum: fmt.Sprint(i), Route: "main", New: new[i]}
+				}
+				if tick%interval <= 1 {
+					finding := judge.Add(now, sample)
+					assert.Assert(t, finding == nil, "seed %d, tick %d: %s", seed, tick, finding)
+				}
+			}
+		}
+	}
+}
