--- a/admission/limiter_test.go
+++ b/admission/limiter_test.go
@@ -119,6 +119,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			l := newLimiter(t, now, shareOf(0, 4), 0)
 			l.Bucket("c").demand.perSecond = 1000
+			l.Bucket("c").active.Store(true)
 			loans := l.PlanLoans(now)
 			assert.Equal(t, loans[0].Peer, "near")
 			assert.Equal(t, loans[0].Items[0].Reserve, 4.0)
@@ -128,6 +129,24 @@
 	}
 }
 
+// A repeated answer admits no second request.
+func TestSpendTokensCountOnce(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	share := shareOf(0, 0)
+	share[0].Customer.Burst = 100
+	l := newLimiter(t, now, share, 0)
+	for range 4 {
+		_, decision := l.Wait(now, l.Bucket("c"), time.Time{})
+		assert.Assert(t, !decision.Admitted)
+	}
+	loan := l.PlanLoans(now)[0]
+	assert.Equal(t, loan.Items[0].Spend, 4.0)
+	for range 2 {
+		l.Granted(now, loan.ID, []Grant{{Customer: "c", Spend: 2.5}})
+	}
+	assert.Equal(t, l.Bucket("c").Totals().BorrowedSpend, uint64(2))
+}
+
 func TestLenderKeepsWhatItNeeds(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	l := newLimiter(t, now, shareOf(0, 10), 10)
--- a/membership/registry.go
+++ b/membership/registry.go
@@ -30,9 +30,9 @@
 	// ForgetAfter is how long a silent peer that is not listed is kept.
 	ForgetAfter = 10 * time.Minute
 	// ByteBudget bounds the bytes per second of heartbeats in each direction.
-	ByteBudget = 6 << 10
+	ByteBudget = 8 << 10
 
-	defaultInterval = 350 * time.Millisecond
+	defaultInterval = 500 * time.Millisecond
 	seedInterval    = time.Second
 	exchangeJitter  = 0.2
 	// pauseIntervals is the number of intervals without a tick that count as a
@@ -57,7 +57,7 @@
 	// answer, for the time when the platform's list cannot be read.
 	Seeds []string
 	// Interval is the least time between two heartbeats with a contact.
-	// Default 350 ms.
+	// Default 500 ms.
 	Interval time.Duration
 	// Rand spreads the heartbeats in time. It is used by the owner's
 	// goroutine only. Nil uses a fixed seed.
@@ -69,6 +69,8 @@
 type Registry struct {
 	config  Config
 	members map[string]*member
+	// byAddress finds members by their RPC address.
+	byAddress map[string]*member
 	// seeds maps an RPC address to when it was last tried; an address is
 	// removed when an instance there has answered.
 	seeds   map[string]time.Time
@@ -106,6 +108,7 @@
 	r := &Registry{
 		config:     config,
 		members:    map[string]*member{},
+		byAddress:  map[string]*member{},
 		seeds:      map[string]time.Time{},
 		regions:    map[string]string{},
 		replaced:   map[string]bool{},
@@ -177,7 +180,7 @@
 	m.absentSince = time.Time{}
 	if m.state == nil {
 		r.indexDirty = r.indexDirty || m.domain != row.FailureDomain
-		m.rpcAddress = row.RPCAddress
+		r.setAddress(m, row.RPCAddress)
 		m.address = row.Address
 		m.domain = row.FailureDomain
 		m.region = r.regions[row.FailureDomain]
@@ -185,101 +188,17 @@
 	m.listState(row.State)
 }
 
-// Heard takes a heartbeat that was received from another instance.
-func (r *Registry) Heard(state *entrypb.State, now time.Time) {
-	identity := state.GetIdentity()
-	if !r.acceptable(identity) {
-		return
-	}
-	if _, old := r.replaced[identity.GetIncarnation()]; old {
-		return
-	}
-	r.learn(state, now, false)
-}
-
-// Answered takes the answer to a heartbeat that this instance sent to the RPC
-// address. It proves which incarnation is there now.
-func (r *Registry) Answered(rpcAddress string, state *entrypb.State, now time.Time) {
-	delete(r.seeds, rpcAddress)
-	identity := state.GetIdentity()
-	if !r.acceptable(identity) {
-		return
-	}
-	delete(r.replaced, identity.GetIncarnation())
-	r.learn(state, now, true)
-}
-
-// acceptable refuses states that are malformed or come from this instance.
-func (r *Registry) acceptable(identity *entrypb.Identity) bool {
-	self := r.config.Self
-	return identity.GetName() != "" &&
-		identity.GetIncarnation() != "" &&
-		identity.GetRpcAddress() != "" &&
-		identity.GetName() != self.GetName() &&
-		identity.GetIncarnation() != self.GetIncarnation()
-}
-
-// learn stores a state and replaces earlier incarnations. Proven says whether
-// the state answers a call to its address.
-func (r *Registry) learn(state *entrypb.State, now time.Time, proven bool) {
-	identity := state.GetIdentity()
-	r.replaceAtAddress(identity, proven)
-	m := r.members[identity.GetName()]
-	if m == nil {
-		m = &member{name: identity.GetName()}
-		r.members[m.name] = m
-		r.contactsDirty = true
-		r.indexDirty = true
-	}
-	if m.incarnation != identity.GetIncarnation() {
-		r.markReplaced(m.incarnation, proven)
-		m.startIncarnation(identity.GetIncarnation())
-		r.indexDirty = true
-	}
-	if m.domain != identity.GetFailureDomain() || m.region != identity.GetRegion() {
-		r.contactsDirty = true
-		r.indexDirty = true
-	}
-	m.update(state, now)
-	size := float64(stateSize(state))
-	r.stateBytes += (size - r.stateBytes) * sizeSmoothing
-}
-
-// replaceAtAddress removes an instance with another name whose address is now
-// used by the identity: two processes cannot have bound the same address.
-func (r *Registry) replaceAtAddress(identity *entrypb.Identity, proven bool) {
-	for name, m := range r.members {
-		if m.rpcAddress != identity.GetRpcAddress() || name == identity.GetName() {
-			continue
-		}
-		r.markReplaced(m.incarnation, proven)
-		delete(r.members, name)
-		r.contactsDirty = true
-		r.indexDirty = true
-	}
-}
-
-func (r *Registry) markReplaced(incarnation string, proven bool) {
-	if incarnation == "" {
-		return
-	}
-	if len(r.replaced) >= maxReplaced {
-		clear(r.replaced)
-	}
-	r.replaced[incarnation] = r.replaced[incarnation] || proven
-}
-
 // Failed notes that a call to the RPC address gave no answer. The peer is
 // Suspect, and contacted, until it is heard from again; the next heartbeat to
 // it is due at once.
 func (r *Registry) Failed(rpcAddress string, now time.Time) {
-	for _, m := range r.members {
-		if m.rpcAddress == rpcAddress && m.failedSince.IsZero() {
-			m.failedSince = now
-			m.nextExchange = now
-			r.contactsDirty = true
-		}
+	m := r.byAddress[rpcAddress]
+	if m == nil || !m.failedSince.IsZero() {
+		return
 	}
+	m.failedSince = now
+	m.nextExchange = now
+	r.contactsDirty = r.contactsDirty || !m.contact
 }
 
 // Use makes the named peer a contact for UseFor, because traffic depends on it.
@@ -296,12 +215,10 @@
 
 // forget drops peers that are gone for long.
 func (r *Registry) forget(now time.Time) {
-	for name, m := range r.members {
+	for _, m := range r.members {
 		gone := !m.listed && now.Sub(m.absentSince) > ForgetAfter && now.Sub(m.lastHeard) > ForgetAfter
 		if gone {
-			delete(r.members, name)
-			r.contactsDirty = true
-			r.indexDirty = true
+			r.remove(m)
 		}
 	}
 }
