--- a/rollouts/stratum.go
+++ b/rollouts/stratum.go
@@ -8,7 +8,7 @@
 	maxSlice = 20 * time.Second
 	// sharedSlice is the least length of a slice of several instances. It is not
 	// below the time between two heartbeats.
-	sharedSlice = time.Second
+	sharedSlice = 500 * time.Millisecond
 	// firstSlice is the length before the rate of requests is known.
 	firstSlice = time.Second
 	// sliceRequests is the number of requests of each version that the length
