--- a/daemon/chooser.go
+++ b/daemon/chooser.go
@@ -39,7 +39,7 @@
 func chooseVersion(v *view, service *routing.Service, route string) (version, fallback string) {
 	split := v.splits.Version(service.Name)
 	if split == nil {
-		return stableVersion(service), ""
+		return service.StableVersion, ""
 	}
 	version, isNew := split.Next(route)
 	if !isNew {
@@ -48,15 +48,6 @@
 	return version, split.From
 }
 
-// stableVersion is the version of a service without a roll-out: the only one,
-// or the first by name.
-func stableVersion(service *routing.Service) string {
-	if len(service.Versions) == 0 {
-		return ""
-	}
-	return service.Versions[0]
-}
-
 // targets returns the places that serve the version, best first, beginning
 // with the failure domain that was chosen.
 func (c *chooser) targets(v *view, service *routing.Service, version, domain string) []dispatch.Target {
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -59,7 +59,10 @@
 	// listed are the caller addresses in the platform's list, read at listRead.
 	listed   map[string]bool
 	listRead time.Time
-	leaving  bool
+	// operatorAddresses are those of the platform's list, by name. The map is
+	// replaced, never changed.
+	operatorAddresses map[string]string
+	leaving           bool
 	// departed is set when parts.departed has been closed.
 	departed bool
 	// dirty says that the view must be published anew.
@@ -168,6 +171,7 @@
 	state := c.state(now)
 	c.registry.SetSelf(state)
 	c.parts.state.Store(state)
+	c.publishStatus(now)
 }
 
 // noteDeparture reports when the share table no longer lists this instance,
--- a/daemon/records.go
+++ b/daemon/records.go
@@ -74,12 +74,28 @@
 type storeRead struct{ update distribution.Update }
 
 func (e storeRead) apply(c *control, now time.Time) {
-	c.applyChanges(now, c.dist.ApplyUpdate(e.update))
+	changes := c.dist.ApplyUpdate(e.update)
+	c.applyChanges(now, changes)
+	if isUrgent(changes) {
+		c.registry.HurryDomain(now)
+	}
 	if e.update.Err == nil {
 		c.sharesReadFromStore(now, e.update.Heard)
 	}
 }
 
+// isUrgent says whether the failure domain should learn of the changes before
+// the next heartbeats. The share table is not urgent: it changes often in a
+// large fleet, and an older one is safe to use.
+func isUrgent(changes distribution.Changes) bool {
+	for _, entry := range changes.Entries {
+		if entry.Key != platform.KeyShares && entry.Key != platform.KeyControlLease {
+			return true
+		}
+	}
+	return false
+}
+
 // recordsPulled are newer records from a peer.
 type recordsPulled struct {
 	pull     distribution.Pull
@@ -166,9 +182,13 @@
 func (e listRead) apply(c *control, now time.Time) {
 	c.listRead = now
 	c.listed = map[string]bool{}
+	c.operatorAddresses = map[string]string{}
 	leaving := map[string]bool{}
 	for _, row := range e.list {
 		c.listed[row.Address] = true
+		if row.OperatorAddress != "" {
+			c.operatorAddresses[row.Name] = row.OperatorAddress
+		}
 		if row.Role == "upstream" && row.State == platform.InstanceLeaving {
 			leaving[row.Name] = true
 		}
--- a/membership/contacts.go
+++ b/membership/contacts.go
@@ -51,6 +51,18 @@
 	}
 }
 
+// HurryDomain makes a heartbeat to every contact in the own failure domain due
+// at once. The owner calls it when it has read something from the store that
+// the others should learn of before the next heartbeat.
+func (r *Registry) HurryDomain(now time.Time) {
+	r.chooseContacts(now)
+	for _, m := range r.contacts {
+		if m.domain == r.config.Self.GetFailureDomain() {
+			m.nextExchange = now
+		}
+	}
+}
+
 // Interval returns the time between two heartbeats with a contact. It keeps
 // heartbeats within ByteBudget.
 func (r *Registry) Interval() time.Duration {
