--- a/daemon/control.go
+++ b/daemon/control.go
@@ -1,8 +1,11 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -34,7 +37,7 @@
 	moves    *moves.Driver
 	rollouts *rollouts.Controller
 	splits   *splitting.Registry
-	pools    *poolSet
+	owners   *ownership
 
 	shareDriver *sharetable.Driver
 	executor    *reconcile.Executor
@@ -45,8 +48,10 @@
 	divided time.Time
 	dist    *distribution.State
 	watcher *distribution.Watcher
-	table   *routing.Table
-	blocks  *steering.Blocks
+	// watching says whether this instance watches the store.
+	watching atomic.Bool
+	table    *routing.Table
+	blocks   *steering.Blocks
 	// directory was made at directoryAt, for the division directoryOf.
 	directory   *steering.Directory
 	directoryAt time.Time
@@ -83,7 +88,7 @@
 		moves:    moves.NewDriver(p.invariants),
 		rollouts: rollouts.NewController(p.invariants),
 		splits:   splitting.NewRegistry(p.invariants),
-		pools:    newPoolSet(p),
+		owners:   newOwnership(p),
 		blocks:   &steering.Blocks{},
 		dist:     p.dist,
 		shareDriver: sharetable.NewDriver(sharetable.DriverSettings{
@@ -92,7 +97,7 @@
 		}),
 	}
 	c.rollouts.SetDomain(p.identity.GetFailureDomain())
-	c.pools.setPeers(c.registry.Snapshot(now))
+	c.owners.setPeers(c.registry.Snapshot(now))
 	c.watcher = distribution.NewWatcher(p.store, distribution.WatcherOptions{Seed: rand.Uint64()},
 		func(u distribution.Update) { l.post(storeRead{u}) })
 	c.addControlWork()
@@ -143,6 +148,7 @@
 
 // tick does what time alone makes due.
 func (c *control) tick(now time.Time) {
+	c.parts.pulse.tick(now)
 	paused := c.member.Tick(now)
 	if c.parts.limiter.Tick(now) || paused {
 		c.parts.log.Warn("control goroutine was paused; rate shares must be confirmed again")
@@ -160,9 +166,11 @@
 	c.noteDeparture()
 	if now.Sub(c.divided) >= c.parts.settings.HeartbeatInterval {
 		c.divided = now
-		c.pools.divideGrants()
+		c.owners.pools.Divide()
 	}
-	c.parts.state.Store(c.state(now))
+	state := c.state(now)
+	c.registry.SetSelf(state)
+	c.parts.state.Store(state)
 	c.publishStatus(now)
 }
 
@@ -191,7 +199,7 @@
 // doControlWork drives the records in the store, if this instance holds the
 // control lease.
 func (c *control) doControlWork(now time.Time) {
-	c.lease.SetMembers(len(c.pools.peers.All) + 1)
+	c.lease.SetMembers(len(c.owners.peers.All) + 1)
 	c.leaseRunner.Tick(c.ctx, now)
 	c.setShareView(now)
 	c.setShiftInputs()
@@ -201,10 +209,10 @@
 // updatePeers takes over what the registry knows.
 func (c *control) updatePeers(now time.Time) {
 	peers := c.registry.Snapshot(now)
-	if peers == c.pools.peers {
+	if peers == c.owners.peers {
 		return
 	}
-	c.pools.setPeers(peers)
+	c.owners.setPeers(peers)
 	c.parts.limiter.SetPeers(lenders(peers))
 	c.rollouts.SetInstances(len(peers.All) + 1)
 	c.dirty = true
@@ -218,10 +226,9 @@
 	c.dirty = false
 	next := &view{
 		table:     c.table,
-		peers:     c.pools.peers,
-		pools:     c.pools.all,
-		grants:    c.pools.grants,
-		choosers:  c.pools.choosers,
+		peers:     c.owners.peers,
+		pools:     c.owners.pools,
+		choosers:  c.owners.choosers,
 		recorders: c.rollouts.Recorders(),
 		directory: c.currentDirectory(now),
 		leaving:   c.leaving,
@@ -247,12 +254,12 @@
 	if c.table == nil {
 		return nil
 	}
-	sameInstances := c.directoryOf == c.pools.division
+	sameInstances := c.directoryOf == c.owners.division
 	if c.directory != nil && sameInstances && now.Sub(c.directoryAt) < directoryInterval {
 		return c.directory
 	}
-	c.directory = steering.NewDirectory(c.blocks, c.table.Set, c.pools.peers)
-	c.directoryOf = c.pools.division
+	c.directory = steering.NewDirectory(c.blocks, c.table.Set, c.owners.peers)
+	c.directoryOf = c.owners.division
 	c.directoryAt = now
 	return c.directory
 }
@@ -263,7 +270,7 @@
 	c.registry.SetRegions(table.Regions)
 	c.moves.Configure(table.Version, table.Set.Moves)
 	c.rollouts.Configure(table.Version, table.Set.Rollouts, routeNames(table))
-	c.pools.setTable(table)
+	c.owners.setTable(table)
 	blocks, err := steering.NewBlocks(table.Set.ClientBlocks)
 	if err != nil {
 		c.parts.log.Error("client blocks cannot be read", errorField(err))
@@ -303,7 +310,10 @@
 	return names
 }
 
-// lenders returns the peers that can be asked for loans, with their distance.
+// maxLenders bounds the peers that are asked for loans.
+const maxLenders = 64
+
+// lenders returns the nearest peers that can be asked for loans.
 func lenders(peers *membership.Peers) []admission.Peer {
 	var all []admission.Peer
 	for _, p := range peers.All {
@@ -312,5 +322,6 @@
 		}
 		all = append(all, admission.Peer{Name: p.Address, Distance: distanceTo(peers, p)})
 	}
-	return all
+	slices.SortStableFunc(all, func(a, b admission.Peer) int { return cmp.Compare(a.Distance, b.Distance) })
+	return all[:min(len(all), maxLenders)]
 }
--- a/daemon/records.go
+++ b/daemon/records.go
@@ -16,8 +16,14 @@
 	"samphireferry.example/ferry/rpc/entrypb"
 )
 
-// listInterval is the time between two reads of the instance list.
-const listInterval = 2 * time.Second
+const (
+	// listInterval is the time between two reads of the instance list by an
+	// instance that watches the store.
+	listInterval = 2 * time.Second
+	// idleListInterval is the same for the others, which hear of changes by
+	// heartbeats.
+	idleListInterval = 30 * time.Second
+)
 
 // pullTimeout bounds the call to a peer for newer records.
 const pullTimeout = 2 * time.Second
@@ -25,12 +31,14 @@
 // followRecords watches the store, if it is this instance's turn, and pulls
 // from peers that have newer records.
 func (c *control) followRecords(now time.Time) {
-	c.watcher.SetActive(c.dist.ShouldWatch(c.liveInDomain(), now))
+	watches := c.dist.ShouldWatch(c.liveInDomain(), now)
+	c.watcher.SetActive(watches)
+	c.watching.Store(watches)
 	pull, ok := c.dist.PlanPull(now)
 	if !ok {
 		return
 	}
-	peer := c.pools.peers.ByName(pull.Peer)
+	peer := c.owners.peers.ByName(pull.Peer)
 	if peer == nil {
 		c.dist.ForgetPeer(pull.Peer)
 		return
@@ -52,7 +60,7 @@
 
 // liveInDomain returns the names of the live instances of the failure domain.
 func (c *control) liveInDomain() []string {
-	peers := c.pools.peers
+	peers := c.owners.peers
 	names := []string{peers.Self.Name}
 	for _, p := range peers.InDomain(peers.Self.FailureDomain) {
 		if p.Usable() {
@@ -66,12 +74,28 @@
 type storeRead struct{ update distribution.Update }
 
 func (e storeRead) apply(c *control, now time.Time) {
-	c.applyChanges(now, c.dist.ApplyUpdate(e.update))
+	changes := c.dist.ApplyUpdate(e.update)
+	c.applyChanges(now, changes)
+	if isUrgent(changes) {
+		c.registry.HurryDomain(now)
+	}
 	if e.update.Err == nil {
 		c.sharesReadFromStore(now, e.update.Heard)
 	}
 }
 
+// isUrgent says whether the failure domain should learn of the changes before
+// the next heartbeats. The share table is not urgent: it changes often in a
+// large fleet, and an older one is safe to use.
+func isUrgent(changes distribution.Changes) bool {
+	for _, entry := range changes.Entries {
+		if entry.Key != platform.KeyShares && entry.Key != platform.KeyControlLease {
+			return true
+		}
+	}
+	return false
+}
+
 // recordsPulled are newer records from a peer.
 type recordsPulled struct {
 	pull     distribution.Pull
@@ -125,28 +149,32 @@
 
 // readList reads the platform's list of instances until the context ends.
 func (c *control) readList(ctx context.Context) {
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	var last time.Time
 	for ctx.Err() == nil {
-		list, err := c.parts.lister.Instances(ctx)
-		if err == nil {
-			c.loop.post(listRead{list: list})
+		if c.watching.Load() || time.Since(last) >= idleListInterval {
+			last = time.Now()
+			c.readListOnce(ctx)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
 		}
-		pause(ctx, listInterval)
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+func (c *control) readListOnce(ctx context.Context) {
+	list, err := c.parts.lister.Instances(ctx)
+	if err == nil {
+		c.loop.post(listRead{list: list})
 	}
 }
 
 // probed is the result of the probes of an upstream.
 type probed struct{ result balancing.ProbeResult }
 
-func (e probed) apply(c *control, _ time.Time) { c.pools.observe(e.result) }
+func (e probed) apply(c *control, _ time.Time) { c.owners.pools.Observe(e.result) }
 
 // listRead is the platform's list of instances.
 type listRead struct{ list []platform.Instance }
@@ -166,7 +194,7 @@
 		}
 	}
 	c.registry.SetInstances(e.list, now)
-	c.pools.setLeaving(leaving)
+	c.owners.pools.SetLeaving(leaving)
 }
 
 func errorField(err error) zap.Field { return zap.String("error", errors.UnwrapAll(err).Error()) }
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -35,7 +35,7 @@
 		leaving:           c.leaving,
 		shareVersion:      c.member.Version(),
 		sharesConfirmed:   c.member.Confirmed(),
-		peers:             c.pools.peers,
+		peers:             c.owners.peers,
 		operatorAddresses: c.operatorAddresses,
 		moves:             c.moveStatuses(now),
 		rollouts:          c.rolloutStatuses(now),
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -151,3 +151,22 @@
 		assert.Assert(t, peers.ByName("n04").Leaving && !peers.ByName("n04").Usable())
 	})
 }
+
+func TestHurryReachesTheOwnDomainOnly(t *testing.T) {
+	f := newFleet(1, 0)
+	for i := range 18 {
+		f.start(i)
+	}
+	f.list()
+	f.run(5 * time.Second)
+	const hurried = "10.0.0.4:90"
+	r := f.registries[hurried]
+	r.Due(f.now)
+	r.HurryDomain(f.now)
+	var names []string
+	for _, target := range r.Due(f.now) {
+		names = append(names, target.Name)
+	}
+	slices.Sort(names)
+	assert.DeepEqual(t, names, []string{"n10", "n16"})
+}
