--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -2,12 +2,17 @@
 package examples
 
 import (
+	"bytes"
+	"io"
+	"os"
 	"path/filepath"
+	"regexp"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"samphireferry.example/ferry/config/dynamic"
+	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/routing"
 )
 
@@ -26,3 +31,18 @@
 		})
 	}
 }
+
+func TestExampleSettingsAreAcceptedAndComplete(t *testing.T) {
+	settings, err := static.Parse("ferry-entry", []string{"-config", "entry.jsonc"}, io.Discard)
+	assert.NilError(t, err)
+	assert.Equal(t, settings.Name, "entry-1")
+	text, err := os.ReadFile("entry.jsonc")
+	assert.NilError(t, err)
+	var help bytes.Buffer
+	_, _ = static.Parse("ferry-entry", []string{"-help"}, &help)
+	for _, m := range regexp.MustCompile(`(?m)^ +-([a-z-]+)`).FindAllStringSubmatch(help.String(), -1) {
+		if name := m[1]; name != "config" && name != "check" && name != "version" {
+			assert.Assert(t, bytes.Contains(text, []byte(`"`+name+`":`)), "entry.jsonc lacks %s", name)
+		}
+	}
+}
