Test of changes in force within 4 s with silent watches

Cause: the comment of TestVersionsAreInForceWithinSeconds claimed a silent watch that the test did not set. Change: a second case in which all waiting watches go silent before each of 20 publishes. The first case is as strict as before.

--- a/distribution/fleet_run_test.go
+++ b/distribution/fleet_run_test.go
@@ -105,22 +105,39 @@
 	}
 }
 
-// TestVersionsAreInForceWithinSeconds publishes with messages lost and one of
-// the watches silent. The bound is in the time of the simulation.
+// TestVersionsAreInForceWithinSeconds publishes with a fifth of the messages
+// between instances lost, or with all watches that wait gone silent before each
+// publish. The bound is in the time of the simulation.
 func TestVersionsAreInForceWithinSeconds(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		const bound = 4 * time.Second
-		f := newFleet(t, 1, 3, 10)
-		defer f.stop()
-		f.loss = 0.2
-		f.run(10 * time.Second)
-		for version := uint64(1); version <= 20; version++ {
-			f.run(time.Duration(f.random.IntN(3000)) * time.Millisecond)
-			f.write(version)
-			f.run(bound)
-			for _, n := range f.nodes {
-				assert.Equal(t, n.version, version, n.name)
-			}
+	cases := map[string]struct {
+		loss   float64
+		silent bool
+	}{
+		"messages lost":  {loss: 0.2},
+		"silent watches": {silent: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { publishWithin(t, 4*time.Second, c.loss, c.silent) })
+		})
+	}
+}
+
+func publishWithin(t *testing.T, bound time.Duration, loss float64, silent bool) {
+	f := newFleet(t, 1, 3, 10)
+	defer f.stop()
+	f.loss = loss
+	f.run(10 * time.Second)
+	for version := uint64(1); version <= 20; version++ {
+		f.run(time.Duration(f.random.IntN(3000)) * time.Millisecond)
+		if silent {
+			f.store.SetFaults(standin.Faults{SilentWatches: true})
+			f.store.SetFaults(standin.Faults{})
+		}
+		f.write(version)
+		f.run(bound)
+		for _, n := range f.nodes {
+			assert.Equal(t, n.version, version, n.name)
 		}
-	})
+	}
 }
--- a/systemtest/harness_test.go
+++ b/systemtest/harness_test.go
@@ -344,19 +344,6 @@
 	return answer{status: response.StatusCode, outcome: response.Header.Get("Ferry-Outcome"), body: string(body)}
 }
 
-// home returns the home of new idempotency keys at the entry instance.
-func home(t *testing.T, address string) string {
-	t.Helper()
-	var list struct {
-		Home string `json:"home"`
-	}
-	response, err := http.Get("http://" + address + "/v1/entry-instances")
-	assert.NilError(t, err)
-	defer response.Body.Close()
-	assert.NilError(t, json.NewDecoder(response.Body).Decode(&list))
-	return list.Home
-}
-
 var (
 	freeze = syscall.SIGSTOP
 	resume = syscall.SIGCONT
