--- a/distribution/watcher.go
+++ b/distribution/watcher.go
@@ -31,7 +31,7 @@
 type WatcherOptions struct {
 	// Wait is the time for which one watch waits. Default 2s.
 	Wait time.Duration
-	// Grace is added to Wait before a silent watch is given up. Default 2s.
+	// Grace is added to Wait before a silent watch is given up. Default 1s.
 	Grace time.Duration
 	// ListTimeout bounds the reading of all records. Default 2s.
 	ListTimeout time.Duration
