--- a/demo/system.go
+++ b/demo/system.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -49,7 +51,13 @@
 
 	options Options
 	domains []dynamic.FailureDomain
-	servers []*http.Server
+	// serversMu guards servers and upstreamServers.
+	serversMu sync.Mutex
+	servers   []*http.Server
+	// settings are those of Entries, as they were started.
+	settings []*static.Settings
+	// upstreamServers are by the name of the upstream.
+	upstreamServers map[string]*http.Server
 }
 
 // Start starts a system and returns when all entry instances run. Stop must be
@@ -59,6 +67,8 @@
 		options:   withDefaults(options),
 		Upstreams: map[string]*standinupstream.Upstream{},
 		Network:   newNetwork(),
+
+		upstreamServers: map[string]*http.Server{},
 	}
 	s.domains = failureDomains(s.options.Regions, s.options.DomainsPerRegion)
 	s.Set = baseSet(s.domains)
@@ -109,7 +119,7 @@
 
 func (s *System) startPlatform() error {
 	s.Platform = standinplatform.New(standinplatform.Options{})
-	address, err := s.serve(s.Platform.Handler())
+	_, address, err := s.serveAt(anyAddress, s.Platform.Handler())
 	s.PlatformURL = "http://" + address
 	s.Network.place(address, PlacePlatform)
 	return err
@@ -137,11 +147,12 @@
 		ServiceTime:  size.time,
 		ShedWhenFull: true,
 	})
-	address, err := s.serve(u)
+	server, address, err := s.serveAt(anyAddress, u)
 	if err != nil {
 		return err
 	}
 	s.Upstreams[name] = u
+	s.upstreamServers[name] = server
 	s.Set.Upstreams = append(s.Set.Upstreams, dynamic.Upstream{
 		Name:          name,
 		Service:       size.service,
@@ -153,34 +164,77 @@
 	return nil
 }
 
+// StopUpstream closes all connections of the upstream and its address.
+func (s *System) StopUpstream(name string) error {
+	s.serversMu.Lock()
+	server := s.upstreamServers[name]
+	s.serversMu.Unlock()
+	if server == nil {
+		return errors.Newf("there is no upstream %q", name)
+	}
+	return server.Close()
+}
+
+// StartUpstream starts a stopped upstream at its old address, cold.
+func (s *System) StartUpstream(name string) error {
+	row, found := lo.Find(s.Set.Upstreams, func(u dynamic.Upstream) bool { return u.Name == name })
+	if !found {
+		return errors.Newf("there is no upstream %q", name)
+	}
+	server, _, err := s.serveAt(row.Address, s.Upstreams[name])
+	if err != nil {
+		return err
+	}
+	s.serversMu.Lock()
+	s.upstreamServers[name] = server
+	s.serversMu.Unlock()
+	s.Upstreams[name].Restart()
+	return nil
+}
+
 // AddEntry starts one more entry instance.
 func (s *System) AddEntry() error {
 	n := len(s.Entries)
-	domain := s.domains[n%len(s.domains)]
-	settings, err := s.entrySettings(n, domain)
+	settings, err := s.entrySettings(n, s.domains[n%len(s.domains)])
 	if err != nil {
 		return err
 	}
-	instance, err := daemon.New(settings, s.options.Log.With(zap.String("instance", settings.Name)), s.Network.dialFrom(domain.Name))
+	instance, err := s.startEntry(settings)
 	if err != nil {
 		return err
 	}
+	s.Entries = append(s.Entries, instance)
+	s.settings = append(s.settings, settings)
+	return nil
+}
+
+// startEntry starts an entry instance and lists it as live.
+func (s *System) startEntry(settings *static.Settings) (*daemon.Instance, error) {
+	log := s.options.Log.With(zap.String("instance", settings.Name))
+	instance, err := daemon.New(settings, log, s.Network.dialFrom(settings.FailureDomain))
+	if err != nil {
+		return nil, err
+	}
 	instance.Invariants().OnViolation = s.options.OnViolation
-	s.Network.place(settings.RPCAdvertise, domain.Name)
+	s.Network.place(settings.RPCAdvertise, settings.FailureDomain)
 	err = instance.Provision()
 	if err != nil {
-		return err
+		return nil, err
 	}
-	s.Entries = append(s.Entries, instance)
+	s.listEntry(settings, platform.InstanceLive)
+	return instance, nil
+}
+
+// listEntry puts an entry instance on the platform's list.
+func (s *System) listEntry(settings *static.Settings, state platform.InstanceState) {
 	s.Platform.SetInstance(platform.Instance{
 		Name:          settings.Name,
 		Role:          "entry",
 		Address:       settings.Listen,
 		RPCAddress:    settings.RPCListen,
-		FailureDomain: domain.Name,
-		State:         platform.InstanceLive,
+		FailureDomain: settings.FailureDomain,
+		State:         state,
 	})
-	return nil
 }
 
 func (s *System) entrySettings(n int, domain dynamic.FailureDomain) (*static.Settings, error) {
@@ -244,21 +298,26 @@
 	return all
 }
 
-// serve starts an HTTP server on a free loopback address.
-func (s *System) serve(handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// anyAddress is a loopback address with a port that the system chooses.
+const anyAddress = "127.0.0.1:0"
+
+// serveAt starts an HTTP server and returns it with its address.
+func (s *System) serveAt(address string, handler http.Handler) (*http.Server, string, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return "", err
+		return nil, "", err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	s.serversMu.Lock()
 	s.servers = append(s.servers, server)
+	s.serversMu.Unlock()
 	go func() { _ = server.Serve(listener) }()
-	return listener.Addr().String(), nil
+	return server, listener.Addr().String(), nil
 }
 
 // freeAddress returns a loopback address with a port that is free now.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", anyAddress)
 	if err != nil {
 		return "", err
 	}
--- a/membership/peer.go
+++ b/membership/peer.go
@@ -79,18 +79,19 @@
 	return incarnation[:max(i, 0)]
 }
 
-// Peers is an immutable snapshot of the other entry instances.
+// Peers is an immutable snapshot of the other entry instances. The zero value
+// holds none.
 type Peers struct {
 	// Self describes the instance that owns the registry.
 	Self Peer
 	// All holds every other instance, sorted by failure domain, then by name.
 	All []*Peer
 
-	index *index
+	index index
 }
 
 // index finds positions in Peers.All. Snapshots with the same instances and
-// incarnations share it.
+// incarnations share its maps.
 type index struct {
 	byName        map[string]int
 	byIncarnation map[string]int
@@ -100,8 +101,8 @@
 // span is a range of positions; the end is excluded.
 type span struct{ start, end int }
 
-func newIndex(all []*Peer) *index {
-	x := &index{
+func newIndex(all []*Peer) index {
+	x := index{
 		byName:        make(map[string]int, len(all)),
 		byIncarnation: make(map[string]int, len(all)),
 		byDomain:      map[string]span{},
--- a/membership/registry_test.go
+++ b/membership/registry_test.go
@@ -167,3 +167,11 @@
 }
 
 func regionsTotal(domains, perDomain int) int { return domains*perDomain - 1 }
+
+// A service asks the zero value until the first snapshot has been made.
+func TestZeroPeersHoldNone(t *testing.T) {
+	var p Peers
+	assert.Assert(t, p.ByName("a") == nil)
+	assert.Assert(t, p.ByIncarnation(NewIncarnation("a", 1)) == nil)
+	assert.Equal(t, len(p.InDomain("d1")), 0)
+}
