An instance that serves goes on serving while a newer version is on its way

Ready was computed anew at each view; within 2 s of the start it became false again as soon as a peer was known to be ahead, so each publish made young instances refuse every request (no_configuration) until they had it. Ruled out: loss of the configuration; the holder kept it. Change: State.Ready stays true once it was. The rule for the first answer is as before: store heard and no peer ahead, or 2 s over. TestReadyStaysReady failed before ('a peer gets ahead later') and passes.

--- a/distribution/distribution_test.go
+++ b/distribution/distribution_test.go
@@ -164,3 +164,43 @@
 	own.ApplyUpdate(Update{Entries: []platform.Entry{older}, Revision: 80, Full: true, Heard: start})
 	assert.Equal(t, own.Config().Version, uint64(9))
 }
+
+// An instance that serves goes on serving while a newer configuration is on
+// its way, also in the first seconds after its start.
+func TestReadyStaysReady(t *testing.T) {
+	start := time.Unix(1000, 0)
+	config := platform.Entry{Key: platform.KeyConfig, Revision: 5, Value: stored(t, 1, "a")}
+	for _, c := range []struct {
+		name      string
+		heard     bool
+		ahead     bool
+		after     time.Duration
+		ready     bool
+		thenAhead bool
+	}{
+		{name: "the store has answered", heard: true, ready: true},
+		{name: "the store has not answered", ready: false},
+		{name: "a peer is ahead at first", heard: true, ahead: true, ready: false},
+		{name: "a peer is ahead for longer than the grace", heard: true, ahead: true, after: startupGrace, ready: true},
+		{name: "a peer gets ahead later", heard: true, ready: true, thenAhead: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := NewState(Options{Self: "self", FailureDomain: "d1", Started: start})
+			assert.Assert(t, !s.Ready(start.Add(startupGrace)), "there is no configuration")
+			if c.heard {
+				s.ApplyUpdate(Update{Entries: []platform.Entry{config}, Revision: 5, Full: true, Heard: start})
+			} else {
+				s.ApplyWrite(config)
+			}
+			ahead := PeerState{Name: "peer", FailureDomain: "d1", Revision: 9}
+			if c.ahead {
+				s.puller.Observe(ahead, s.Revision(), start)
+			}
+			assert.Equal(t, s.Ready(start.Add(c.after)), c.ready)
+			if c.thenAhead {
+				s.puller.Observe(ahead, s.Revision(), start)
+				assert.Assert(t, s.Ready(start.Add(c.after)))
+			}
+		})
+	}
+}
--- a/distribution/state.go
+++ b/distribution/state.go
@@ -49,6 +49,8 @@
 	puller    *Puller
 	// storeHeard says that the store itself has answered.
 	storeHeard bool
+	// ready is set once the instance may serve; it stays set.
+	ready    bool
 	snapshot   atomic.Pointer[Snapshot]
 }
 
@@ -80,13 +82,15 @@
 
 // Ready says whether the instance may serve: it has a configuration, and
 // within the first seconds also the store has answered and no peer is known to
-// be ahead. A new instance thus takes the newest of store and peers.
+// be ahead. A new instance thus takes the newest of store and peers. Once it
+// may serve it always may, also while a newer configuration is on its way.
 func (s *State) Ready(now time.Time) bool {
-	if s.holder.Current() == nil {
-		return false
+	if s.ready || s.holder.Current() == nil {
+		return s.ready
 	}
 	newest := s.storeHeard && !s.puller.Behind(s.records.Complete())
-	return newest || now.Sub(s.options.Started) >= startupGrace
+	s.ready = newest || now.Sub(s.options.Started) >= startupGrace
+	return s.ready
 }
 
 // ShouldWatch says whether this instance watches the store, given the live
