--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -1,12 +1,15 @@
 package membership
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
 
 	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
 
+	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/rpc/entrypb"
 )
 
@@ -92,3 +95,30 @@
 		})
 	}
 }
+
+// BenchmarkInstanceList measures one read of the platform's list: decoding it
+// and taking it over. The metric is the size of the list.
+func BenchmarkInstanceList(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			r, states := benchRegistry(size)
+			var list []platform.Instance
+			for _, state := range states {
+				id := state.GetIdentity()
+				list = append(list, platform.Instance{
+					Name: id.GetName(), Role: RoleEntry, Address: id.GetAddress(), RPCAddress: id.GetRpcAddress(),
+					FailureDomain: id.GetFailureDomain(), State: platform.InstanceLive,
+				})
+			}
+			data, err := json.Marshal(list)
+			assert.NilError(b, err)
+			b.ReportAllocs()
+			for b.Loop() {
+				var read []platform.Instance
+				assert.NilError(b, json.Unmarshal(data, &read))
+				r.SetInstances(read, epoch)
+			}
+			b.ReportMetric(float64(len(data)), "bytes")
+		})
+	}
+}
--- a/membership/member.go
+++ b/membership/member.go
@@ -44,6 +44,8 @@
 	nextExchange time.Time
 
 	published *Peer
+	// position is the place of the published Peer in the snapshots.
+	position int
 }
 
 // startIncarnation resets what belonged to the earlier incarnation.
@@ -131,6 +133,23 @@
 	}
 }
 
+// isPublished says whether the published Peer shows the member as it is, with
+// the health.
+func (m *member) isPublished(health Health) bool {
+	p := m.published
+	return p != nil &&
+		p.Health == health &&
+		p.LastHeard == m.lastHeard &&
+		p.State == m.state &&
+		p.Leaving == m.leaving &&
+		p.Listed == m.listed &&
+		p.Incarnation == m.incarnation &&
+		p.Address == m.address &&
+		p.RPCAddress == m.rpcAddress &&
+		p.FailureDomain == m.domain &&
+		p.Region == m.region
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/membership/registry.go
+++ b/membership/registry.go
@@ -94,7 +94,13 @@
 	contactsDirty bool
 	rotation      int64
 	snapshot      *Peers
-	indexDirty    bool
+	// indexDirty says that the members or their domains differ from the
+	// snapshot; the next one then gets a new index.
+	indexDirty bool
+	// ordered holds the members in the order of the index.
+	ordered []*member
+	// changed holds the members whose Peer the last publish renewed.
+	changed []*member
 }
 
 // NewRegistry returns a registry that knows the seeds only.
--- a/membership/snapshot.go
+++ b/membership/snapshot.go
@@ -17,37 +17,65 @@
 	if r.snapshot != nil && !changed && !r.indexDirty {
 		return r.snapshot
 	}
-	all := make([]*Peer, 0, len(r.members))
 	if r.snapshot != nil && !r.indexDirty {
-		for _, old := range r.snapshot.All {
-			all = append(all, r.members[old.Name].published)
-		}
-		r.snapshot = &Peers{Self: r.self(), All: all, index: r.snapshot.index}
+		r.snapshot = r.renewed(r.snapshot)
 		return r.snapshot
 	}
+	all := make([]*Peer, 0, len(r.members))
 	for _, m := range r.members {
 		all = append(all, m.published)
 	}
 	slices.SortFunc(all, comparePeers)
+	r.setPositions(all)
 	r.indexDirty = false
 	r.snapshot = &Peers{Self: r.self(), All: all, index: newIndex(all)}
 	return r.snapshot
 }
 
+// renewed returns the snapshot with the peers that have changed since.
+func (r *Registry) renewed(snapshot *Peers) *Peers {
+	all := slices.Clone(snapshot.All)
+	for _, m := range r.changed {
+		all[m.position] = m.published
+	}
+	return &Peers{Self: r.self(), All: all, index: snapshot.index}
+}
+
+// setPositions notes where each member is in the snapshots of this index.
+func (r *Registry) setPositions(all []*Peer) {
+	r.ordered = r.ordered[:0]
+	for i, peer := range all {
+		m := r.members[peer.Name]
+		m.position = i
+		r.ordered = append(r.ordered, m)
+	}
+}
+
 // publish renews the Peer of each member that has changed, and says whether
 // any has.
 func (r *Registry) publish(now time.Time) bool {
 	interval := r.Interval()
-	changed := false
-	for _, m := range r.members {
-		peer := m.peer(m.health(now, r.resumed, interval))
-		if m.published == nil || *m.published != peer {
-			published := peer
-			m.published = &published
-			changed = true
+	r.changed = r.changed[:0]
+	if !r.indexDirty {
+		for _, m := range r.ordered {
+			r.publishMember(m, now, interval)
 		}
+		return len(r.changed) > 0
+	}
+	for _, m := range r.members {
+		r.publishMember(m, now, interval)
+	}
+	return len(r.changed) > 0
+}
+
+func (r *Registry) publishMember(m *member, now time.Time, interval time.Duration) {
+	health := m.health(now, r.resumed, interval)
+	if m.isPublished(health) {
+		return
 	}
-	return changed
+	peer := m.peer(health)
+	m.published = &peer
+	r.changed = append(r.changed, m)
 }
 
 // SetSelf takes the state that this instance sends in its own heartbeats.
