--- a/balancing/bench_test.go
+++ b/balancing/bench_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"samphireferry.example/ferry/routing"
 )
 
 func BenchmarkAcquireRelease(b *testing.B) {
@@ -69,3 +71,42 @@
 		Owner(u, instances)
 	}
 }
+
+// BenchmarkOwned measures the division of the upstreams of 1,100 sites among
+// the instances, as each of them does it after a change of membership.
+func BenchmarkOwned(b *testing.B) {
+	var list []*routing.Upstream
+	for i := range 1100 {
+		list = append(list, &routing.Upstream{Name: fmt.Sprintf("u%d", i), FailureDomain: fmt.Sprintf("d%d", i%83)})
+	}
+	for _, n := range []int{10, 100, 1000, 4600} {
+		var instances []Instance
+		for i := range n {
+			instances = append(instances, Instance{fmt.Sprintf("e%d", i), fmt.Sprintf("d%d", i%83), "r"})
+		}
+		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				Owned("e1", list, instances)
+			}
+		})
+	}
+}
+
+// BenchmarkChooserUpdate measures the taking in of the loads of all owners of
+// one service version.
+func BenchmarkChooserUpdate(b *testing.B) {
+	now := time.Unix(1000, 0)
+	for _, n := range []int{10, 100, 1000, 4600} {
+		c := NewChooser(ChooserOptions{Self: Instance{"self", "d1", "r1"}})
+		var loads []OwnerLoad
+		for i := range n {
+			loads = append(loads, ownerLoad(fmt.Sprintf("e%d", i), fmt.Sprintf("r%d-a", i%26), 6, 2, 2, now))
+		}
+		b.Run(fmt.Sprintf("owners=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				c.Update(loads)
+			}
+		})
+	}
+}
