Heartbeats keep their interval while a region is cut off

Cause: every instance that a call failed to became a contact at the full rate until it answered. Ruled out: not contacting them, since the end of the separation must be noticed soon; judging them by the longer interval, which would turn Silent peers into Suspect ones. Change: where more instances of another domain have failed than it has contacts, they are contacted less often, together as often as its contacts. When one answers again, the others of the domain are contacted within a minute. Tests: TestLongSeparationKeepsTheHeartbeatInterval (100 and 1,000 instances; prints interval, bytes on the way back, and those still silent). Conclusion: an hour of separation no longer slows the domain's own heartbeats.

--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -59,7 +59,7 @@
 			}
 			exchanges := 0.0
 			for _, m := range r.contacts {
-				exchanges += 1 / float64(m.factor)
+				exchanges += 1 / float64(m.spacing)
 			}
 			b.ReportMetric(float64(proto.Size(states[0])), "bytes/state")
 			b.ReportMetric(float64(len(r.contacts)), "contacts")
--- a/membership/contacts.go
+++ b/membership/contacts.go
@@ -56,7 +56,7 @@
 func (r *Registry) Interval() time.Duration {
 	exchanges := 0.0
 	for _, m := range r.contacts {
-		exchanges += 1 / float64(m.factor)
+		exchanges += 1 / float64(m.spacing)
 	}
 	seconds := exchanges * r.stateBytes / ByteBudget
 	return max(r.config.Interval, time.Duration(seconds*float64(time.Second)))
@@ -65,7 +65,7 @@
 // schedule sets the next exchange about one interval after the last one.
 func (r *Registry) schedule(m *member, interval time.Duration, last time.Time) {
 	jitter := 1 + exchangeJitter*(2*r.config.Rand.Float64()-1)
-	wait := time.Duration(float64(interval) * float64(m.factor) * jitter)
+	wait := time.Duration(float64(interval) * float64(m.spacing) * jitter)
 	m.nextExchange = last.Add(wait)
 }
 
@@ -95,6 +95,7 @@
 			r.contacts = append(r.contacts, m)
 		}
 	}
+	r.spaceFailed()
 	slices.SortFunc(r.contacts, func(a, b *member) int { return cmp.Compare(a.name, b.name) })
 }
 
@@ -105,6 +106,7 @@
 	}
 	m.contact = factor > 0
 	m.factor = factor
+	m.spacing = factor
 }
 
 // contactSet returns the contacts with their interval factors.
@@ -126,12 +128,9 @@
 }
 
 func (r *Registry) chooseInDomain(chosen map[*member]int, domain string, members []*member) {
-	count, factor := FarContacts, FarFactor
-	switch {
-	case domain == r.config.Self.GetFailureDomain():
-		count, factor = len(members), 1
-	case members[0].region == r.config.Self.GetRegion():
-		count, factor = NearContacts, 1
+	count, factor := r.contactsOf(domain, members[0].region)
+	if count == 0 {
+		count = len(members)
 	}
 	if count < len(members) {
 		members = highest(members, count, r.config.Self.GetName(), r.rotation)
--- a/membership/doc.go
+++ b/membership/doc.go
@@ -34,6 +34,10 @@
 //   - peers that traffic named with Use within the last UseFor, and peers for
 //     which Failed was reported.
 //
+// Where more instances of another domain have failed than it has contacts, they
+// are contacted less often, together as often as its contacts; when one of them
+// answers, the others are contacted within RetryPeriod.
+//
 // The contacts of a domain are the highest by rendezvous hash of both names
 // and a number that changes each RotatePeriod, so that every instance is
 // contacted by about the same number of others and each pair meets in time. A
--- /dev/null
+++ b/membership/failed_test.go
@@ -0,0 +1,65 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphireferry.example/ferry/platform"
+)
+
+// TestLongSeparationKeepsTheHeartbeatInterval cuts one region off for an hour
+// and then heals the cut. The heartbeats stay within twice ByteBudget on the way
+// back, and every instance is found again.
+func TestLongSeparationKeepsTheHeartbeatInterval(t *testing.T) {
+	for _, size := range []int{100, 1000} {
+		r, states := benchRegistry(size)
+		byAddress := map[string]int{}
+		var list []platform.Instance
+		for i, state := range states {
+			id := state.GetIdentity()
+			byAddress[id.GetRpcAddress()] = i
+			list = append(list, platform.Instance{Name: id.GetName(), Role: RoleEntry, RPCAddress: id.GetRpcAddress(), FailureDomain: id.GetFailureDomain()})
+		}
+		r.SetInstances(list, epoch)
+		now := epoch
+		// run returns the largest number of bytes sent in a second on average
+		// over 10 seconds.
+		run := func(lasting time.Duration, cut bool) float64 {
+			const step, window = 250 * time.Millisecond, 10 * time.Second
+			most, sent, since := 0.0, 0.0, now
+			for end := now.Add(lasting); now.Before(end); {
+				now = now.Add(step)
+				for _, target := range r.Due(now) {
+					state := states[byAddress[target.RPCAddress]]
+					sent += float64(stateSize(state))
+					if cut && state.GetIdentity().GetRegion() != "region-0" {
+						r.Failed(target.RPCAddress, now)
+						continue
+					}
+					r.Answered(target.RPCAddress, state, now)
+				}
+				if now.Sub(since) >= window {
+					most, sent, since = max(most, sent/now.Sub(since).Seconds()), 0, now
+				}
+			}
+			return most
+		}
+		run(10*time.Minute, false)
+		before := r.Interval()
+		run(time.Hour, true)
+		during := r.Interval()
+		bytes := run(RotatePeriod+RetryPeriod, false)
+		silent := 0
+		for _, p := range r.Snapshot(now).All {
+			if p.Health == Silent {
+				silent++
+			}
+		}
+		t.Logf("%d instances: interval %s, cut off %s; back at %.0f bytes/s, %d silent", size, before, during, bytes, silent)
+		assert.Assert(t, during <= 2*before)
+		assert.Assert(t, bytes <= 2*ByteBudget)
+		assert.Equal(t, silent, 0)
+	}
+}
--- a/membership/learn.go
+++ b/membership/learn.go
@@ -52,6 +52,7 @@
 		r.contactsDirty = true
 		r.indexDirty = true
 	}
+	answersAgain := !m.failedSince.IsZero()
 	if m.incarnation != identity.GetIncarnation() {
 		r.markReplaced(m.incarnation, proven)
 		m.startIncarnation(identity.GetIncarnation())
@@ -63,6 +64,10 @@
 	}
 	r.setAddress(m, identity.GetRpcAddress())
 	m.update(state, now)
+	if answersAgain {
+		r.contactsDirty = true
+		r.retryDomain(m.domain, now)
+	}
 	size := float64(stateSize(state))
 	r.stateBytes += (size - r.stateBytes) * sizeSmoothing
 }
--- a/membership/member.go
+++ b/membership/member.go
@@ -36,8 +36,11 @@
 	// contact says that heartbeats are exchanged, contactSince since when.
 	contact      bool
 	contactSince time.Time
-	// factor multiplies the heartbeat interval.
+	// factor multiplies the heartbeat interval after which the member is judged.
 	factor int
+	// spacing multiplies the time between two exchanges. It is above factor
+	// while many instances of the domain do not answer.
+	spacing int
 	// pairHash ranks the member among the contacts of its domain.
 	pairHash uint64
 	// nextExchange is when the next heartbeat is due.
--- a/membership/registry.go
+++ b/membership/registry.go
@@ -78,6 +78,9 @@
 	// replaced holds incarnations that are known to have been replaced; the
 	// value says whether the successor has answered a call.
 	replaced map[string]bool
+	// retried says when the instances of a domain that do not answer were last
+	// brought forward.
+	retried map[string]time.Time
 
 	firstList time.Time
 	lastList  time.Time
@@ -118,6 +121,7 @@
 		seeds:      map[string]time.Time{},
 		regions:    map[string]string{},
 		replaced:   map[string]bool{},
+		retried:    map[string]time.Time{},
 		stateBytes: messageOverhead,
 		lastTick:   now,
 		resumed:    now,
