--- a/admission/capacity_test.go
+++ b/admission/capacity_test.go
@@ -78,6 +78,33 @@
 	}
 }
 
+// BenchmarkPlanLoansByPeers measures a plan of 64 customers, half of which ask,
+// and the taking over of a new list of peers, by the number of peers.
+func BenchmarkPlanLoansByPeers(b *testing.B) {
+	for _, count := range []int{10, 100, 1000, 4600} {
+		var peers []Peer
+		for i := range count {
+			peers = append(peers, Peer{Name: fmt.Sprintf("10.0.%d.%d:80", i/256, i%256), Distance: Distance(i % 3)})
+		}
+		l, _ := loaded(64)
+		l.SetPeers(peers)
+		b.Run(fmt.Sprintf("plan/peers=%d", count), func(b *testing.B) {
+			now := time.Now()
+			for b.Loop() {
+				now = now.Add(time.Nanosecond)
+				for _, request := range l.PlanLoans(now) {
+					l.Granted(now, request.ID, nil)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("set/peers=%d", count), func(b *testing.B) {
+			for b.Loop() {
+				l.SetPeers(peers)
+			}
+		})
+	}
+}
+
 // BenchmarkLend measures a lender's work on one message and the size of the
 // message and its answer.
 func BenchmarkLend(b *testing.B) {
--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -122,3 +122,33 @@
 		})
 	}
 }
+
+// BenchmarkEvidence gives the size of a heartbeat, and the interval that
+// ByteBudget allows at 4,600 instances, by the counts of roll-outs in it. Each
+// roll-out has two versions on three routes.
+func BenchmarkEvidence(b *testing.B) {
+	for _, rollouts := range []int{0, 1, 10, 100} {
+		b.Run(fmt.Sprintf("rollouts=%d", rollouts), func(b *testing.B) {
+			r, _ := benchRegistry(4600)
+			r.chooseContacts(epoch)
+			state := benchState(0, 0)
+			for i := range 6 * rollouts {
+				evidence := &entrypb.VersionEvidence{
+					Rollout: fmt.Sprintf("rollout-%d", i/6), Route: fmt.Sprintf("route-%d", i%3), Version: "2026-12-1",
+					Requests: 100_000, Failures: 100, ConfigVersion: 123456, LatencyBuckets: make([]uint64, 16),
+				}
+				for bucket := range evidence.LatencyBuckets {
+					evidence.LatencyBuckets[bucket] = 5000
+				}
+				state.Evidence = append(state.Evidence, evidence)
+			}
+			for b.Loop() {
+				_, err := proto.Marshal(state)
+				assert.NilError(b, err)
+			}
+			r.stateBytes = float64(stateSize(state))
+			b.ReportMetric(float64(proto.Size(state)), "bytes/state")
+			b.ReportMetric(r.Interval().Seconds(), "s/interval")
+		})
+	}
+}
