--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -1,12 +1,15 @@
 package membership
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
 
 	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
 
+	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/rpc/entrypb"
 )
 
@@ -56,7 +59,7 @@
 			}
 			exchanges := 0.0
 			for _, m := range r.contacts {
-				exchanges += 1 / float64(m.factor)
+				exchanges += 1 / float64(m.spacing)
 			}
 			b.ReportMetric(float64(proto.Size(states[0])), "bytes/state")
 			b.ReportMetric(float64(len(r.contacts)), "contacts")
@@ -92,3 +95,60 @@
 		})
 	}
 }
+
+// BenchmarkInstanceList measures one read of the platform's list: decoding it
+// and taking it over. The metric is the size of the list.
+func BenchmarkInstanceList(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			r, states := benchRegistry(size)
+			var list []platform.Instance
+			for _, state := range states {
+				id := state.GetIdentity()
+				list = append(list, platform.Instance{
+					Name: id.GetName(), Role: RoleEntry, Address: id.GetAddress(), RPCAddress: id.GetRpcAddress(),
+					FailureDomain: id.GetFailureDomain(), State: platform.InstanceLive,
+				})
+			}
+			data, err := json.Marshal(list)
+			assert.NilError(b, err)
+			b.ReportAllocs()
+			for b.Loop() {
+				var read []platform.Instance
+				assert.NilError(b, json.Unmarshal(data, &read))
+				r.SetInstances(read, epoch)
+			}
+			b.ReportMetric(float64(len(data)), "bytes")
+		})
+	}
+}
+
+// BenchmarkEvidence gives the size of a heartbeat, and the interval that
+// ByteBudget allows at 4,600 instances, by the counts of roll-outs in it. Each
+// roll-out has two versions on three routes.
+func BenchmarkEvidence(b *testing.B) {
+	for _, rollouts := range []int{0, 1, 10, 100} {
+		b.Run(fmt.Sprintf("rollouts=%d", rollouts), func(b *testing.B) {
+			r, _ := benchRegistry(4600)
+			r.chooseContacts(epoch)
+			state := benchState(0, 0)
+			for i := range 6 * rollouts {
+				evidence := &entrypb.VersionEvidence{
+					Rollout: fmt.Sprintf("rollout-%d", i/6), Route: fmt.Sprintf("route-%d", i%3), Version: "2026-12-1",
+					Requests: 100_000, Failures: 100, ConfigVersion: 123456, LatencyBuckets: make([]uint64, 16),
+				}
+				for bucket := range evidence.LatencyBuckets {
+					evidence.LatencyBuckets[bucket] = 5000
+				}
+				state.Evidence = append(state.Evidence, evidence)
+			}
+			for b.Loop() {
+				_, err := proto.Marshal(state)
+				assert.NilError(b, err)
+			}
+			r.stateBytes = float64(stateSize(state))
+			b.ReportMetric(float64(proto.Size(state)), "bytes/state")
+			b.ReportMetric(r.Interval().Seconds(), "s/interval")
+		})
+	}
+}
