Metrics of shares, loans, pools, peers and latency; pulls are compressed

Cause: /metrics showed refusals and retries only; an operator could not see shares, loans, slots, peers or the age of the store. Change: gauges and counters that are read when they are asked for; gzip on GetConfig.

--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -144,6 +144,9 @@
 // Bucket returns the bucket of the customer, or nil when it has none.
 func (l *Limiter) Bucket(customer string) *Bucket { return l.buckets.Load().byName[customer] }
 
+// Buckets returns the buckets of all customers. The slice must not be changed.
+func (l *Limiter) Buckets() []*Bucket { return l.buckets.Load().list }
+
 // Admit takes one token for a request of the bucket's customer.
 func (l *Limiter) Admit(now time.Time, b *Bucket) Decision {
 	if !l.usable(now) {
--- a/caller/server.go
+++ b/caller/server.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
@@ -73,11 +74,18 @@
 	listener net.Listener
 	leaving  atomic.Bool
 	done     chan struct{}
+	// latency counts the seconds from the request to the end of its answer.
+	latency *metrics.Histogram
 }
 
 // NewServer returns a server that is not started.
 func NewServer(settings Settings, services Services) *Server {
-	s := &Server{settings: settings, services: services, done: make(chan struct{})}
+	s := &Server{
+		settings: settings,
+		services: services,
+		done:     make(chan struct{}),
+		latency:  services.Metrics.Histogram("ferry_request_seconds"),
+	}
 	s.api = s.newAPI()
 	s.http = &http.Server{
 		Handler:           s,
--- a/caller/traffic.go
+++ b/caller/traffic.go
@@ -39,8 +39,10 @@
 func (s *Server) serveTraffic(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{server: s, w: w, r: r, id: uuid.NewString()}
 	w.Header().Set(dispatch.HeaderRequestID, x.id)
+	start := time.Now()
 	err := x.serve()
 	if err == nil {
+		s.latency.UpdateDuration(start)
 		return
 	}
 	x.refuse(err)
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -143,7 +143,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-		i.parts.metrics.WritePrometheus(w)
+		i.writeMetrics(w)
 	})
 	operator.Register(mux, i.parts)
 	return mux
--- /dev/null
+++ b/daemon/metrics.go
@@ -0,0 +1,98 @@
+package daemon
+
+import (
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"samphireferry.example/ferry/admission"
+	"samphireferry.example/ferry/balancing"
+	"samphireferry.example/ferry/membership"
+	"samphireferry.example/ferry/telemetry"
+)
+
+// The gauges and counters that are read when they are asked for.
+const (
+	metricConfigVersion    = "ferry_config_version"
+	metricStoreAge         = "ferry_store_age_seconds"
+	metricLeaving          = "ferry_leaving"
+	metricShareVersion     = "ferry_share_version"
+	metricSharesConfirmed  = "ferry_shares_confirmed"
+	metricControlLease     = "ferry_control_lease_held"
+	metricPeers            = "ferry_peers"
+	metricPoolSlots        = "ferry_pool_slots"
+	metricPoolInUse        = "ferry_pool_in_use"
+	metricPoolQueued       = "ferry_pool_queued"
+	metricClaims           = "ferry_idempotency_claims"
+	metricSilentConnection = "ferry_silent_peer_connections_total"
+	metricAdmitted         = "ferry_customer_admitted_total"
+	metricRefused          = "ferry_customer_refused_total"
+	metricTokensLent       = "ferry_tokens_lent_total"
+	metricTokensBorrowed   = "ferry_tokens_borrowed_total"
+	metricTokensDropped    = "ferry_tokens_dropped_total"
+)
+
+// writeMetrics writes all metrics of the instance in the Prometheus text format.
+func (i *Instance) writeMetrics(w io.Writer) {
+	i.parts.metrics.WritePrometheus(w)
+	v := i.parts.views.load()
+	i.writeControlMetrics(w, v)
+	writePeerMetrics(w, v.peers)
+	writePoolMetrics(w, v.pools)
+	for _, b := range i.parts.limiter.Buckets() {
+		writeCustomerMetrics(w, b)
+	}
+	metrics.WriteGaugeUint64(w, metricClaims, uint64(i.keys.Claims()))
+	metrics.WriteCounterUint64(w, metricSilentConnection, i.parts.peers.SilentConnections())
+}
+
+func (i *Instance) writeControlMetrics(w io.Writer, v *view) {
+	metrics.WriteGaugeUint64(w, metricConfigVersion, i.ConfigVersion())
+	metrics.WriteGaugeFloat64(w, metricStoreAge, i.parts.storeAge(time.Now()).Seconds())
+	metrics.WriteGaugeUint64(w, metricLeaving, asNumber(v.leaving))
+	status := i.parts.status.Load()
+	if status == nil {
+		return
+	}
+	metrics.WriteGaugeUint64(w, metricShareVersion, status.shareVersion)
+	metrics.WriteGaugeUint64(w, metricSharesConfirmed, asNumber(status.sharesConfirmed))
+	metrics.WriteGaugeUint64(w, metricControlLease, asNumber(status.holdsLease))
+}
+
+func writePeerMetrics(w io.Writer, peers *membership.Peers) {
+	counts := map[membership.Health]uint64{}
+	for _, p := range peers.All {
+		counts[p.Health]++
+	}
+	for _, health := range []membership.Health{membership.Alive, membership.Suspect, membership.Silent} {
+		metrics.WriteGaugeUint64(w, telemetry.Series(metricPeers, "health", health.String()), counts[health])
+	}
+}
+
+func writePoolMetrics(w io.Writer, pools *balancing.Pools) {
+	for _, vp := range pools.All() {
+		load := vp.Pool.Load()
+		labels := []string{"service", vp.Key.Service, "version", vp.Key.Version}
+		metrics.WriteGaugeUint64(w, telemetry.Series(metricPoolSlots, labels...), uint64(load.Slots))
+		metrics.WriteGaugeUint64(w, telemetry.Series(metricPoolInUse, labels...), uint64(load.InUse))
+		metrics.WriteGaugeUint64(w, telemetry.Series(metricPoolQueued, labels...), uint64(load.Queued))
+	}
+}
+
+func writeCustomerMetrics(w io.Writer, b *admission.Bucket) {
+	totals := b.Totals()
+	labels := []string{"customer", b.Customer()}
+	metrics.WriteCounterUint64(w, telemetry.Series(metricAdmitted, labels...), totals.Admitted+totals.BorrowedSpend)
+	metrics.WriteCounterUint64(w, telemetry.Series(metricRefused, labels...), totals.Refused)
+	metrics.WriteCounterFloat64(w, telemetry.Series(metricTokensLent, labels...), totals.LentReserve+totals.LentSpend)
+	metrics.WriteCounterFloat64(w, telemetry.Series(metricTokensBorrowed, labels...), totals.BorrowedReserve+float64(totals.BorrowedSpend))
+	metrics.WriteCounterFloat64(w, telemetry.Series(metricTokensDropped, labels...), totals.Dropped)
+}
+
+func asNumber(b bool) uint64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/daemon/records.go
+++ b/daemon/records.go
@@ -8,6 +8,9 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/encoding/gzip"
+
 	"samphireferry.example/ferry/balancing"
 	"samphireferry.example/ferry/config/dynamic"
 	"samphireferry.example/ferry/distribution"
@@ -55,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return client.GetConfig(ctx, pull.Request())
+	return client.GetConfig(ctx, pull.Request(), grpc.UseCompressor(gzip.Name))
 }
 
 // liveInDomain returns the names of the live instances of the failure domain.
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -22,7 +22,9 @@
 	leaving         bool
 	shareVersion    uint64
 	sharesConfirmed bool
-	peers           *membership.Peers
+	// holdsLease says whether this instance does control work.
+	holdsLease bool
+	peers      *membership.Peers
 	// operatorAddresses are by name of the instance.
 	operatorAddresses map[string]string
 	moves             []operator.ShiftStatus
@@ -35,6 +37,7 @@
 		leaving:           c.leaving,
 		shareVersion:      c.member.Version(),
 		sharesConfirmed:   c.member.Confirmed(),
+		holdsLease:        c.lease.Held(now),
 		peers:             c.owners.peers,
 		operatorAddresses: c.operatorAddresses,
 		moves:             c.moveStatuses(now),
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -74,17 +74,17 @@
 
 // Counter returns the counter with the name and the label pairs, made on first use.
 func (m *Metrics) Counter(name string, labelPairs ...string) *metrics.Counter {
-	return m.set.GetOrCreateCounter(series(name, labelPairs))
+	return m.set.GetOrCreateCounter(Series(name, labelPairs...))
 }
 
 // Gauge registers a gauge that reads its value from the function.
 func (m *Metrics) Gauge(name string, value func() float64, labelPairs ...string) {
-	m.set.GetOrCreateGauge(series(name, labelPairs), value)
+	m.set.GetOrCreateGauge(Series(name, labelPairs...), value)
 }
 
 // Histogram returns the histogram with the name and the label pairs, made on first use.
 func (m *Metrics) Histogram(name string, labelPairs ...string) *metrics.Histogram {
-	return m.set.GetOrCreateHistogram(series(name, labelPairs))
+	return m.set.GetOrCreateHistogram(Series(name, labelPairs...))
 }
 
 // WatchInvariants exports the number of violations that the checker has seen.
@@ -95,7 +95,9 @@
 // WritePrometheus writes all series in the Prometheus text format.
 func (m *Metrics) WritePrometheus(w io.Writer) { m.set.WritePrometheus(w) }
 
-func series(name string, labelPairs []string) string {
+// Series returns the name of a metric with its label pairs, as name and value in
+// turn.
+func Series(name string, labelPairs ...string) string {
 	if len(labelPairs) == 0 {
 		return name
 	}
