Split the large files of routing, caller and daemon by concern

Change: compile, match, answer, once, directory and loans have files of their own; no change of code.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -1,16 +1,13 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
-	"samphireferry.example/ferry/admission"
 	"samphireferry.example/ferry/controllease"
 	"samphireferry.example/ferry/distribution"
 	"samphireferry.example/ferry/membership"
@@ -244,26 +241,6 @@
 	c.parts.views.store(next)
 }
 
-// directoryInterval is the least time between two directories that differ in
-// loads only.
-const directoryInterval = 500 * time.Millisecond
-
-// currentDirectory returns the directory for callers. It is made anew when
-// instances come, go or leave, and now and then to follow their loads.
-func (c *control) currentDirectory(now time.Time) *steering.Directory {
-	if c.table == nil {
-		return nil
-	}
-	sameInstances := c.directoryOf == c.owners.division
-	if c.directory != nil && sameInstances && now.Sub(c.directoryAt) < directoryInterval {
-		return c.directory
-	}
-	c.directory = steering.NewDirectory(c.blocks, c.table.Set, c.owners.peers)
-	c.directoryOf = c.owners.division
-	c.directoryAt = now
-	return c.directory
-}
-
 // setTable puts a configuration in force.
 func (c *control) setTable(now time.Time, table *routing.Table) {
 	c.table = table
@@ -309,19 +286,3 @@
 	}
 	return names
 }
-
-// maxLenders bounds the peers that are asked for loans.
-const maxLenders = 64
-
-// lenders returns the nearest peers that can be asked for loans.
-func lenders(peers *membership.Peers) []admission.Peer {
-	var all []admission.Peer
-	for _, p := range peers.All {
-		if !p.Usable() {
-			continue
-		}
-		all = append(all, admission.Peer{Name: p.Address, Distance: distanceTo(peers, p)})
-	}
-	slices.SortStableFunc(all, func(a, b admission.Peer) int { return cmp.Compare(a.Distance, b.Distance) })
-	return all[:min(len(all), maxLenders)]
-}
--- a/daemon/records.go
+++ b/daemon/records.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
-
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/encoding/gzip"
 
--- /dev/null
+++ b/routing/compile.go
@@ -0,0 +1,216 @@
+package routing
+
+import (
+	"cmp"
+	"encoding/hex"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"samphireferry.example/ferry/config/dynamic"
+)
+
+// Compile builds the table of a configuration that has passed its check.
+func Compile(config *dynamic.Config) (*Table, error) {
+	t := &Table{
+		Version:    config.Version,
+		PublishID:  config.PublishID,
+		Set:        &config.Set,
+		Regions:    map[string]string{},
+		keys:       map[KeyHash]*Key{},
+		customers:  map[string]*Customer{},
+		services:   map[string]*Service{},
+		byHost:     map[string][]*Route{},
+		nameRoutes: map[string]*Route{},
+	}
+	for _, domain := range config.Set.FailureDomains {
+		t.Regions[domain.Name] = domain.Region
+	}
+	t.addCustomers(config.Set.Customers)
+	t.addServices(&config.Set)
+	if err := t.addKeys(config.Set.Keys); err != nil {
+		return nil, err
+	}
+	if err := t.addRoutes(config.Set.Routes); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+func (t *Table) addCustomers(customers []dynamic.Customer) {
+	for _, c := range customers {
+		t.Customers = append(t.Customers, &Customer{
+			Name:   c.Name,
+			Rate:   c.Rate.PerSecond(),
+			Burst:  c.Burst,
+			Weight: max(c.Weight, 1),
+			Left:   c.Left,
+		})
+	}
+	slices.SortFunc(t.Customers, func(a, b *Customer) int { return cmp.Compare(a.Name, b.Name) })
+	for i, c := range t.Customers {
+		c.Index = i
+		t.customers[c.Name] = c
+	}
+}
+
+func (t *Table) addServices(set *dynamic.Set) {
+	for _, s := range set.Services {
+		t.Services = append(t.Services, &Service{
+			Name:           s.Name,
+			StableVersion:  s.StableVersion,
+			Deferrable:     s.Deferrable,
+			EchoRequestID:  s.EchoRequestID,
+			QueueTimeout:   cmp.Or(s.QueueTimeout.Std(), defaultQueueTimeout),
+			HealthPath:     cmp.Or(s.HealthPath, defaultHealthPath),
+			LoadPath:       cmp.Or(s.LoadPath, defaultLoadPath),
+			HealthInterval: cmp.Or(s.HealthInterval.Std(), defaultHealthInterval),
+		})
+	}
+	slices.SortFunc(t.Services, func(a, b *Service) int { return cmp.Compare(a.Name, b.Name) })
+	for i, s := range t.Services {
+		s.Index = i
+		t.services[s.Name] = s
+	}
+	for _, v := range set.Versions {
+		if s := t.services[v.Service]; s != nil {
+			s.Versions = append(s.Versions, v.Name)
+		}
+	}
+	t.fillStableVersions(set.Rollouts)
+	t.addUpstreams(set)
+}
+
+// fillStableVersions sets the stable versions that the set leaves out.
+func (t *Table) fillStableVersions(rollouts []dynamic.Rollout) {
+	from := map[string]string{}
+	for _, r := range rollouts {
+		from[r.Service] = r.From
+	}
+	for _, s := range t.Services {
+		s.StableVersion = cmp.Or(s.StableVersion, from[s.Name])
+		if s.StableVersion == "" && len(s.Versions) > 0 {
+			s.StableVersion = s.Versions[0]
+		}
+	}
+}
+
+func (t *Table) addUpstreams(set *dynamic.Set) {
+	drainedUpstreams := map[string]bool{}
+	drainedDomains := map[string]bool{}
+	for _, d := range set.Drains {
+		drainedUpstreams[d.Upstream] = true
+		drainedDomains[d.FailureDomain] = true
+	}
+	for _, u := range set.Upstreams {
+		s := t.services[u.Service]
+		if s == nil {
+			continue
+		}
+		s.Upstreams = append(s.Upstreams, &Upstream{
+			Name:          u.Name,
+			Service:       u.Service,
+			Version:       u.Version,
+			FailureDomain: u.FailureDomain,
+			Region:        t.Regions[u.FailureDomain],
+			Address:       u.Address,
+			Slots:         u.Slots,
+			Connections:   cmp.Or(u.Connections, defaultConnections),
+			Drained:       drainedUpstreams[u.Name] || drainedDomains[u.FailureDomain],
+		})
+	}
+	for _, s := range t.Services {
+		slices.Sort(s.Versions)
+		slices.SortFunc(s.Upstreams, func(a, b *Upstream) int { return cmp.Compare(a.Name, b.Name) })
+	}
+}
+
+func (t *Table) addKeys(keys []dynamic.Key) error {
+	for _, k := range keys {
+		var hash KeyHash
+		decoded, err := hex.DecodeString(k.SHA256)
+		if err != nil || len(decoded) != len(hash) {
+			return errors.Newf("key %s: sha256 is not 64 hexadecimal digits", k.Name)
+		}
+		customer := t.customers[k.Customer]
+		if customer == nil {
+			return errors.Newf("key %s: no customer %s", k.Name, k.Customer)
+		}
+		copy(hash[:], decoded)
+		t.keys[hash] = &Key{Name: k.Name, Customer: customer, Withdrawn: k.Withdrawn}
+	}
+	return nil
+}
+
+func (t *Table) addRoutes(routes []dynamic.Route) error {
+	for i := range routes {
+		r, err := t.compileRoute(&routes[i])
+		if err != nil {
+			return err
+		}
+		t.Routes = append(t.Routes, r)
+		t.addKeyPlaces(r)
+	}
+	slices.SortFunc(t.Routes, compareRoutes)
+	for i, r := range t.Routes {
+		r.Index = i
+		t.nameRoutes[r.Name] = r
+		if r.Host == "" {
+			t.anyHost = append(t.anyHost, r)
+			continue
+		}
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	return nil
+}
+
+func (t *Table) addKeyPlaces(r *Route) {
+	if r.KeyHeader != "" && !slices.Contains(t.KeyHeaders, r.KeyHeader) {
+		t.KeyHeaders = append(t.KeyHeaders, r.KeyHeader)
+	}
+	if r.KeyQuery != "" && !slices.Contains(t.KeyParameters, r.KeyQuery) {
+		t.KeyParameters = append(t.KeyParameters, r.KeyQuery)
+	}
+}
+
+func (t *Table) compileRoute(r *dynamic.Route) (*Route, error) {
+	service := t.services[r.Service]
+	if service == nil {
+		return nil, errors.Newf("route %s: no service %s", r.Name, r.Service)
+	}
+	compiled := &Route{
+		Name:         r.Name,
+		Service:      service,
+		Host:         strings.ToLower(r.Host),
+		PathPrefix:   strings.TrimSuffix(r.PathPrefix, "/"),
+		Methods:      r.Methods,
+		AtMostOnce:   r.Kind == dynamic.AtMostOnce,
+		Open:         r.Open,
+		OpenCustomer: t.customers[r.OpenCustomer],
+		KeyHeader:    r.KeyHeader,
+		KeyQuery:     r.KeyQuery,
+		Timeout:      cmp.Or(r.Timeout.Std(), defaultTimeout),
+		MaxBody:      cmp.Or(int64(r.MaxBody), defaultMaxBody),
+		WhenCutOff:   cmp.Or(r.WhenCutOff, dynamic.CutOffServe),
+		CutOffAfter:  cmp.Or(r.CutOffAfter.Std(), defaultCutOffAfter),
+	}
+	if compiled.Open && compiled.OpenCustomer == nil {
+		return nil, errors.Newf("route %s: no customer %s", r.Name, r.OpenCustomer)
+	}
+	if len(r.Customers) > 0 {
+		compiled.Customers = map[string]bool{}
+	}
+	for _, name := range r.Customers {
+		compiled.Customers[name] = true
+	}
+	return compiled, nil
+}
+
+func compareRoutes(a, b *Route) int {
+	return cmp.Or(
+		cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)),
+		cmp.Compare(min(len(b.Methods), 1), min(len(a.Methods), 1)),
+		cmp.Compare(a.Name, b.Name),
+	)
+}
