--- a/relay/client.go
+++ b/relay/client.go
@@ -155,6 +155,17 @@
 	return errkind.Wrap(cause, errkind.CallerGone, "the request body broke off")
 }
 
+// deadlineSlack is how much earlier than this instance the owner may see the
+// deadline, which travels as a rounded time to go.
+const deadlineSlack = 10 * time.Millisecond
+
+// deadlineDue says whether the deadline of the request has passed, here or by
+// the clock of the owner.
+func deadlineDue(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && time.Until(deadline) < deadlineSlack
+}
+
 // sent returns the error of a request that may have reached its owner. Ended
 // is the cause with which this instance ended the stream, if it did.
 func sent(ctx context.Context, ended, cause error) error {
@@ -164,7 +175,7 @@
 		}
 	}
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded), status.Code(cause) == codes.DeadlineExceeded:
+	case deadlineDue(ctx), status.Code(cause) == codes.DeadlineExceeded:
 		return errkind.Wrap(cause, errkind.UpstreamTimeout, "")
 	case ctx.Err() != nil:
 		return errkind.Wrap(cause, errkind.CallerGone, "")
