Benchmarks of time in force, drain and platform calls; seed of the measure of rates

Ruled out: tests with time bounds. Change: benchmarks TimeInForce, Drain and PlatformCalls (demo); flag -measure.seed of BenchmarkServedWithinRate, default 1 as before.

--- a/admission/measure_test.go
+++ b/admission/measure_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -8,6 +9,8 @@
 	"samphireferry.example/ferry/sharetable"
 )
 
+var measureSeed = flag.Uint64("measure.seed", 1, "seed of BenchmarkServedWithinRate")
+
 // measurement is a fleet of today's size under a steady load.
 type measurement struct {
 	*fleet
@@ -46,7 +49,7 @@
 	for i, domain := range []string{"a1", "a1", "a2", "a2", "b1", "b1", "b2", "b2", "c1", "c2"} {
 		sites = append(sites, site{fmt.Sprintf("10.0.0.%d:80", i), domain, domain[:1]})
 	}
-	m := &measurement{fleet: newFleet(b, 1, sites)}
+	m := &measurement{fleet: newFleet(b, *measureSeed, sites)}
 	m.limiter.NoLoans = noLoans
 	m.delay = func(from, to site) time.Duration {
 		if from.region != to.region {
--- /dev/null
+++ b/demo/inforce_bench_test.go
@@ -0,0 +1,128 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphireferry.example/ferry/config/dynamic"
+	standinplatform "samphireferry.example/ferry/standin/platform"
+)
+
+// benchSystem returns a system of today's size whose instances serve.
+func benchSystem(b *testing.B) *System {
+	s, err := Start(Options{Change: func(set *dynamic.Set) {
+		set.Customers[0].Rate, set.Customers[0].Burst = 1e6, 1_000_000
+	}})
+	assert.NilError(b, err)
+	b.Cleanup(func() { assert.NilError(b, s.Stop()) })
+	assert.NilError(b, s.WaitReady(b.Context()))
+	time.Sleep(12 * time.Second) // The ramps of cold upstreams.
+	return s
+}
+
+// reportTimes reports the middle and the largest of some times.
+func reportTimes(b *testing.B, times []time.Duration) {
+	slices.Sort(times)
+	b.ReportMetric(times[len(times)/2].Seconds()*1e3, "median-ms")
+	b.ReportMetric(times[len(times)-1].Seconds()*1e3, "longest-ms")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkTimeInForce measures the time from the publishing of a configuration
+// until every entry instance has it.
+func BenchmarkTimeInForce(b *testing.B) {
+	s := benchSystem(b)
+	var times []time.Duration
+	version := s.Entries[0].ConfigVersion()
+	for b.Loop() {
+		start := time.Now()
+		assert.NilError(b, s.Publish(b.Context()))
+		version++
+		for _, entry := range s.Entries {
+			for entry.ConfigVersion() < version {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		times = append(times, time.Since(start))
+		time.Sleep(time.Second)
+	}
+	reportTimes(b, times)
+}
+
+// BenchmarkDrain measures the time from the publishing of a drain until the
+// upstream gets the last new request, under 400 reads a second.
+func BenchmarkDrain(b *testing.B) {
+	s := benchSystem(b)
+	ctx, cancel := context.WithCancel(b.Context())
+	var running sync.WaitGroup
+	running.Go(func() { readSteadily(ctx, s) })
+	defer running.Wait()
+	defer cancel()
+	drains := s.Set.Drains
+	var times []time.Duration
+	for i := 0; b.Loop(); i++ {
+		name := fmt.Sprintf("lookup-v1-%02d", 1+i%4)
+		u := s.Upstreams[name]
+		start := time.Now()
+		s.Set.Drains = append(slices.Clone(drains), dynamic.Drain{Name: "maintenance", Upstream: name})
+		assert.NilError(b, s.Publish(b.Context()))
+		last, executed := time.Duration(0), u.Ledger().Snapshot().Executed
+		for time.Since(start) < 4*time.Second {
+			if now := u.Ledger().Snapshot().Executed; now != executed {
+				last, executed = time.Since(start), now
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+		times = append(times, last)
+		s.Set.Drains = drains
+		assert.NilError(b, s.Publish(b.Context()))
+		time.Sleep(12 * time.Second)
+	}
+	reportTimes(b, times)
+}
+
+// readSteadily sends 400 reads a second to the entry instances in turn.
+func readSteadily(ctx context.Context, s *System) {
+	ticker := time.NewTicker(2500 * time.Microsecond)
+	defer ticker.Stop()
+	for i := 0; ctx.Err() == nil; i++ {
+		<-ticker.C
+		go read(http.DefaultClient, "http://"+s.Entries[i%len(s.Entries)].CallerAddress())
+	}
+}
+
+// BenchmarkPlatformCalls measures the calls on the platform of a fleet of
+// today's size: in steady state, in an outage, and after it.
+func BenchmarkPlatformCalls(b *testing.B) {
+	s := benchSystem(b)
+	phases := []struct {
+		name    string
+		faults  standinplatform.Faults
+		seconds float64
+	}{
+		{"steady", standinplatform.Faults{}, 30},
+		{"outage", standinplatform.Faults{Outage: standinplatform.OutageRefuse}, 30},
+		{"return", standinplatform.Faults{}, 10},
+	}
+	for b.Loop() {
+		for _, phase := range phases {
+			s.Platform.SetFaults(phase.faults)
+			before := s.Platform.Calls()
+			time.Sleep(time.Duration(phase.seconds * float64(time.Second)))
+			sum := 0.0
+			for kind, n := range s.Platform.Calls() {
+				rate := float64(n-before[kind]) / phase.seconds
+				b.ReportMetric(rate, fmt.Sprintf("%s-%v/s", phase.name, kind))
+				sum += rate
+			}
+			b.ReportMetric(sum, phase.name+"-calls/s")
+		}
+	}
+}
