A listed instance that was never heard keeps its rate share

Ruled out: a fault of the driver, which counts absence right for what it is told. Change: every known peer is a candidate; one that was never heard is listed but not reachable. Peers are taken over five times a second, not twenty.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -41,11 +41,14 @@
 	lease       *controllease.Lease
 	leaseRunner *controllease.Runner
 
+	// peersAt is when the peers were last taken over from the registry.
+	peersAt time.Time
 	// divided is when the grants were last divided.
 	divided time.Time
 	dist    *distribution.State
 	watcher *distribution.Watcher
-	// watching says whether this instance watches the store.
+	// watching says whether this instance watches the store or does control
+	// work, and so needs a fresh list of instances.
 	watching atomic.Bool
 	table    *routing.Table
 	blocks   *steering.Blocks
@@ -203,8 +206,16 @@
 	c.executor.Step(c.ctx, now)
 }
 
+// peersInterval is the least time between two takeovers of what the registry
+// knows, which costs time for each peer.
+const peersInterval = 200 * time.Millisecond
+
 // updatePeers takes over what the registry knows.
 func (c *control) updatePeers(now time.Time) {
+	if now.Sub(c.peersAt) < peersInterval {
+		return
+	}
+	c.peersAt = now
 	peers := c.registry.Snapshot(now)
 	if peers == c.owners.peers {
 		return
--- a/daemon/records.go
+++ b/daemon/records.go
@@ -35,7 +35,7 @@
 func (c *control) followRecords(now time.Time) {
 	watches := c.dist.ShouldWatch(c.liveInDomain(), now)
 	c.watcher.SetActive(watches)
-	c.watching.Store(watches)
+	c.watching.Store(watches || c.lease.Held(now))
 	pull, ok := c.dist.PlanPull(now)
 	if !ok {
 		return
--- a/daemon/shares.go
+++ b/daemon/shares.go
@@ -44,27 +44,17 @@
 
 // setShareView tells the driver which instances are there.
 func (c *control) setShareView(now time.Time) {
-	peers := c.owners.peers
+	self := c.parts.identity
 	candidates := []sharetable.Candidate{{
-		Name:         c.parts.identity.GetAddress(),
-		Incarnation:  c.parts.identity.GetIncarnation(),
-		WitnessGroup: c.witnessGroup(c.parts.identity.GetFailureDomain(), c.parts.identity.GetRegion()),
-		Listed:       c.listed[c.parts.identity.GetAddress()],
+		Name:         self.GetAddress(),
+		Incarnation:  self.GetIncarnation(),
+		WitnessGroup: c.witnessGroup(self.GetFailureDomain(), self.GetRegion()),
+		Listed:       c.listed[self.GetAddress()],
 		Reachable:    true,
 		Leaving:      c.leaving,
 	}}
-	for _, p := range peers.All {
-		if p.Incarnation == "" {
-			continue
-		}
-		candidates = append(candidates, sharetable.Candidate{
-			Name:         p.Address,
-			Incarnation:  p.Incarnation,
-			WitnessGroup: c.witnessGroup(p.FailureDomain, p.Region),
-			Listed:       p.Listed,
-			Reachable:    p.Usable(),
-			Leaving:      p.Leaving,
-		})
+	for _, p := range c.owners.peers.All {
+		candidates = append(candidates, c.shareCandidate(p))
 	}
 	listRead := !c.listRead.IsZero() && now.Sub(c.listRead) < 3*listInterval
 	c.shareDriver.SetMembers(now, sharetable.View{Candidates: candidates, ListRead: listRead})
@@ -73,6 +63,19 @@
 	c.shareDriver.Ack(now, answer)
 }
 
+// shareCandidate describes a peer to the driver. One that has never been heard
+// is not reachable, but the platform's list may show that it is there.
+func (c *control) shareCandidate(p *membership.Peer) sharetable.Candidate {
+	return sharetable.Candidate{
+		Name:         p.Address,
+		Incarnation:  p.Incarnation,
+		WitnessGroup: c.witnessGroup(p.FailureDomain, p.Region),
+		Listed:       p.Listed,
+		Reachable:    p.Usable() && p.Incarnation != "",
+		Leaving:      p.Leaving,
+	}
+}
+
 // witnessGroup names the instances that vouch for each other's tables: those of
 // the region in a small fleet, where a failure domain may have a single
 // instance, and those of the failure domain in a large one.
