Ownership compares an upstream with the instances of its place only

Cause: each change of membership compared every upstream with every instance. Change: instances are grouped by failure domain and region once.

--- a/balancing/ownership.go
+++ b/balancing/ownership.go
@@ -19,36 +19,50 @@
 // its region when the domain has none. It returns false when neither has any.
 // The order of the instances does not matter.
 func Owner(upstream *routing.Upstream, instances []Instance) (string, bool) {
-	owner, ok := highest(upstream.Name, instances, func(i Instance) bool {
-		return i.FailureDomain == upstream.FailureDomain
-	})
-	if ok {
-		return owner, true
-	}
-	return highest(upstream.Name, instances, func(i Instance) bool {
-		return i.Region == upstream.Region
-	})
+	return newPlaces(instances).owner(upstream)
 }
 
 // Owned returns the upstreams that the instance named self owns.
 func Owned(self string, upstreams []*routing.Upstream, instances []Instance) []*routing.Upstream {
+	places := newPlaces(instances)
 	return lo.Filter(upstreams, func(u *routing.Upstream, _ int) bool {
-		owner, ok := Owner(u, instances)
+		owner, ok := places.owner(u)
 		return ok && owner == self
 	})
 }
 
-func highest(key string, instances []Instance, eligible func(Instance) bool) (string, bool) {
-	var best string
-	var bestHash uint64
-	found := false
+// places holds the names of the instances by failure domain and by region, so
+// that an upstream is compared with those of one place only.
+type places struct {
+	byDomain map[string][]string
+	byRegion map[string][]string
+}
+
+func newPlaces(instances []Instance) places {
+	p := places{byDomain: map[string][]string{}, byRegion: map[string][]string{}}
 	for _, i := range instances {
-		if !eligible(i) {
-			continue
-		}
-		hash := rendezvousHash(key, i.Name)
-		if !found || hash > bestHash || hash == bestHash && i.Name < best {
-			best, bestHash, found = i.Name, hash, true
+		p.byDomain[i.FailureDomain] = append(p.byDomain[i.FailureDomain], i.Name)
+		p.byRegion[i.Region] = append(p.byRegion[i.Region], i.Name)
+	}
+	return p
+}
+
+func (p places) owner(upstream *routing.Upstream) (string, bool) {
+	names := p.byDomain[upstream.FailureDomain]
+	if len(names) == 0 {
+		names = p.byRegion[upstream.Region]
+	}
+	return highest(upstream.Name, names)
+}
+
+// highest returns the name with the highest rendezvous hash for the key, or
+// false when there are none.
+func highest(key string, names []string) (best string, found bool) {
+	var bestHash uint64
+	for _, name := range names {
+		hash := rendezvousHash(key, name)
+		if !found || hash > bestHash || hash == bestHash && name < best {
+			best, bestHash, found = name, hash, true
 		}
 	}
 	return best, found
