--- a/daemon/control.go
+++ b/daemon/control.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"samphireferry.example/ferry/config/dynamic"
 	"samphireferry.example/ferry/controllease"
 	"samphireferry.example/ferry/distribution"
 	"samphireferry.example/ferry/membership"
@@ -51,7 +52,9 @@
 	// work, and so needs a fresh list of instances.
 	watching atomic.Bool
 	table    *routing.Table
-	blocks   *steering.Blocks
+	// blocks were built from blockList.
+	blocks    *steering.Blocks
+	blockList []dynamic.ClientBlock
 	// directory was made at directoryAt, for the division directoryOf.
 	directory   *steering.Directory
 	directoryAt time.Time
@@ -259,12 +262,7 @@
 	c.moves.Configure(table.Version, table.Set.Moves)
 	c.rollouts.Configure(table.Version, table.Set.Rollouts, routeNames(table))
 	c.owners.setTable(table)
-	blocks, err := steering.NewBlocks(table.Set.ClientBlocks)
-	if err != nil {
-		c.parts.log.Error("client blocks cannot be read", errorField(err))
-	} else {
-		c.blocks = blocks
-	}
+	c.buildBlocks(table.Set.ClientBlocks)
 	c.applyShares(now)
 	c.dirty = true
 	c.parts.log.Info("configuration in force", zap.Uint64("version", table.Version))
