No Content-Length on answers of status 204

Cause: an answer with status 204 was sent with Content-Length: 0, which HTTP does not allow. Change: the field is removed; a test of answers without body.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -52,7 +52,9 @@
 			out[name] = values
 		}
 	}
-	if contentLength >= 0 {
+	if status == http.StatusNoContent {
+		out.Del("Content-Length")
+	} else if contentLength >= 0 {
 		out.Set("Content-Length", strconv.FormatInt(contentLength, 10))
 	}
 	out.Set(HeaderOutcome, string(errkind.Ran))
--- a/caller/traffic_test.go
+++ b/caller/traffic_test.go
@@ -248,3 +248,35 @@
 	assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &list))
 	assert.Equal(t, list.TTLSeconds, 5)
 }
+
+func TestAnswersWithoutBody(t *testing.T) {
+	cases := []struct {
+		method, length string
+		status         int
+	}{
+		{http.MethodHead, "5", http.StatusOK},
+		{http.MethodGet, "", http.StatusNoContent},
+		{http.MethodGet, "", http.StatusNotModified},
+	}
+	for _, c := range cases {
+		f := &fakes{table: testTable(t)}
+		f.answer = func() (*dispatch.Answer, error) {
+			length := int64(0)
+			if c.length != "" {
+				length = 5
+			}
+			return &dispatch.Answer{Status: c.status, Header: http.Header{}, Body: http.NoBody, ContentLength: length}, nil
+		}
+		server := httptest.NewServer(newTestServer(f))
+		r, err := http.NewRequest(c.method, server.URL+"/open", nil)
+		assert.NilError(t, err)
+		response, err := http.DefaultClient.Do(r)
+		assert.NilError(t, err)
+		response.Body.Close()
+		server.Close()
+		assert.Equal(t, response.StatusCode, c.status)
+		if c.status != http.StatusNotModified {
+			assert.Equal(t, response.Header.Get("Content-Length"), c.length, c.method)
+		}
+	}
+}
