--- a/daemon/control.go
+++ b/daemon/control.go
@@ -1,16 +1,14 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
-	"samphireferry.example/ferry/admission"
+	"samphireferry.example/ferry/config/dynamic"
 	"samphireferry.example/ferry/controllease"
 	"samphireferry.example/ferry/distribution"
 	"samphireferry.example/ferry/membership"
@@ -44,14 +42,19 @@
 	lease       *controllease.Lease
 	leaseRunner *controllease.Runner
 
+	// peersAt is when the peers were last taken over from the registry.
+	peersAt time.Time
 	// divided is when the grants were last divided.
 	divided time.Time
 	dist    *distribution.State
 	watcher *distribution.Watcher
-	// watching says whether this instance watches the store.
+	// watching says whether this instance watches the store or does control
+	// work, and so needs a fresh list of instances.
 	watching atomic.Bool
 	table    *routing.Table
-	blocks   *steering.Blocks
+	// blocks were built from blockList.
+	blocks    *steering.Blocks
+	blockList []dynamic.ClientBlock
 	// directory was made at directoryAt, for the division directoryOf.
 	directory   *steering.Directory
 	directoryAt time.Time
@@ -206,8 +209,16 @@
 	c.executor.Step(c.ctx, now)
 }
 
+// peersInterval is the least time between two takeovers of what the registry
+// knows, which costs time for each peer.
+const peersInterval = 200 * time.Millisecond
+
 // updatePeers takes over what the registry knows.
 func (c *control) updatePeers(now time.Time) {
+	if now.Sub(c.peersAt) < peersInterval {
+		return
+	}
+	c.peersAt = now
 	peers := c.registry.Snapshot(now)
 	if peers == c.owners.peers {
 		return
@@ -244,26 +255,6 @@
 	c.parts.views.store(next)
 }
 
-// directoryInterval is the least time between two directories that differ in
-// loads only.
-const directoryInterval = 500 * time.Millisecond
-
-// currentDirectory returns the directory for callers. It is made anew when
-// instances come, go or leave, and now and then to follow their loads.
-func (c *control) currentDirectory(now time.Time) *steering.Directory {
-	if c.table == nil {
-		return nil
-	}
-	sameInstances := c.directoryOf == c.owners.division
-	if c.directory != nil && sameInstances && now.Sub(c.directoryAt) < directoryInterval {
-		return c.directory
-	}
-	c.directory = steering.NewDirectory(c.blocks, c.table.Set, c.owners.peers)
-	c.directoryOf = c.owners.division
-	c.directoryAt = now
-	return c.directory
-}
-
 // setTable puts a configuration in force.
 func (c *control) setTable(now time.Time, table *routing.Table) {
 	c.table = table
@@ -271,12 +262,7 @@
 	c.moves.Configure(table.Version, table.Set.Moves)
 	c.rollouts.Configure(table.Version, table.Set.Rollouts, routeNames(table))
 	c.owners.setTable(table)
-	blocks, err := steering.NewBlocks(table.Set.ClientBlocks)
-	if err != nil {
-		c.parts.log.Error("client blocks cannot be read", errorField(err))
-	} else {
-		c.blocks = blocks
-	}
+	c.buildBlocks(table.Set.ClientBlocks)
 	c.applyShares(now)
 	c.dirty = true
 	c.parts.log.Info("configuration in force", zap.Uint64("version", table.Version))
@@ -309,19 +295,3 @@
 	}
 	return names
 }
-
-// maxLenders bounds the peers that are asked for loans.
-const maxLenders = 64
-
-// lenders returns the nearest peers that can be asked for loans.
-func lenders(peers *membership.Peers) []admission.Peer {
-	var all []admission.Peer
-	for _, p := range peers.All {
-		if !p.Usable() {
-			continue
-		}
-		all = append(all, admission.Peer{Name: p.Address, Distance: distanceTo(peers, p)})
-	}
-	slices.SortStableFunc(all, func(a, b admission.Peer) int { return cmp.Compare(a.Distance, b.Distance) })
-	return all[:min(len(all), maxLenders)]
-}
--- a/daemon/records.go
+++ b/daemon/records.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/encoding/gzip"
 
 	"samphireferry.example/ferry/balancing"
 	"samphireferry.example/ferry/config/dynamic"
@@ -33,7 +35,7 @@
 func (c *control) followRecords(now time.Time) {
 	watches := c.dist.ShouldWatch(c.liveInDomain(), now)
 	c.watcher.SetActive(watches)
-	c.watching.Store(watches)
+	c.watching.Store(watches || c.lease.Held(now))
 	pull, ok := c.dist.PlanPull(now)
 	if !ok {
 		return
@@ -55,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return client.GetConfig(ctx, pull.Request())
+	return client.GetConfig(ctx, pull.Request(), grpc.UseCompressor(gzip.Name))
 }
 
 // liveInDomain returns the names of the live instances of the failure domain.
