--- a/demo/random_schedule_test.go
+++ b/demo/random_schedule_test.go
@@ -25,6 +25,7 @@
 	harmLoseAnswers   harmKind = "platform loses answers"
 	harmSilentWatches harmKind = "watches silent"
 	harmListLag       harmKind = "list lags"
+	harmStaleReads    harmKind = "stale reads"
 	harmUpstreamFault harmKind = "upstream fault"
 	harmUpstreamDrain harmKind = "upstream drains"
 	harmUpstreamStop  harmKind = "upstream stops"
@@ -41,16 +42,17 @@
 const (
 	// maxHarmsPerStep is the largest number of harms that begin at one step.
 	maxHarmsPerStep = 3
-	// minHarm and maxHarm bound how long a harm lasts.
+	// minHarm is the least time that a harm lasts.
 	minHarm = 300 * time.Millisecond
-	maxHarm = 4 * time.Second
 	// strikes is the number of upstreams that one harm strikes.
-	strikes = 2
+	strikes = 5
 
 	platformDelay   = 300 * time.Millisecond
 	listLag         = 3 * time.Second
 	slowAnswer      = 700 * time.Millisecond
 	lostAnswersPart = 0.4
+	staleReadsPart  = 0.3
+	staleAge        = 2 * time.Second
 )
 
 // harmWeights are the relative frequencies of the harms.
@@ -60,7 +62,7 @@
 }{
 	{harmCutDomains, 3}, {harmCutPlatform, 2}, {harmIsolateDomain, 1},
 	{harmRefuse, 1}, {harmHang, 1}, {harmDelay, 2}, {harmLoseAnswers, 2},
-	{harmSilentWatches, 1}, {harmListLag, 1},
+	{harmSilentWatches, 1}, {harmListLag, 1}, {harmStaleReads, 1},
 	{harmUpstreamFault, 6}, {harmUpstreamDrain, 2}, {harmUpstreamStop, 2}, {harmProbes, 2},
 	{harmStopEntry, 3},
 	{harmRates, 3}, {harmDrain, 2}, {harmWithdraw, 1},
@@ -88,7 +90,7 @@
 	for i := range plan {
 		for range random.IntN(maxHarmsPerStep + 1) {
 			h := harm{kind: kinds[random.IntN(len(kinds))]}
-			h.lasting = minHarm + time.Duration(random.Int64N(int64(maxHarm-minHarm)))
+			h.lasting = minHarm + time.Duration(random.Int64N(int64(*maxHarm-minHarm)))
 			for p := range h.pick {
 				h.pick[p] = random.IntN(1 << 20)
 			}
@@ -145,7 +147,7 @@
 	switch h.kind {
 	case harmCutDomains, harmCutPlatform, harmIsolateDomain:
 		r.cut(h)
-	case harmRefuse, harmHang, harmDelay, harmLoseAnswers, harmSilentWatches, harmListLag:
+	case harmRefuse, harmHang, harmDelay, harmLoseAnswers, harmSilentWatches, harmListLag, harmStaleReads:
 		r.harmPlatform(h)
 	case harmUpstreamFault, harmUpstreamDrain, harmUpstreamStop, harmProbes:
 		r.harmUpstream(h)
@@ -217,6 +219,10 @@
 	if active[harmListLag] > 0 {
 		faults.InstanceLag = standinplatform.Duration(listLag)
 	}
+	if active[harmStaleReads] > 0 {
+		faults.StaleReads = staleReadsPart
+		faults.StaleAge = standinplatform.Duration(staleAge)
+	}
 	faults.SilentWatches = active[harmSilentWatches] > 0
 	r.s.Platform.SetFaults(faults)
 }
--- a/demo/random_test.go
+++ b/demo/random_test.go
@@ -21,6 +21,7 @@
 	firstSeed = flag.Uint64("demo.seed", 1, "first seed of TestRandomRun")
 	seeds     = flag.Int("demo.seeds", 2, "number of seeds of TestRandomRun")
 	steps     = flag.Int("demo.steps", 35, "number of steps of each seed of TestRandomRun")
+	maxHarm   = flag.Duration("demo.harm", 4*time.Second, "longest time that one harm of TestRandomRun lasts")
 )
 
 const (
