--- a/demo/random_callers_test.go
+++ b/demo/random_callers_test.go
@@ -45,7 +45,9 @@
 	status        int
 	outcome       string
 	retry         string
-	replayed      bool
+	// kind is the error kind of a refusal, or empty.
+	kind     string
+	replayed bool
 	// cut is set when the answer began and did not come whole.
 	cut  bool
 	body string
@@ -98,12 +100,24 @@
 	c.status, c.cut, c.body = response.StatusCode, err != nil, string(body)
 	c.outcome = response.Header.Get("Ferry-Outcome")
 	c.retry = response.Header.Get("Ferry-Retry")
+	if c.retry != "" {
+		c.kind = kindOf(body)
+	}
 	c.replayed = response.Header.Get("Ferry-Replayed") != ""
 	r.ledger.add(c)
 	r.checkWhole(q, c)
 	return c
 }
 
+// kindOf returns the error kind in the body of a refusal.
+func kindOf(body []byte) string {
+	var problem struct {
+		Kind string `json:"kind"`
+	}
+	_ = json.Unmarshal(body, &problem)
+	return problem.Kind
+}
+
 // checkWhole checks that an answer given as whole is that to the request.
 func (r *randomRun) checkWhole(q request, c call) {
 	if c.cut || c.status != http.StatusOK || q.leak {
--- a/demo/random_checks_test.go
+++ b/demo/random_checks_test.go
@@ -194,7 +194,7 @@
 				return poll.Success()
 			}
 			last := r.ledger.last(q)
-			if strings.Contains(last.body, "idempotency_home_gone") {
+			if last.kind == "idempotency_home_gone" {
 				return poll.Success()
 			}
 			return poll.Continue("%s: %+v", q.idempotencyKey, last)
@@ -271,7 +271,7 @@
 		for _, instance := range r.running() {
 			q := request{method: http.MethodGet, path: pathRead + "/withdrawn", query: "bytes=10", customer: key.Customer, key: key.Name}
 			c := r.send(client, instance.CallerAddress(), q)
-			if !strings.Contains(c.body, "key_withdrawn") {
+			if c.kind != "key_withdrawn" {
 				r.t.Errorf("%s at %s: %d %s", key.Name, instance.CallerAddress(), c.status, c.body)
 			}
 		}
@@ -438,7 +438,7 @@
 	defer r.ledger.mu.Unlock()
 	answers := map[string]int{}
 	for _, c := range r.ledger.calls {
-		answers[fmt.Sprint(c.status, " ", c.outcome)]++
+		answers[strings.TrimSpace(fmt.Sprint(c.status, " ", c.outcome, " ", c.kind))]++
 	}
 	final := 0
 	for _, state := range r.ledger.filings {
--- a/demo/random_schedule_test.go
+++ b/demo/random_schedule_test.go
@@ -270,10 +270,7 @@
 		r.history.cutting(func() {
 			_ = r.s.StopUpstream(name)
 			time.Sleep(lasting)
-			err := r.s.StartUpstream(name)
-			if err != nil {
-				r.t.Errorf("restart of %s: %v", name, err)
-			}
+			r.startUpstream(name)
 		})
 	}
 	r.faults.mu.Lock()
@@ -281,6 +278,21 @@
 	r.faults.mu.Unlock()
 }
 
+// startUpstream starts a stopped upstream. It waits while a connection of
+// another process has its port.
+func (r *randomRun) startUpstream(name string) {
+	for end := time.Now().Add(inForceTimeout); ; time.Sleep(stepTime) {
+		err := r.s.StartUpstream(name)
+		if err == nil {
+			return
+		}
+		if time.Now().After(end) {
+			r.t.Errorf("restart of %s: %v", name, err)
+			return
+		}
+	}
+}
+
 func (f *faultState) upstream(name string) *upstreamState {
 	if f.upstreams[name] == nil {
 		f.upstreams[name] = &upstreamState{}
--- a/demo/random_test.go
+++ b/demo/random_test.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"samphireferry.example/ferry/config/dynamic"
@@ -196,6 +198,12 @@
 		settings = *fresh
 	}
 	instance, err := r.s.startEntry(&settings)
+	if sameAddress && errors.Is(err, syscall.EADDRINUSE) {
+		// A connection of another process has got the port meanwhile.
+		r.t.Logf("%s starts at a new address: %v", settings.Name, err)
+		r.startOne(earlier, false)
+		return
+	}
 	if err != nil {
 		r.t.Errorf("start of %s: %v", settings.Name, err)
 		return
