--- a/demo/random_test.go
+++ b/demo/random_test.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"samphireferry.example/ferry/config/dynamic"
@@ -24,6 +26,7 @@
 	firstSeed = flag.Uint64("demo.seed", 1, "first seed of TestRandomRun")
 	seeds     = flag.Int("demo.seeds", 2, "number of seeds of TestRandomRun")
 	steps     = flag.Int("demo.steps", 35, "number of steps of each seed of TestRandomRun")
+	maxHarm   = flag.Duration("demo.harm", 4*time.Second, "longest time that one harm of TestRandomRun lasts")
 )
 
 const (
@@ -198,6 +201,12 @@
 		settings = *fresh
 	}
 	instance, err := r.s.startEntry(&settings)
+	if sameAddress && errors.Is(err, syscall.EADDRINUSE) {
+		// A connection of another process has got the port meanwhile.
+		r.t.Logf("%s starts at a new address: %v", settings.Name, err)
+		r.startOne(earlier, false)
+		return
+	}
 	if err != nil {
 		r.t.Errorf("start of %s: %v", settings.Name, err)
 		return
