Package client: the callers' rules as a library

A caller had to write them anew, and a mistake there doubles a filing or loses one.

Ruled out: exporting load's sender (it never repeats a refusal that advises a later repeat, and has no typed outcome); a retry budget in the client (entry instances shed load; the back-off bounds each request); streaming answers (a cut one would reach the caller before the cut is seen).

Change: client.New, Do for requests that may run again, NewKey and Submit for at-most-once requests, *Error with kind, outcome over all attempts, advice and key. load uses it; its directory.go and its copies of the retry rules are gone. load keeps its behaviour by options, but now sends Ferry-Deadline-Ms and an at-most-once request is repeated through a not-run refusal if an earlier attempt may have run, as CALLERS.md asks. Its delays are the client's jittered ones. In load_test.go only names of constants changed, and the fake's answers now carry Ferry-Outcome: ran, as those of an entry instance do; no expectation changed.

Found while testing: net/http repeats a request by itself if it has an idempotency key and no body and a used connection breaks. A not-run refusal of the repeat, or a failed dial, then said "not run" of an action that had run. The randomised test saw it: "1 (executed int) != 0 (int): key_unknown (outcome not-run, 1 attempts)". The client now counts the writes of an attempt.

Each rule was broken once and seen to fail, then put back: count of writes after an answer TestOutcomesAreTrue written before a failed dial TestOutcomesAreTrue outcome over all attempts TestRules, TestOutcomesAreTrue repeat through never + not-run TestRules/filing_refused_after_silence body without a known end TestRules/end_not_known answer without Ferry-Outcome TestRules/answer_of_something_else redirects kept TestRules/redirect (index out of range) failed instances last TestRules/filing_answered_later

Conclusion: the logic stands once; what is not tested is a run of the client against real entry instances other than through load in package demo.

--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,280 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/goleak"
+	"google.golang.org/grpc/test/bufconn"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"samphireferry.example/ferry/errkind"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	goleak.VerifyTestMain(m)
+}
+
+const list = `{"ttl_seconds": 5, "home": "h~1", "entry_instances": [{"address": "10.0.0.1:1"}, {"address": "10.0.0.2:1"}]}`
+
+// fakeSystem serves HTTP at two addresses in memory, in a synctest bubble.
+type fakeSystem struct {
+	listener *bufconn.Listener
+	server   *http.Server
+	// answer chooses the answer to a request that the instance has read.
+	answer func(instance string, r *http.Request) answer
+	// refuseDial says whether no connection opens now.
+	refuseDial func() bool
+	// mu guards what answer and refuseDial use, and keys.
+	mu   sync.Mutex
+	keys map[string]bool
+}
+
+func newFakeSystem() *fakeSystem {
+	f := &fakeSystem{listener: bufconn.Listen(1 << 16), keys: map[string]bool{}}
+	f.server = &http.Server{Handler: http.HandlerFunc(f.serve)}
+	go func() { _ = f.server.Serve(f.listener) }()
+	return f
+}
+
+func (f *fakeSystem) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == PathEntryInstances {
+		fmt.Fprint(w, list)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	f.choose(strings.TrimSuffix(strings.TrimPrefix(r.Host, "10.0.0."), ":1"), r)(w, r)
+}
+
+func (f *fakeSystem) choose(instance string, r *http.Request) answer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if key := r.Header.Get(HeaderKey); key != "" {
+		f.keys[key] = true
+	}
+	return f.answer(instance, r)
+}
+
+func (f *fakeSystem) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	f.mu.Lock()
+	refused := f.refuseDial != nil && f.refuseDial()
+	f.mu.Unlock()
+	if refused {
+		return nil, &net.OpError{Op: "dial", Err: errors.New("refused")}
+	}
+	return f.listener.DialContext(ctx)
+}
+
+func (f *fakeSystem) client(t rapid.TB) *Client {
+	transport := newTransport()
+	transport.DialContext = f.dial
+	c, err := New(Options{
+		Entries:        []string{"http://10.0.0.1:1"},
+		Key:            "k",
+		HTTPClient:     &http.Client{Transport: transport},
+		HeadTimeout:    time.Second,
+		MaxAnswerBytes: 100,
+		Random:         func() float64 { return 0.5 },
+	})
+	assert.NilError(t, err)
+	return c
+}
+
+type answer = http.HandlerFunc
+
+func ran(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(HeaderOutcome, string(errkind.Ran))
+	fmt.Fprint(w, "done")
+}
+
+func refuse(kind errkind.Kind) answer {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		row := kind.Row()
+		header := w.Header()
+		header.Set("Content-Type", problemType)
+		header.Set(HeaderOutcome, string(row.Outcome))
+		header.Set(HeaderRetry, string(row.Retry))
+		if row.RetryAfter > 0 {
+			header.Set("Retry-After", strconv.Itoa(int(row.RetryAfter.Seconds())))
+		}
+		w.WriteHeader(row.Status)
+		_ = json.NewEncoder(w).Encode(problem{Kind: row.Name})
+	}
+}
+
+// stated answers with a body that the caller cannot use.
+func stated(outcome errkind.Outcome, length int, body string) answer {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(HeaderOutcome, string(outcome))
+		w.Header().Set("Content-Length", strconv.Itoa(length))
+		fmt.Fprint(w, body)
+		_ = http.NewResponseController(w).Flush()
+		if len(body) < length {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func redirect(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Location", "/elsewhere")
+	w.Header().Set(HeaderOutcome, string(errkind.Ran))
+	w.WriteHeader(http.StatusFound)
+	fmt.Fprint(w, "done")
+}
+
+func drop(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func silent(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+func noLength(w http.ResponseWriter, _ *http.Request) {
+	conn, _, _ := http.NewResponseController(w).Hijack()
+	fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nFerry-Outcome: ran\r\n\r\ndone")
+	_ = conn.Close()
+}
+
+func TestRules(t *testing.T) {
+	const post, put, get = http.MethodPost, http.MethodPut, http.MethodGet
+	large := stated(errkind.Ran, 200, strings.Repeat("x", 200))
+	cases := []struct {
+		name, method string
+		answers      []answer
+		// instances are those that the attempts went to.
+		instances string
+		// kind and outcome are those of the error; an empty kind expects an answer.
+		kind    string
+		outcome errkind.Outcome
+		// elapsed is the time in virtual milliseconds.
+		elapsed int
+	}{
+		{"answered", get, []answer{ran}, "1", "", "", 0},
+		{"elsewhere at once, then with back-off", get, []answer{refuse(errkind.Leaving), refuse(errkind.Leaving), ran}, "121", "", "", 75},
+		{"later at the same instance", get, []answer{refuse(errkind.RateExceeded), refuse(errkind.NoUpstream), ran}, "111", "", "", 2225},
+		{"never", get, []answer{refuse(errkind.KeyUnknown)}, "1", "key_unknown", errkind.NotRun, 0},
+		{"redirect", get, []answer{redirect}, "1", "", "", 0},
+		{"cut", get, []answer{stated(errkind.Ran, 10, "abc"), ran}, "12", "", "", 75},
+		{"end not known", get, []answer{noLength, ran}, "12", "", "", 75},
+		{"too large", get, []answer{large}, "1", KindAnswerTooLarge, errkind.Ran, 0},
+		{"no head in time", get, []answer{silent, ran}, "12", "", "", 1075},
+		{"once, not run", put, []answer{refuse(errkind.Overloaded), ran}, "11", "", "", 1075},
+		{"once, may have run", put, []answer{drop}, "1", KindNoAnswer, errkind.Unknown, 0},
+		{"filing answered later", post, []answer{drop, refuse(errkind.IdempotencyInProgress), ran}, "122", "", "", 75 + 1150},
+		{"filing refused after silence", post, []answer{silent, refuse(errkind.KeyWithdrawn), ran}, "122", "", "", 1000 + 75 + 150},
+		{"filing refused", post, []answer{refuse(errkind.KeyWithdrawn)}, "1", "key_withdrawn", errkind.NotRun, 0},
+		{"filing with unknown outcome", post, []answer{drop, refuse(errkind.OutcomeUnknown)}, "12", "outcome_unknown", errkind.Unknown, 75},
+		{"filing whose answer is not kept", post, []answer{drop, refuse(errkind.AnswerNotKept)}, "12", "answer_not_kept", errkind.Ran, 75},
+		{"filing that ran and was cut", post, []answer{stated(errkind.Ran, 10, "abc"), refuse(errkind.IdempotencyHomeGone), refuse(errkind.IdempotencyHomeGone)}, "121", "idempotency_home_gone", errkind.Ran, 75 + 5150},
+		{"answer of something else", post, []answer{stated("", 2, "ok"), ran}, "12", "", "", 75},
+		{"deadline before the delay is over", post, []answer{refuse(errkind.IdempotencyFull), refuse(errkind.IdempotencyFull)}, "11", "idempotency_full", errkind.NotRun, 5075},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				system := newFakeSystem()
+				instances := ""
+				system.answer = func(instance string, r *http.Request) answer {
+					instances += instance
+					left, err := strconv.Atoi(r.Header.Get(HeaderDeadline))
+					assert.Check(t, err == nil && left > 0 && left <= int(DefaultTimeout.Milliseconds()))
+					assert.Check(t, r.Header.Get("Authorization") == "Bearer k")
+					return c.answers[len(instances)-1]
+				}
+				client := system.client(t)
+				start := time.Now()
+				request := Request{Method: c.method, Path: "/x", Body: []byte("vote"), Once: true}
+				send := client.Do
+				if c.method == post {
+					send = func(ctx context.Context, r Request) (*Response, error) { return client.Submit(ctx, "", r) }
+				}
+				response, err := send(t.Context(), request)
+				elapsed := time.Since(start)
+				client.Close()
+				_ = system.server.Close()
+				assert.Equal(t, len(system.keys) == 1, c.method == post, "one key for all attempts")
+				assert.Equal(t, instances, c.instances)
+				assert.Equal(t, int(elapsed.Milliseconds()), c.elapsed)
+				if c.kind == "" {
+					assert.NilError(t, err)
+					assert.Equal(t, string(response.Body), "done")
+					return
+				}
+				var failure *Error
+				assert.Assert(t, errors.As(err, &failure), "%v", err)
+				assert.Equal(t, failure.Kind, c.kind)
+				assert.Equal(t, failure.Outcome, c.outcome)
+				assert.Equal(t, failure.Key != "", c.method == post)
+			})
+		})
+	}
+}
+
+// TestOutcomesAreTrue runs actions against instances that fail at random. The
+// fake runs an action at most once per key, as entry instances do, and the
+// outcome that the client states must agree with what ran.
+func TestOutcomesAreTrue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(struct{ rapid.TB }{t}, func(t *rapid.T) {
+			system := newFakeSystem()
+			defer func() { _ = system.server.Close() }()
+			executed, filing := 0, false
+			choices := rapid.SliceOfN(rapid.IntRange(0, 59), 60, 60).Draw(t, "choices")
+			choose := func(n int) int {
+				choice := choices[0]
+				choices = append(choices[1:], choice)
+				return choice % n
+			}
+			system.refuseDial = func() bool { return filing && choose(2) == 1 }
+			unsure := []answer{ran, drop, silent, stated(errkind.Ran, 10, "abc"), refuse(errkind.UpstreamFailed)}
+			notRun := []answer{refuse(errkind.Leaving), refuse(errkind.Overloaded), refuse(errkind.KeyUnknown)}
+			repeats := append([]answer{refuse(errkind.OutcomeUnknown), refuse(errkind.AnswerNotKept), refuse(errkind.IdempotencyInProgress)}, unsure...)
+			system.answer = func(string, *http.Request) answer {
+				switch {
+				case !filing:
+					return ran
+				case choose(2) == 1:
+					return notRun[choose(len(notRun))]
+				case executed > 0:
+					return repeats[choose(len(repeats))]
+				default:
+					executed++
+					return unsure[choose(len(unsure))]
+				}
+			}
+			client := system.client(t)
+			defer client.Close()
+			// A first request leaves a connection that the filing uses again.
+			_, err := client.Do(context.Background(), Request{Path: "/x"})
+			assert.NilError(t, err)
+			filing = true
+			_, err = client.Submit(context.Background(), "", Request{Method: http.MethodPost, Path: "/x"})
+			system.mu.Lock()
+			defer system.mu.Unlock()
+			assert.Assert(t, len(system.keys) <= 1, "one key for all attempts")
+			var failure *Error
+			switch {
+			case err == nil:
+				assert.Equal(t, executed, 1)
+			case !errors.As(err, &failure):
+				t.Fatalf("not an Error: %v", err)
+			case failure.Outcome == errkind.NotRun:
+				assert.Equal(t, executed, 0, "%v", err)
+			case failure.Outcome == errkind.Ran:
+				assert.Equal(t, executed, 1, "%v", err)
+			}
+		})
+	})
+}
--- a/load/doc.go
+++ b/load/doc.go
@@ -7,12 +7,10 @@
 // requests of a customer wait for an answer, further ones are not sent and are
 // counted as such.
 //
-// A customer behaves as docs/CALLERS.md says. It follows the list of entry
-// instances and asks for a new one when the list expires. It goes to the next
-// instance when a connection fails or an answer says so. A request that must
-// not run twice has an idempotency key, and is repeated with the same key while
-// its outcome is not known. A refusal with other advice is not retried; it is
-// what is measured.
+// A customer behaves as docs/CALLERS.md says, by package client, with these
+// differences. Each request starts at the first instance of the list, as that of
+// a caller of its own. A refusal that advises a later repeat is not repeated; it
+// is what is measured. A request has at most eight attempts.
 //
 // A run is bounded by MaxDuration, and only uses loopback addresses unless
 // AllowRemote is set. It measures one process against a few instances; it is no
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -17,6 +17,9 @@
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
+
+	"samphireferry.example/ferry/client"
+	"samphireferry.example/ferry/errkind"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -48,12 +51,12 @@
 func (f *fakeSystem) RoundTrip(r *http.Request) (*http.Response, error) {
 	f.mu.Lock()
 	answer := f.answers[r.URL.Host]
-	isList := r.URL.Path == pathEntryInstances
+	isList := r.URL.Path == client.PathEntryInstances
 	if isList {
 		f.lists++
 	} else {
 		f.requests[r.URL.Host]++
-		f.keys[r.Header.Get(headerKey)]++
+		f.keys[r.Header.Get(client.HeaderKey)]++
 	}
 	f.mu.Unlock()
 	if isList {
@@ -67,8 +70,11 @@
 
 func reply(status int, contentType, advice, body string) *http.Response {
 	header := http.Header{"Content-Type": {contentType}}
+	if advice == "" {
+		header.Set(client.HeaderOutcome, string(errkind.Ran))
+	}
 	if advice != "" {
-		header.Set(headerRetry, advice)
+		header.Set(client.HeaderRetry, advice)
 	}
 	return &http.Response{StatusCode: status, Header: header, Body: io.NopCloser(strings.NewReader(body))}
 }
@@ -220,7 +226,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == pathEntryInstances {
+		if r.URL.Path == client.PathEntryInstances {
 			fmt.Fprintf(w, `{"ttl_seconds": 1, "entry_instances": [{"address": %q}, {"address": "192.0.2.1:80"}]}`, listener.Addr())
 		}
 	})}
--- a/load/plan.go
+++ b/load/plan.go
@@ -130,7 +130,7 @@
 
 func (p *Plan) checkEntry(entry string) error {
 	parsed, err := url.Parse(entry)
-	if err != nil || parsed.Scheme != "http" && parsed.Scheme != "https" {
+	if err != nil || parsed.Host == "" || parsed.Scheme != "http" && parsed.Scheme != "https" {
 		return errors.Newf("%q is not a URL such as \"http://127.0.0.1:8080\"", entry)
 	}
 	if !p.AllowRemote && !isLoopback(parsed.Host) {
--- a/load/run.go
+++ b/load/run.go
@@ -11,7 +11,7 @@
 // Run sends the requests of a checked plan until its duration is over or ctx
 // ends, waits for the answers, and returns the report.
 func Run(ctx context.Context, plan *Plan) *Report {
-	return run(ctx, plan, newTransport)
+	return run(ctx, plan, func() http.RoundTripper { return nil })
 }
 
 func run(ctx context.Context, plan *Plan, transport func() http.RoundTripper) *Report {
@@ -27,7 +27,7 @@
 	wg.Wait()
 	report := &Report{Seconds: min(time.Since(start), plan.Duration.Std()).Seconds()}
 	for _, s := range senders {
-		s.client.CloseIdleConnections()
+		s.client.Close()
 		report.Customers = append(report.Customers, s.stats.report())
 	}
 	report.WorstServed = worstServed(report.Customers)
--- a/load/stats.go
+++ b/load/stats.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"samphireferry.example/ferry/client"
 )
 
 const (
@@ -37,16 +39,13 @@
 	}
 }
 
-func (s *stats) attempted(base string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.instances[base]++
-}
-
-func (s *stats) retried(reason string) {
+func (s *stats) attempted(attempt client.Attempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.retries[reason]++
+	s.instances[attempt.Entry]++
+	if attempt.Previous != "" {
+		s.retries[attempt.Previous]++
+	}
 }
 
 // finished counts one request. Only whole answers of upstreams have a latency.
