--- a/docs/names_test.go
+++ b/docs/names_test.go
@@ -45,9 +45,9 @@
 var (
 	helpLine   = regexp.MustCompile(`(?m)^ +-([a-z][a-z-]*)`)
 	flagInText = regexp.MustCompile(`(?:^|[\s` + "`" + `])--?([a-z][a-z-]+)`)
-	family     = regexp.MustCompile(`ferry_[a-z]+(?:_[a-z]+)+`)
-	// registration finds where the code makes a metric.
-	registration = regexp.MustCompile(`\.(?:Counter|Gauge|Histogram)\("([a-z_]+)"`)
+	family     = regexp.MustCompile(`ferry_[a-z]+(?:_[a-z]+)*`)
+	// registration finds the names of metrics in the code.
+	registration = regexp.MustCompile(`"(ferry_[a-z]+(?:_[a-z]+)*)"`)
 	snakeWord    = regexp.MustCompile("`([a-z]+(?:_[a-z]+)+)`")
 	firstColumn  = regexp.MustCompile("(?m)^\\| `-?([a-z_-]+)` \\|")
 )
@@ -94,7 +94,7 @@
 	assert.DeepEqual(t, names(firstColumn, section(t, text, "### Retries")), sorted(telemetry.RetryReasons()))
 }
 
-// registered returns the names of all metrics that the code registers.
+// registered returns the names of all metrics that the code writes.
 func registered(t *testing.T) []string {
 	t.Helper()
 	var source strings.Builder
