Certificates of entry instances by ferryctl, and when they expire

Cause: entryinstance asks every peer for a certificate with the DNS name "entry-instance", but nothing made one; an operator had to find out names and key usages from the code. Nothing told when a certificate would expire.

Ruled out: keeping the authority in the platform's store (its key would be there for every reader); issuing by a running instance (a stolen instance could make others); certificates not bound to a name (the tool always binds).

A renewal of a running system was not run.

--- a/entryinstance/tls.go
+++ b/entryinstance/tls.go
@@ -4,8 +4,10 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/pem"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc/credentials"
@@ -19,6 +21,10 @@
 // instanceSuffix ends the DNS name that binds a certificate to one instance.
 const instanceSuffix = "." + PeerName
 
+// BoundName returns the DNS name that binds a certificate to the instance with
+// the name.
+func BoundName(name string) string { return name + instanceSuffix }
+
 // TLS is the PEM material of one entry instance.
 type TLS struct {
 	// CertPEM is the certificate chain, leaf first.
@@ -49,6 +55,37 @@
 	return cert, authorities, nil
 }
 
+// Expiry returns when the first certificate of the chain, or the last
+// certificate of the authorities, ceases to be valid, whichever is earlier.
+func (t *TLS) Expiry() (time.Time, error) {
+	cert, _, err := t.load()
+	if err != nil {
+		return time.Time{}, err
+	}
+	var authorities time.Time
+	for block, rest := pem.Decode(t.CAPEM); block != nil; block, rest = pem.Decode(rest) {
+		authority, err := x509.ParseCertificate(block.Bytes)
+		if err == nil && authority.NotAfter.After(authorities) {
+			authorities = authority.NotAfter
+		}
+	}
+	expiry := cert.Leaf.NotAfter
+	if authorities.Before(expiry) {
+		expiry = authorities
+	}
+	return expiry, nil
+}
+
+// SecondsLeft returns a gauge of the seconds until the material expires, which
+// are negative afterwards.
+func (t *TLS) SecondsLeft(now func() time.Time) (func() float64, error) {
+	expiry, err := t.Expiry()
+	if err != nil {
+		return nil, err
+	}
+	return func() float64 { return expiry.Sub(now()).Seconds() }, nil
+}
+
 func (c Config) serverCredentials() (credentials.TransportCredentials, error) {
 	if c.TLS == nil {
 		return insecure.NewCredentials(), nil
@@ -111,7 +148,7 @@
 
 func authorizeName(dnsNames []string, name string) error {
 	bound := slices.ContainsFunc(dnsNames, func(n string) bool { return strings.HasSuffix(n, instanceSuffix) })
-	if !bound || slices.Contains(dnsNames, name+instanceSuffix) {
+	if !bound || slices.Contains(dnsNames, BoundName(name)) {
 		return nil
 	}
 	return errors.Newf("the certificate of the peer is not that of instance %q", name)
--- a/operator/ctl/ctl_test.go
+++ b/operator/ctl/ctl_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -191,3 +192,18 @@
 	assert.Assert(t, strings.Contains(output, "10.0.0.1:80"), output)
 	s.run(ExitUnavailable, "entry-instances", "-entry", "http://127.0.0.1:1")
 }
+
+func TestCertificateFiles(t *testing.T) {
+	s := newSystem(t)
+	dir := t.TempDir()
+	s.run(ExitDone, "certificate", "authority", "-dir", dir)
+	issue := []string{"certificate", "issue", "-name", "e1", "-dir", dir, "-authority-cert", dir + "/authority.crt", "-authority-key", dir + "/authority.key"}
+	s.run(ExitDone, issue...)
+	s.run(ExitFailed, issue...)
+	s.run(ExitBadUsage, "certificate", "authority", "-validity", "1m")
+	for _, name := range []string{"authority.crt", "authority.key", "e1.crt", "e1.key"} {
+		info, err := os.Stat(filepath.Join(dir, name))
+		assert.NilError(t, err)
+		assert.Equal(t, info.Mode().Perm(), os.FileMode(0o600), name)
+	}
+}
