Refusals and retries by service and customer, health endpoints, certificate gauge

Cause: the users asked for counters per service and customer and for /healthz and /readyz; both were missing.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -151,7 +151,7 @@
 	} else if x.claim != nil {
 		x.claim.Unknown()
 	}
-	x.server.services.Metrics.Refused(kind)
+	x.countRefusal(kind)
 	if kind == errkind.Internal {
 		x.server.services.Log.Error("request failed", zap.String("request_id", x.id), zap.Error(err))
 	} else {
@@ -163,6 +163,14 @@
 	writeProblem(x.w, x.id, err)
 }
 
+func (x *exchange) countRefusal(kind errkind.Kind) {
+	service, customer := "", ""
+	if x.request != nil {
+		service, customer = x.request.Route.Service.Name, x.request.Customer.Name
+	}
+	x.server.services.Metrics.Refused(kind, service, customer)
+}
+
 // bodyRecorder keeps an answer body up to a limit.
 type bodyRecorder struct {
 	limit   int
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -145,10 +145,23 @@
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		i.writeMetrics(w)
 	})
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", i.serveReady)
 	operator.Register(mux, i.parts)
 	return mux
 }
 
+// serveReady answers 200 while the instance serves requests, and 503 while it
+// has no configuration, no confirmed rate shares, or is leaving.
+func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
+	v := i.parts.views.load()
+	if v.table == nil || v.leaving || !i.parts.limiter.Confirmed() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
 // CallerAddress returns the bound address for callers.
 func (i *Instance) CallerAddress() string { return i.callerListener.Addr().String() }
 
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -96,12 +96,20 @@
 			KeyPEM:  []byte(settings.TLSKey),
 			CAPEM:   []byte(settings.TLSCA),
 		}
+		left, err := config.TLS.SecondsLeft(time.Now)
+		if err != nil {
+			return config, err
+		}
+		do.MustInvoke[*telemetry.Metrics](i).Gauge("ferry_tls_seconds_left", left)
 	}
 	return config, nil
 }
 
 func providePeers(i do.Injector) (*entryinstance.Pool, error) {
-	config := do.MustInvoke[entryinstance.Config](i)
+	config, err := do.Invoke[entryinstance.Config](i)
+	if err != nil {
+		return nil, err
+	}
 	if dial := do.MustInvoke[Dialer](i); dial != nil {
 		return entryinstance.NewPoolWithDialer(config, entryinstance.Dialer(dial))
 	}
@@ -229,7 +237,11 @@
 		relay: relay.NewServer(p.views.Table, owned.Send),
 		keys:  do.MustInvoke[*requestkeys.Service](i),
 	}
-	return entryinstance.NewServer(do.MustInvoke[entryinstance.Config](i), handler)
+	config, err := do.Invoke[entryinstance.Config](i)
+	if err != nil {
+		return nil, err
+	}
+	return entryinstance.NewServer(config, handler)
 }
 
 func provideCallerServer(i do.Injector) (*caller.Server, error) {
--- a/demo/system_test.go
+++ b/demo/system_test.go
@@ -61,6 +61,16 @@
 func TestEveryEntryInstanceServesReads(t *testing.T) {
 	s := startSystem(t, Options{})
 	waitReady(t, s)
+	for _, entry := range s.Entries {
+		for _, path := range []string{"/healthz", "/readyz"} {
+			status, body := get(t, "http://"+entry.OperatorAddress()+path, "")
+			assert.Equal(t, status, http.StatusOK, "%s: %s", path, body)
+		}
+	}
+	get(t, "http://"+s.Entries[0].CallerAddress()+"/filings/1", KeyLarge)
+	_, counters := get(t, "http://"+s.Entries[0].OperatorAddress()+"/metrics", "")
+	want := `ferry_request_refusals_total{kind="idempotency_key_missing",service="ledger",customer="laurier"} 1`
+	assert.Assert(t, strings.Contains(counters, want))
 }
 
 // filing is one attempt of a filing and what the caller learnt.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -200,7 +200,11 @@
 }
 
 func (a *attempts) count(err error) {
-	a.dispatcher.metrics.Retried(retryReason(errkind.Of(err)))
+	customer := ""
+	if a.request.Customer != nil {
+		customer = a.request.Customer.Name
+	}
+	a.dispatcher.metrics.Retried(retryReason(errkind.Of(err)), a.request.Route.Service.Name, customer)
 }
 
 func retryReason(kind errkind.Kind) telemetry.RetryReason {
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -63,14 +63,21 @@
 	return m
 }
 
-// Refused counts one refused or failed request of the kind.
-func (m *Metrics) Refused(kind errkind.Kind) { m.refusals[kind].Inc() }
+// Refused counts one refused or failed request of the kind, also by service and
+// customer; these are empty when the request was refused before they were known.
+func (m *Metrics) Refused(kind errkind.Kind, service, customer string) {
+	m.refusals[kind].Inc()
+	m.Counter("ferry_request_refusals_total", "kind", kind.String(), "service", service, "customer", customer).Inc()
+}
 
 // Refusals returns the number of refused or failed requests of the kind.
 func (m *Metrics) Refusals(kind errkind.Kind) uint64 { return m.refusals[kind].Get() }
 
-// Retried counts one retry for the reason.
-func (m *Metrics) Retried(reason RetryReason) { m.retries[reason].Inc() }
+// Retried counts one retry for the reason, also by service and customer.
+func (m *Metrics) Retried(reason RetryReason, service, customer string) {
+	m.retries[reason].Inc()
+	m.Counter("ferry_request_retries_total", "reason", string(reason), "service", service, "customer", customer).Inc()
+}
 
 // Counter returns the counter with the name and the label pairs, made on first use.
 func (m *Metrics) Counter(name string, labelPairs ...string) *metrics.Counter {
