--- a/distribution/state.go
+++ b/distribution/state.go
@@ -51,7 +51,7 @@
 	storeHeard bool
 	// ready is set once the instance may serve; it stays set.
 	ready    bool
-	snapshot   atomic.Pointer[Snapshot]
+	snapshot atomic.Pointer[Snapshot]
 }
 
 // NewState returns the state of an instance that has just started.
