Trials: the randomised run over a whole system as a part of ferry-demo

Change: package demo runs a trial (RunTrial, ferry-demo -trial-steps); the test calls it with the same seeds, steps and checks. Its waits report what is missing as before; nothing was taken out.

--- a/demo/main.go
+++ b/demo/main.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 
@@ -34,6 +35,10 @@
 	fs.IntVar(&options.DomainsPerRegion, "domains", 2, "number of failure domains in each region")
 	fs.IntVar(&options.Entries, "entries", 10, "number of entry instances")
 	logLevel := fs.String("log-level", "warn", "level of the logs of the entry instances: debug, info, warn or error")
+	var trial TrialOptions
+	fs.IntVar(&trial.Steps, "trial-steps", 0, "run a trial with this number of steps instead, and exit; 0 serves")
+	fs.Uint64Var(&trial.Seed, "trial-seed", 1, "seed from which the harms of a trial are drawn")
+	fs.DurationVar(&trial.MaxHarm, "trial-harm", 4*time.Second, "longest time that one harm of a trial lasts")
 	showVersion := fs.Bool("version", false, "print the version and exit")
 	err := ff.Parse(fs, args, ff.WithEnvVarPrefix("FERRY_DEMO"))
 	if errors.Is(err, flag.ErrHelp) {
@@ -50,7 +55,11 @@
 		fmt.Fprintf(errOutput, "%s: %v\n", program, err)
 		return exitBadUsage
 	}
-	err = runUntilSignal(options, output)
+	if trial.Steps > 0 {
+		err = runTrial(trial, output)
+	} else {
+		err = runUntilSignal(options, output)
+	}
 	if err != nil {
 		fmt.Fprintf(errOutput, "%s: %v\n", program, err)
 		return exitFailed
@@ -58,6 +67,39 @@
 	return exitDone
 }
 
+// printer writes what a trial finds and counts the broken promises.
+type printer struct {
+	output io.Writer
+	mu     sync.Mutex
+	broken int
+}
+
+// Errorf implements TrialReporter.
+func (p *printer) Errorf(format string, args ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.broken++
+	fmt.Fprintf(p.output, "BROKEN: "+format+"\n", args...)
+}
+
+// Logf implements TrialReporter.
+func (p *printer) Logf(format string, args ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	fmt.Fprintf(p.output, format+"\n", args...)
+}
+
+func runTrial(options TrialOptions, output io.Writer) error {
+	p := &printer{output: output}
+	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	err := RunTrial(signals, options, p)
+	if err == nil && p.broken > 0 {
+		err = errors.Newf("%d promises were broken", p.broken)
+	}
+	return err
+}
+
 func runUntilSignal(options Options, output io.Writer) error {
 	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/demo/objects.go
+++ b/demo/objects.go
@@ -16,6 +16,7 @@
 	serviceLedger  = "ledger"
 	serviceArchive = "archive"
 	firstVersion   = "v1"
+	secondVersion  = "v2"
 )
 
 // The keys of the demonstration. They are no secrets.
--- a/demo/shifts_test.go
+++ b/demo/shifts_test.go
@@ -19,12 +19,6 @@
 	"samphireferry.example/ferry/units"
 )
 
-const (
-	secondVersion = "v2"
-	// canaryShare is the largest share of a version that was not judged yet.
-	canaryShare = 0.2
-)
-
 // startLoad sends requests to all routes of the lookup service and to the
 // archive until the test ends.
 func startLoad(t *testing.T, s *System) {
@@ -90,7 +84,7 @@
 	for n := range s.domains {
 		assert.NilError(t, s.AddUpstream(sizes[0], secondVersion, n))
 	}
-	setFaults(s, standinupstream.Fault{Kind: standinupstream.FaultStatus, Status: 500, Every: 2})
+	s.SetFaults("lookup-v2", standinupstream.Fault{Kind: standinupstream.FaultStatus, Status: 500, Every: 2})
 	waitReady(t, s)
 	startLoad(t, s)
 
@@ -116,7 +110,7 @@
 	time.Sleep(3 * time.Second)
 	assert.Equal(t, executed(s, "lookup-v2"), settled, "no request after the verdict")
 
-	setFaults(s)
+	s.SetFaults("lookup-v2")
 	r.Deadline *= 2
 	s.Set.Rollouts = []dynamic.Rollout{r}
 	assert.NilError(t, s.Publish(t.Context()))
@@ -128,14 +122,6 @@
 	assert.Equal(t, executed(s, "lookup-v1"), old, "all requests go to the new version")
 }
 
-func setFaults(s *System, faults ...standinupstream.Fault) {
-	for name, u := range s.Upstreams {
-		if strings.HasPrefix(name, "lookup-v2") {
-			u.SetFaults(standinupstream.Faults{Requests: faults})
-		}
-	}
-}
-
 // inDomain returns the requests that the upstreams of the service in the
 // failure domain have run.
 func inDomain(s *System, service, domain string) int {
--- a/demo/system_test.go
+++ b/demo/system_test.go
@@ -95,17 +95,6 @@
 	return filing{status: response.StatusCode, outcome: response.Header.Get("Ferry-Outcome")}
 }
 
-// executions returns how often each idempotency key ran, over all upstreams.
-func executions(s *System) map[string]int {
-	total := map[string]int{}
-	for _, u := range s.Upstreams {
-		for key, n := range u.Ledger().Snapshot().Executions {
-			total[key] += n
-		}
-	}
-	return total
-}
-
 func TestRepeatedFilingsRunOnce(t *testing.T) {
 	s := startSystem(t, Options{})
 	waitReady(t, s)
@@ -129,7 +118,7 @@
 			return poll.Continue("%s: %v", key, last)
 		}, poll.WithTimeout(20*time.Second))
 	}
-	ran := executions(s)
+	ran := s.Executions()
 	assert.Equal(t, len(ran), keys)
 	for key, n := range ran {
 		assert.Equal(t, n, 1, key)
--- a/demo/random_callers_test.go
+++ b/demo/trial_callers.go
@@ -65,7 +65,7 @@
 	leak bool
 }
 
-func (r *randomRun) send(client *http.Client, address string, q request) call {
+func (r *trial) send(client *http.Client, address string, q request) call {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	target := "http://" + address + q.path + "?" + q.query
@@ -74,7 +74,7 @@
 	}
 	out, err := http.NewRequestWithContext(ctx, q.method, target, http.NoBody)
 	if err != nil {
-		r.t.Error(err)
+		r.report.Errorf("%v", err)
 		return call{}
 	}
 	if q.method == http.MethodPost {
@@ -119,7 +119,7 @@
 }
 
 // checkWhole checks that an answer given as whole is that to the request.
-func (r *randomRun) checkWhole(q request, c call) {
+func (r *trial) checkWhole(q request, c call) {
 	if c.cut || c.status != http.StatusOK || q.leak {
 		return
 	}
@@ -128,33 +128,33 @@
 		_, _ = fmt.Sscanf(q.query, "bytes=%d", &size)
 	}
 	if c.body != string(standinupstream.Body(q.path, q.query, size)) {
-		r.t.Errorf("%s?%s: foreign or partial answer of %d bytes: %.100q", q.path, q.query, len(c.body), c.body)
+		r.report.Errorf("%s?%s: foreign or partial answer of %d bytes: %.100q", q.path, q.query, len(c.body), c.body)
 	}
 }
 
 // startCallers starts the callers of all customers. They end with the context.
-func (r *randomRun) startCallers(ctx context.Context, seed uint64) *sync.WaitGroup {
+func (r *trial) startCallers(ctx context.Context, seed uint64) *sync.WaitGroup {
 	running := &sync.WaitGroup{}
 	for i, c := range randomCustomers {
 		random := rand.New(rand.NewPCG(seed, uint64(i)))
-		client := &http.Client{Transport: newTransport(r.t)}
+		client := r.newClient()
 		running.Go(func() { r.read(ctx, client, c, random) })
 	}
 	for i := range filers {
 		random := rand.New(rand.NewPCG(seed, uint64(100+i)))
-		client := &http.Client{Transport: newTransport(r.t)}
+		client := r.newClient()
 		running.Go(func() { r.fileUntil(ctx, client, i, random) })
 	}
 	for i := range streamReaders {
 		random := rand.New(rand.NewPCG(seed, uint64(200+i)))
-		client := &http.Client{Transport: newTransport(r.t)}
+		client := r.newClient()
 		running.Go(func() { r.stream(ctx, client, i, random) })
 	}
 	return running
 }
 
 // read sends the reads of a customer, evenly in time, to random entry instances.
-func (r *randomRun) read(ctx context.Context, client *http.Client, c randomCustomer, random *rand.Rand) {
+func (r *trial) read(ctx context.Context, client *http.Client, c randomCustomer, random *rand.Rand) {
 	var running sync.WaitGroup
 	defer running.Wait()
 	room := make(chan struct{}, maxCalls)
@@ -196,7 +196,7 @@
 }
 
 // stream reads long answers, one after the other.
-func (r *randomRun) stream(ctx context.Context, client *http.Client, worker int, random *rand.Rand) {
+func (r *trial) stream(ctx context.Context, client *http.Client, worker int, random *rand.Rand) {
 	for i := 0; ctx.Err() == nil; i++ {
 		addresses := r.addresses()
 		c := r.send(client, addresses[random.IntN(len(addresses))], request{
@@ -213,7 +213,7 @@
 
 // fileUntil files, and repeats each filing with its key until the outcome is
 // final or the context ends.
-func (r *randomRun) fileUntil(ctx context.Context, client *http.Client, worker int, random *rand.Rand) {
+func (r *trial) fileUntil(ctx context.Context, client *http.Client, worker int, random *rand.Rand) {
 	for i := 0; ctx.Err() == nil; i++ {
 		addresses := r.addresses()
 		home, ok := r.homeFrom(client, addresses[random.IntN(len(addresses))])
@@ -237,7 +237,7 @@
 }
 
 // fileOnce makes one attempt of a filing and says whether its outcome is final.
-func (r *randomRun) fileOnce(client *http.Client, q request, random *rand.Rand) bool {
+func (r *trial) fileOnce(client *http.Client, q request, random *rand.Rand) bool {
 	addresses := r.addresses()
 	r.ledger.filing(q)
 	c := r.send(client, addresses[random.IntN(len(addresses))], q)
@@ -245,7 +245,7 @@
 }
 
 // homeFrom asks an entry instance for the home of new idempotency keys.
-func (r *randomRun) homeFrom(client *http.Client, address string) (string, bool) {
+func (r *trial) homeFrom(client *http.Client, address string) (string, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	out, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/entry-instances", nil)
--- a/demo/random_checks_test.go
+++ b/demo/trial_checks.go
@@ -12,8 +12,6 @@
 	"time"
 
 	"github.com/samber/lo"
-	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	"samphireferry.example/ferry/config/dynamic"
 	"samphireferry.example/ferry/platform"
@@ -77,7 +75,7 @@
 }
 
 // startObserver watches the versions in force until the context ends.
-func (r *randomRun) startObserver(ctx context.Context) *sync.WaitGroup {
+func (r *trial) startObserver(ctx context.Context) *sync.WaitGroup {
 	r.history.published(publication{r.start, 1, r.s.Set, true})
 	running := &sync.WaitGroup{}
 	running.Go(func() {
@@ -93,7 +91,7 @@
 	return running
 }
 
-func (r *randomRun) observe(newest map[*node]uint64) {
+func (r *trial) observe(newest map[*node]uint64) {
 	r.mu.Lock()
 	nodes := slices.Clone(r.nodes)
 	r.mu.Unlock()
@@ -102,7 +100,7 @@
 	for _, n := range nodes {
 		version := n.ConfigVersion()
 		if version < newest[n] {
-			r.t.Errorf("%s: version %d after version %d", n.settings.Name, version, newest[n])
+			r.report.Errorf("%s: version %d after version %d", n.settings.Name, version, newest[n])
 		}
 		newest[n] = max(version, newest[n])
 		if newest[n] > 0 {
@@ -142,63 +140,69 @@
 }
 
 // current returns the published configuration.
-func (r *randomRun) current() *dynamic.Config {
-	entry, err := r.s.Platform.Get(r.t.Context(), platform.KeyConfig)
-	assert.NilError(r.t, err)
+func (r *trial) current() *dynamic.Config {
+	entry, err := r.s.Platform.Get(r.ctx, platform.KeyConfig)
+	if err != nil {
+		r.report.Errorf("published configuration: %v", err)
+		return &dynamic.Config{}
+	}
 	config, err := dynamic.Decode(entry.Value)
-	assert.NilError(r.t, err)
+	if err != nil {
+		r.report.Errorf("published configuration: %v", err)
+		return &dynamic.Config{}
+	}
 	return config
 }
 
-func (r *randomRun) checkNewestVersion() {
+func (r *trial) checkNewestVersion() {
 	version := r.current().Version
-	poll.WaitOn(r.t, func(poll.LogT) poll.Result {
+	r.waitFor(settleTimeout, func() (string, bool) {
 		for _, instance := range r.running() {
 			if got := instance.ConfigVersion(); got != version {
-				return poll.Continue("%s has version %d of %d", instance.CallerAddress(), got, version)
+				return missing("%s has version %d of %d", instance.CallerAddress(), got, version)
 			}
 		}
-		return poll.Success()
-	}, poll.WithTimeout(inForceTimeout))
+		return "", true
+	})
 }
 
-func (r *randomRun) checkEveryInstanceServes() {
-	client := &http.Client{Transport: newTransport(r.t)}
+func (r *trial) checkEveryInstanceServes() {
+	client := r.newClient()
 	for i, instance := range r.running() {
-		poll.WaitOn(r.t, func(poll.LogT) poll.Result {
+		r.waitFor(settleTimeout, func() (string, bool) {
 			q := request{method: http.MethodGet, path: pathRead + "/end", query: "bytes=100", customer: "laurier", key: KeyLarge}
 			c := r.send(client, instance.CallerAddress(), q)
 			if c.status != http.StatusOK {
-				return poll.Continue("read at %s: %+v", instance.CallerAddress(), c)
+				return missing("read at %s: %+v", instance.CallerAddress(), c)
 			}
 			f := filingOf(fmt.Sprintf("%s.end-%d-%d", instance.Home(), i, time.Now().UnixNano()), randomCustomers[0])
 			f.customer, f.key = "laurier", KeyLarge
 			r.ledger.filing(f)
 			c = r.send(client, instance.CallerAddress(), f)
 			if r.ledger.filed(f, c) && c.status == http.StatusOK {
-				return poll.Success()
+				return "", true
 			}
-			return poll.Continue("filing at %s: %+v", instance.CallerAddress(), c)
-		}, poll.WithTimeout(inForceTimeout))
+			return missing("filing at %s: %+v", instance.CallerAddress(), c)
+		})
 	}
 }
 
 // settleFilings repeats the filings that are open until each outcome is final,
 // but for those whose home has gone with its records.
-func (r *randomRun) settleFilings() {
-	client := &http.Client{Transport: newTransport(r.t)}
+func (r *trial) settleFilings() {
+	client := r.newClient()
 	random := rand.New(rand.NewPCG(1, 1))
 	for _, q := range r.ledger.open() {
-		poll.WaitOn(r.t, func(poll.LogT) poll.Result {
+		r.waitFor(settleTimeout, func() (string, bool) {
 			if r.fileOnce(client, q, random) {
-				return poll.Success()
+				return "", true
 			}
 			last := r.ledger.last(q)
 			if last.kind == "idempotency_home_gone" {
-				return poll.Success()
+				return "", true
 			}
-			return poll.Continue("%s: %+v", q.idempotencyKey, last)
-		}, poll.WithTimeout(inForceTimeout))
+			return missing("%s: %+v", q.idempotencyKey, last)
+		})
 	}
 }
 
@@ -209,61 +213,85 @@
 }
 
 // checkShiftsEnd checks that each move and roll-out that was ever recorded ends.
-func (r *randomRun) checkShiftsEnd() {
+func (r *trial) checkShiftsEnd() {
 	set := r.current().Set
 	for _, m := range set.Moves {
-		waitForEnd[dynamic.Move](r.t, r.s, platform.PrefixMoves+m.Name, 0, m.Deadline.Std()+inForceTimeout)
+		waitForShiftEnd[dynamic.Move](r, platform.PrefixMoves+m.Name, m.Deadline.Std()+settleTimeout)
 	}
 	for _, m := range set.Rollouts {
-		waitForEnd[dynamic.Rollout](r.t, r.s, platform.PrefixRollouts+m.Name, 0, m.Deadline.Std()+inForceTimeout)
+		waitForShiftEnd[dynamic.Rollout](r, platform.PrefixRollouts+m.Name, m.Deadline.Std()+settleTimeout)
 	}
 	for _, key := range r.recorded(platform.PrefixMoves) {
-		end := waitForEnd[dynamic.Move](r.t, r.s, key, 0, inForceTimeout)
+		end := waitForShiftEnd[dynamic.Move](r, key, settleTimeout)
 		checkEnd(r, end, end.Object.Deadline.Std())
 	}
 	for _, key := range r.recorded(platform.PrefixRollouts) {
-		end := waitForEnd[dynamic.Rollout](r.t, r.s, key, 0, inForceTimeout)
+		end := waitForShiftEnd[dynamic.Rollout](r, key, settleTimeout)
 		checkEnd(r, end, end.Object.Deadline.Std())
 	}
 }
 
 // recorded returns the keys of the store with the prefix.
-func (r *randomRun) recorded(prefix string) []string {
-	entries, _, err := r.s.Platform.List(r.t.Context(), prefix)
-	assert.NilError(r.t, err)
+func (r *trial) recorded(prefix string) []string {
+	entries, _, err := r.s.Platform.List(r.ctx, prefix)
+	if err != nil {
+		r.report.Errorf("records in the store: %v", err)
+	}
 	return lo.Map(entries, func(entry platform.Entry, _ int) string { return entry.Key })
 }
 
+// waitForShiftEnd waits until the shift with the key has ended and returns its
+// record.
+func waitForShiftEnd[O comparable](r *trial, key string, timeout time.Duration) *shift.Record[O] {
+	last := &shift.Record[O]{}
+	r.waitFor(timeout, func() (string, bool) {
+		entry, err := r.s.Platform.Get(r.ctx, key)
+		if err != nil {
+			return missing("%s: %v", key, err)
+		}
+		record, err := shift.Decode[O](entry.Value)
+		if err != nil {
+			return missing("%s: %v", key, err)
+		}
+		last = record
+		if !last.Ended() {
+			return missing("%s: %+v", key, last)
+		}
+		return "", true
+	})
+	return last
+}
+
 // checkEnd checks the times that the record of an ended shift states.
-func checkEnd[O comparable](r *randomRun, end *shift.Record[O], deadline time.Duration) {
-	r.t.Logf("%s: %s at step %d: %s %s", end.Name, end.State, end.Step, end.Reason, end.Detail)
+func checkEnd[O comparable](r *trial, end *shift.Record[O], deadline time.Duration) {
+	r.report.Logf("%s: %s at step %d: %s %s", end.Name, end.State, end.Step, end.Reason, end.Detail)
 	if end.State == shift.Done && (end.Elapsed >= deadline || end.StepAt.Sub(end.StartedAt) >= deadline) {
-		r.t.Errorf("%s was done after %s, its deadline is %s", end.Name, end.Elapsed, deadline)
+		r.report.Errorf("%s was done after %s, its deadline is %s", end.Name, end.Elapsed, deadline)
 	}
 }
 
 // checkDrained checks that drained upstreams get no new work while callers read.
-func (r *randomRun) checkDrained() {
+func (r *trial) checkDrained() {
 	drains := r.current().Set.Drains
 	before := map[string]int{}
 	for _, d := range drains {
 		before[d.Upstream] = r.s.Upstreams[d.Upstream].Ledger().Snapshot().Arrived
 	}
-	ctx, cancel := context.WithTimeout(r.t.Context(), settlePause)
+	ctx, cancel := context.WithTimeout(r.ctx, settlePause)
 	defer cancel()
 	r.startCallers(ctx, 1).Wait()
 	for name, n := range before {
 		arrived := r.s.Upstreams[name].Ledger().Snapshot().Arrived
 		if arrived != n {
-			r.t.Errorf("drained upstream %s got %d requests", name, arrived-n)
+			r.report.Errorf("drained upstream %s got %d requests", name, arrived-n)
 		}
 	}
 }
 
 // checkWithdrawnKeys checks that no withdrawn key was served after its
 // withdrawal was in force everywhere, and that all are refused now.
-func (r *randomRun) checkWithdrawnKeys() {
-	client := &http.Client{Transport: newTransport(r.t)}
+func (r *trial) checkWithdrawnKeys() {
+	client := r.newClient()
 	for _, key := range r.current().Set.Keys {
 		if !key.Withdrawn {
 			continue
@@ -272,14 +300,14 @@
 			q := request{method: http.MethodGet, path: pathRead + "/withdrawn", query: "bytes=10", customer: key.Customer, key: key.Name}
 			c := r.send(client, instance.CallerAddress(), q)
 			if c.kind != "key_withdrawn" {
-				r.t.Errorf("%s at %s: %d %s", key.Name, instance.CallerAddress(), c.status, c.body)
+				r.report.Errorf("%s at %s: %d %s", key.Name, instance.CallerAddress(), c.status, c.body)
 			}
 		}
 		r.checkServedAfterWithdrawal(key.Name)
 	}
 }
 
-func (r *randomRun) checkServedAfterWithdrawal(key string) {
+func (r *trial) checkServedAfterWithdrawal(key string) {
 	since, known := r.history.withdrawnSince(key)
 	if !known {
 		return
@@ -288,7 +316,7 @@
 	defer r.ledger.mu.Unlock()
 	for _, c := range r.ledger.calls {
 		if c.key == key && c.outcome == "ran" && c.sent.After(since) {
-			r.t.Errorf("%s was served %s after its withdrawal was in force everywhere", key, c.sent.Sub(since))
+			r.report.Errorf("%s was served %s after its withdrawal was in force everywhere", key, c.sent.Sub(since))
 		}
 	}
 }
@@ -309,35 +337,35 @@
 
 // checkFilings checks that each filing ran at most once and that the answers
 // were true.
-func (r *randomRun) checkFilings() {
-	ran := executions(r.s)
+func (r *trial) checkFilings() {
+	ran := r.s.Executions()
 	r.ledger.mu.Lock()
 	defer r.ledger.mu.Unlock()
 	for key, n := range ran {
 		if n > 1 {
-			r.t.Errorf("%s ran %d times", key, n)
+			r.report.Errorf("%s ran %d times", key, n)
 		}
 		if r.ledger.filings[key] == nil {
-			r.t.Errorf("%s ran and was never filed", key)
+			r.report.Errorf("%s ran and was never filed", key)
 		}
 	}
 	for key, state := range r.ledger.filings {
 		if state.notRun && ran[key] != 0 {
-			r.t.Errorf("%s: every answer said not-run, but it ran", key)
+			r.report.Errorf("%s: every answer said not-run, but it ran", key)
 		}
 		if state.ran && ran[key] != 1 {
-			r.t.Errorf("%s: an answer said ran, but it ran %d times", key, ran[key])
+			r.report.Errorf("%s: an answer said ran, but it ran %d times", key, ran[key])
 		}
 	}
 }
 
 // checkKeysUnseen checks that no upstream has seen a key of a caller.
-func (r *randomRun) checkKeysUnseen() {
+func (r *trial) checkKeysUnseen() {
 	for name, u := range r.s.Upstreams {
 		for _, seen := range u.Ledger().Snapshot().Seen {
 			text := fmt.Sprint(seen)
 			if strings.Contains(text, "key-") || strings.Contains(text, KeyLarge) {
-				r.t.Errorf("%s saw a key: %s", name, text)
+				r.report.Errorf("%s saw a key: %s", name, text)
 				return
 			}
 		}
@@ -345,13 +373,13 @@
 }
 
 // checkRates checks the served requests of each customer over every window.
-func (r *randomRun) checkRates() {
+func (r *trial) checkRates() {
 	for _, c := range randomCustomers {
 		r.checkRate(c.name)
 	}
 }
 
-func (r *randomRun) checkRate(customer string) {
+func (r *trial) checkRate(customer string) {
 	r.ledger.mu.Lock()
 	var served []interval
 	for _, c := range r.ledger.calls {
@@ -375,12 +403,12 @@
 			allowed := burst + rate*window.to.Sub(begin).Seconds()
 			closest = min(closest, allowed-float64(count))
 			if float64(count) > allowed {
-				r.t.Errorf("%s: %d requests served in %s from request %d on, allowed %.1f", customer, count, window.to.Sub(begin), i, allowed)
+				r.report.Errorf("%s: %d requests served in %s from request %d on, allowed %.1f", customer, count, window.to.Sub(begin), i, allowed)
 				return
 			}
 		}
 	}
-	r.t.Logf("%s: %d requests served, closest to the bound by %.1f", customer, len(served), closest)
+	r.report.Logf("%s: %d requests served, closest to the bound by %.1f", customer, len(served), closest)
 }
 
 // limit is a rate and burst with the time in which it may be in force.
@@ -411,7 +439,7 @@
 }
 
 // checkStreams checks that streams were cut only while a link or an upstream was.
-func (r *randomRun) checkStreams() {
+func (r *trial) checkStreams() {
 	r.ledger.mu.Lock()
 	defer r.ledger.mu.Unlock()
 	whole := 0
@@ -420,10 +448,10 @@
 			whole++
 		}
 		if c.cut && !r.history.cutWithin(interval{c.sent, c.ended}) {
-			r.t.Errorf("a stream was cut after %s although no link or upstream was", c.ended.Sub(c.sent))
+			r.report.Errorf("a stream was cut after %s although no link or upstream was", c.ended.Sub(c.sent))
 		}
 	}
-	r.t.Logf("%d streams, %d whole", len(r.ledger.streams), whole)
+	r.report.Logf("%d streams, %d whole", len(r.ledger.streams), whole)
 }
 
 func (h *history) cutWithin(window interval) bool {
@@ -433,7 +461,7 @@
 }
 
 // report logs what the run has seen.
-func (r *randomRun) report() {
+func (r *trial) summarize() {
 	r.ledger.mu.Lock()
 	defer r.ledger.mu.Unlock()
 	answers := map[string]int{}
@@ -448,6 +476,6 @@
 	}
 	r.history.mu.Lock()
 	defer r.history.mu.Unlock()
-	r.t.Logf("%d filings, %d with a final outcome; answers %v", len(r.ledger.filings), final, answers)
-	r.t.Logf("%d publications, %d edits refused, %d entry instances started, %s", len(r.history.publications), r.history.refusals, r.named, time.Since(r.start).Round(time.Millisecond))
+	r.report.Logf("%d filings, %d with a final outcome; answers %v", len(r.ledger.filings), final, answers)
+	r.report.Logf("%d publications, %d edits refused, %d entry instances started, %s", len(r.history.publications), r.history.refusals, r.named, time.Since(r.start).Round(time.Millisecond))
 }
--- a/demo/random_operators_test.go
+++ b/demo/trial_operators.go
@@ -40,11 +40,13 @@
 	// editTimeout bounds one edit of an operator.
 	editTimeout = 8 * time.Second
 	maxDrains   = 3
+	// canaryShare is the largest share of a version that was not judged yet.
+	canaryShare = 0.2
 	moveStep    = 500 * time.Millisecond
 )
 
 // operate lets two operators publish at the same time.
-func (r *randomRun) operate(h harm) {
+func (r *trial) operate(h harm) {
 	other := h
 	other.kind = harmRates
 	other.pick[0], other.pick[1] = h.pick[2], h.pick[3]
@@ -54,10 +56,10 @@
 }
 
 // publish makes the edit of one operator, and notes what may now be published.
-func (r *randomRun) publish(h harm) {
+func (r *trial) publish(h harm) {
 	client, err := platform.NewClient(platform.ClientOptions{URL: r.s.PlatformURL})
 	if err != nil {
-		r.t.Error(err)
+		r.report.Errorf("%v", err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), editTimeout)
@@ -82,7 +84,7 @@
 }
 
 // changeOf returns what an operator wants to change.
-func (r *randomRun) changeOf(h harm) func(set *dynamic.Set) error {
+func (r *trial) changeOf(h harm) func(set *dynamic.Set) error {
 	c := randomCustomers[h.pick[0]%len(randomCustomers)]
 	names := r.upstreamNames()
 	return func(set *dynamic.Set) error {
@@ -130,7 +132,7 @@
 	return nil
 }
 
-func (r *randomRun) replaceMove(set *dynamic.Set, h harm) error {
+func (r *trial) replaceMove(set *dynamic.Set, h harm) error {
 	domains := r.s.domains
 	from := h.pick[0] % len(domains)
 	to := (from + 1 + h.pick[1]%(len(domains)-1)) % len(domains)
@@ -142,12 +144,12 @@
 }
 
 // addRollout starts the only roll-out of the run, with a good or a bad version.
-func (r *randomRun) addRollout(set *dynamic.Set, h harm) error {
+func (r *trial) addRollout(set *dynamic.Set, h harm) error {
 	if len(set.Rollouts) > 0 {
 		return errors.New("the roll-out has been published")
 	}
 	if h.pick[0]%2 == 0 {
-		setFaults(r.s, standinupstream.Fault{Kind: standinupstream.FaultStatus, Status: 500, Every: 2})
+		r.s.SetFaults("lookup-v2", standinupstream.Fault{Kind: standinupstream.FaultStatus, Status: 500, Every: 2})
 	}
 	set.Versions = append(set.Versions, dynamic.Version{Name: secondVersion, Service: serviceLookup})
 	for _, u := range r.s.Set.Upstreams {
--- a/demo/random_schedule_test.go
+++ b/demo/trial_schedule.go
@@ -80,7 +80,7 @@
 type schedule [][]harm
 
 // newSchedule draws a schedule. The same seed gives the same schedule.
-func newSchedule(seed uint64, steps int) schedule {
+func newSchedule(seed uint64, steps int, maxHarm time.Duration) schedule {
 	random := rand.New(rand.NewPCG(seed, seed))
 	var kinds []harmKind
 	for _, w := range harmWeights {
@@ -90,7 +90,7 @@
 	for i := range plan {
 		for range random.IntN(maxHarmsPerStep + 1) {
 			h := harm{kind: kinds[random.IntN(len(kinds))]}
-			h.lasting = minHarm + time.Duration(random.Int64N(int64(*maxHarm-minHarm)))
+			h.lasting = minHarm + time.Duration(random.Int64N(int64(maxHarm-minHarm)))
 			for p := range h.pick {
 				h.pick[p] = random.IntN(1 << 20)
 			}
@@ -132,7 +132,7 @@
 }
 
 // harm carries out the schedule and returns when all harms have ended.
-func (r *randomRun) harm(plan schedule) {
+func (r *trial) harm(plan schedule) {
 	var running sync.WaitGroup
 	for _, step := range plan {
 		for _, h := range step {
@@ -143,7 +143,7 @@
 	running.Wait()
 }
 
-func (r *randomRun) do(h harm) {
+func (r *trial) do(h harm) {
 	switch h.kind {
 	case harmCutDomains, harmCutPlatform, harmIsolateDomain:
 		r.cut(h)
@@ -158,7 +158,7 @@
 	}
 }
 
-func (r *randomRun) cut(h harm) {
+func (r *trial) cut(h harm) {
 	domains := r.s.domains
 	first := domains[h.pick[0]%len(domains)].Name
 	var links []link
@@ -183,7 +183,7 @@
 	})
 }
 
-func (r *randomRun) setCuts(links []link, change int) {
+func (r *trial) setCuts(links []link, change int) {
 	r.faults.mu.Lock()
 	defer r.faults.mu.Unlock()
 	for _, l := range links {
@@ -192,13 +192,13 @@
 	}
 }
 
-func (r *randomRun) harmPlatform(h harm) {
+func (r *trial) harmPlatform(h harm) {
 	r.setPlatform(h.kind, 1)
 	time.Sleep(h.lasting)
 	r.setPlatform(h.kind, -1)
 }
 
-func (r *randomRun) setPlatform(kind harmKind, change int) {
+func (r *trial) setPlatform(kind harmKind, change int) {
 	r.faults.mu.Lock()
 	defer r.faults.mu.Unlock()
 	active := r.faults.platform
@@ -235,7 +235,7 @@
 	{Kind: standinupstream.FaultStatus, Status: 500}, {Kind: standinupstream.FaultNoLength},
 }
 
-func (r *randomRun) harmUpstream(h harm) {
+func (r *trial) harmUpstream(h harm) {
 	names := r.upstreamNames()
 	for i := range strikes {
 		name := names[(h.pick[0]+i*h.pick[1])%len(names)]
@@ -250,7 +250,7 @@
 }
 
 // upstreamNames returns the upstreams that harms strike, in a fixed order.
-func (r *randomRun) upstreamNames() []string {
+func (r *trial) upstreamNames() []string {
 	var names []string
 	for _, u := range r.s.Set.Upstreams {
 		if !strings.Contains(u.Name, "-"+secondVersion+"-") {
@@ -260,7 +260,7 @@
 	return names
 }
 
-func (r *randomRun) stopUpstream(name string, lasting time.Duration) {
+func (r *trial) stopUpstream(name string, lasting time.Duration) {
 	r.faults.mu.Lock()
 	state := r.faults.upstream(name)
 	state.stopped++
@@ -280,14 +280,14 @@
 
 // startUpstream starts a stopped upstream. It waits while a connection of
 // another process has its port.
-func (r *randomRun) startUpstream(name string) {
-	for end := time.Now().Add(inForceTimeout); ; time.Sleep(stepTime) {
+func (r *trial) startUpstream(name string) {
+	for end := time.Now().Add(settleTimeout); ; time.Sleep(stepTime) {
 		err := r.s.StartUpstream(name)
 		if err == nil {
 			return
 		}
 		if time.Now().After(end) {
-			r.t.Errorf("restart of %s: %v", name, err)
+			r.report.Errorf("restart of %s: %v", name, err)
 			return
 		}
 	}
@@ -300,7 +300,7 @@
 	return f.upstreams[name]
 }
 
-func (r *randomRun) changeUpstream(name string, h harm, change int) {
+func (r *trial) changeUpstream(name string, h harm, change int) {
 	r.faults.mu.Lock()
 	defer r.faults.mu.Unlock()
 	state := r.faults.upstream(name)
@@ -339,7 +339,7 @@
 }
 
 // replaceEntry stops an entry instance, waits, and starts one in its place.
-func (r *randomRun) replaceEntry(h harm) {
+func (r *trial) replaceEntry(h harm) {
 	settings := r.stopOne(h.pick[0])
 	if settings == nil {
 		return
