Instances without a confirmed share admit requests on loans

Ruled out: taking a share earlier (not safe); asking the driver by another way than the store. Change: an unconfirmed member has an empty share and borrows. Its own tokens stay unused until it is confirmed, so the bound on the rate is not touched. The refusal stays share_unconfirmed when no loan comes. TestNewInstanceServesOnLoansWhileTheStoreIsAway fails before (60 s without an answer) and passes after.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -268,13 +268,16 @@
 	c.parts.log.Info("configuration in force", zap.Uint64("version", table.Version))
 }
 
-// applyShares puts the rate shares in force and acknowledges them.
+// applyShares puts the rate shares in force and acknowledges them. A member that
+// is not confirmed has an empty share: it admits requests on loans only, which
+// its peers take out of their own shares.
 func (c *control) applyShares(now time.Time) {
 	if c.table == nil {
 		return
 	}
 	shares := c.member.Divide(customersOf(c.table))
-	c.parts.limiter.Configure(now, shares, c.member.Confirmed())
+	c.parts.limiter.Configure(now, shares, true)
+	c.parts.sharesConfirmed.Store(c.member.Confirmed())
 	if t := c.member.Table(); t != nil {
 		c.member.Applied(t.Version)
 	}
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -155,7 +155,7 @@
 // has no configuration, no confirmed rate shares, or is leaving.
 func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
 	v := i.parts.views.load()
-	if v.table == nil || v.leaving || !i.parts.limiter.Confirmed() {
+	if v.table == nil || v.leaving || !i.parts.sharesConfirmed.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -36,6 +36,8 @@
 	// dist holds the records of the store. Only its Snapshot may be used
 	// outside the control goroutine.
 	dist *distribution.State
+	// sharesConfirmed says whether the instance may use its own rate shares.
+	sharesConfirmed atomic.Bool
 	// departed is closed when a leaving instance holds no rate share any more.
 	departed chan struct{}
 	// state is the newest heartbeat of this instance. It must not be changed.
--- a/daemon/services.go
+++ b/daemon/services.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/netip"
 
-	"samphireferry.example/ferry/admission"
 	"samphireferry.example/ferry/caller"
 	"samphireferry.example/ferry/errkind"
 	"samphireferry.example/ferry/requestkeys"
@@ -13,16 +12,21 @@
 
 // admitter implements caller.Admitter.
 type admitter struct {
-	limiter *admission.Limiter
+	parts *parts
 }
 
 // Admit implements caller.Admitter.
 func (a *admitter) Admit(ctx context.Context, customer *routing.Customer) error {
-	bucket := a.limiter.Bucket(customer.Name)
+	bucket := a.parts.limiter.Bucket(customer.Name)
 	if bucket == nil {
 		return errkind.New(errkind.ShareUnconfirmed, "")
 	}
-	return a.limiter.AdmitWait(ctx, bucket).Err()
+	decision := a.parts.limiter.AdmitWait(ctx, bucket)
+	if !decision.Admitted && !a.parts.sharesConfirmed.Load() {
+		// Another instance may have tokens that could not be lent in time.
+		return errkind.New(errkind.ShareUnconfirmed, "")
+	}
+	return decision.Err()
 }
 
 // entryList implements caller.EntryInstances.
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -255,7 +255,7 @@
 	}
 	return caller.NewServer(callerSettings(p.settings), caller.Services{
 		Tables:         p.views,
-		Admitter:       &admitter{limiter: p.limiter},
+		Admitter:       &admitter{parts: p},
 		Freshness:      p,
 		Dispatcher:     dispatcher,
 		Claims:         do.MustInvoke[*claims](i),
--- a/demo/promises_test.go
+++ b/demo/promises_test.go
@@ -249,3 +249,18 @@
 		}
 	}
 }
+
+// TestNewInstanceServesOnLoansWhileTheStoreIsAway starts an instance that is in
+// no share table and cannot get into one.
+func TestNewInstanceServesOnLoansWhileTheStoreIsAway(t *testing.T) {
+	s := startSystem(t, Options{})
+	waitReady(t, s)
+	s.Platform.SetFaults(standinplatform.Faults{Outage: standinplatform.OutageRefuse})
+	settings, err := s.entrySettings(len(s.Entries), s.domains[0])
+	assert.NilError(t, err)
+	settings.Seeds = []string{s.settings[0].RPCAdvertise, s.settings[1].RPCAdvertise}
+	instance, err := s.startEntry(settings)
+	assert.NilError(t, err)
+	s.Entries = append(s.Entries, instance)
+	waitReady(t, s)
+}
