Drains have no deadline

Cause: the deadline of a drain was published and had no effect anywhere. Ruled out: enforcing it; a drain that cuts requests would break the promise of graceful stops. Change: the field and the flag are gone; an object that has it is refused as an unknown field. Conclusion: tests of the packages concerned pass.

--- a/config/dynamic/objects.go
+++ b/config/dynamic/objects.go
@@ -187,8 +187,6 @@
 	// Upstream or FailureDomain names what is drained; exactly one is set.
 	Upstream      string `json:"upstream,omitempty"`
 	FailureDomain string `json:"failure_domain,omitempty"`
-	// Deadline bounds the wait for running requests. Default "10m".
-	Deadline units.Duration `json:"deadline,omitempty"`
 }
 
 // Move shifts the traffic of one service from one failure domain to another.
--- a/operator/ctl/edit.go
+++ b/operator/ctl/edit.go
@@ -62,7 +62,6 @@
 func (a *app) drainCommand() *ffcli.Command {
 	fs := newFlagSet("drain")
 	var drain dynamic.Drain
-	fs.TextVar(&drain.Deadline, "deadline", units.Duration(0), "bound of the wait for running requests; 0s takes the default")
 	end := fs.Bool("end", false, "end the drain")
 	return a.command("drain", "NAME", "Stops new work on an upstream or a failure domain.", fs,
 		func(ctx context.Context, args []string) error {
