Client takes a new idempotency key when the home has gone before anything was sent

Cause: after kill -9 of the instance that gave the list, callers went on making keys of the dead home until the list expired, and each was refused as idempotency_home_gone although nothing had been sent. Ruled out: saying not-run on the server (it cannot know of earlier attempts); expiring the list at each failed connection (a flapping instance would make every request ask for the list; the test of the load tool caught it). Change: a key that the client made itself, and of which no attempt can have run, is replaced by one of another home; the list is asked for anew.

--- a/client/attempt.go
+++ b/client/attempt.go
@@ -42,6 +42,7 @@
 	defer func() { _ = response.Body.Close() }()
 	answer, refusal := c.readAnswer(response, key != "")
 	if refusal != nil && writes.Load() > 1 {
+		refusal.repeated = true
 		refusal.Outcome = worse(refusal.Outcome, errkind.Unknown)
 	}
 	return answer, refusal
--- a/client/client.go
+++ b/client/client.go
@@ -46,7 +46,7 @@
 // Do sends a request that may run more than once and returns the whole answer
 // of an upstream. Every error is an *Error.
 func (c *Client) Do(ctx context.Context, request Request) (*Response, error) {
-	return c.send(ctx, &request, "", request.mode())
+	return c.send(ctx, &request, idempotencyKey{}, request.mode())
 }
 
 // NewKey returns a new idempotency key of the home of the newest list. A caller
@@ -63,18 +63,28 @@
 }
 
 // Submit sends a request that must run at most once, under the key, and returns
-// the whole answer. An empty key makes a new one; the answer or the error names
-// it. Every error is an *Error.
+// the whole answer. An empty key makes a new one, and another one if its home has
+// gone before any attempt was sent; the answer or the error names the last.
+// Every error is an *Error.
 func (c *Client) Submit(ctx context.Context, key string, request Request) (*Response, error) {
 	ctx, cancel := c.withDeadline(ctx)
 	defer cancel()
+	used := idempotencyKey{text: key}
 	if key == "" {
-		var err error
-		if key, err = c.NewKey(ctx); err != nil {
+		made, err := c.NewKey(ctx)
+		if err != nil {
 			return nil, err
 		}
+		used = idempotencyKey{text: made, own: true}
 	}
-	return c.send(ctx, &request, key, atMostOnce)
+	return c.send(ctx, &request, used, atMostOnce)
+}
+
+// idempotencyKey is the key of a request, if it has one.
+type idempotencyKey struct {
+	text string
+	// own is set when no attempt before this request can have used the key.
+	own bool
 }
 
 func (c *Client) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
@@ -40,6 +41,8 @@
 	answer func(instance string, r *http.Request) answer
 	// refuseDial says whether no connection opens now.
 	refuseDial func() bool
+	// home replaces that of the list, when it is not empty.
+	home string
 	// mu guards what answer and refuseDial use, and keys.
 	mu   sync.Mutex
 	keys map[string]bool
@@ -54,7 +57,9 @@
 
 func (f *fakeSystem) serve(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == PathEntryInstances {
-		fmt.Fprint(w, list)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		fmt.Fprint(w, strings.Replace(list, "h~1", cmp.Or(f.home, "h~1"), 1))
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
@@ -222,6 +227,45 @@
 	}
 }
 
+// TestNewKeyWhenTheHomeHasGone submits under a key whose home dies. A new key is
+// taken only if no attempt can have run.
+func TestNewKeyWhenTheHomeHasGone(t *testing.T) {
+	cases := map[string]struct {
+		key     string
+		answers []answer
+		keys    int
+		ok      bool
+	}{
+		"first attempt":               {"", []answer{refuse(errkind.IdempotencyHomeGone), ran}, 2, true},
+		"after attempts not sent":     {"", []answer{refuse(errkind.Leaving), refuse(errkind.IdempotencyHomeGone), ran}, 2, true},
+		"after one that may have run": {"", []answer{drop, refuse(errkind.IdempotencyHomeGone)}, 1, false},
+		"key of the caller":           {"h~1.own", []answer{refuse(errkind.IdempotencyHomeGone)}, 1, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				system := newFakeSystem()
+				attempts := 0
+				system.answer = func(string, *http.Request) answer {
+					system.home = "h~2"
+					attempts++
+					return c.answers[min(attempts, len(c.answers))-1]
+				}
+				client := system.client(t)
+				_, err := client.Submit(t.Context(), c.key, Request{Method: http.MethodPost, Path: "/x", Body: []byte("vote")})
+				client.Close()
+				_ = system.server.Close()
+				assert.Equal(t, len(system.keys), c.keys)
+				assert.Equal(t, err == nil, c.ok)
+				var failure *Error
+				if errors.As(err, &failure) {
+					assert.Equal(t, failure.Outcome, errkind.Unknown)
+				}
+			})
+		})
+	}
+}
+
 // TestOutcomesAreTrue runs actions against instances that fail at random. The
 // fake runs an action at most once per key, as entry instances do, and the
 // outcome that the client states must agree with what ran.
--- a/client/directory.go
+++ b/client/directory.go
@@ -157,6 +157,15 @@
 	}
 }
 
+// homeGone makes the list be asked for anew if it still has the home.
+func (d *directory) homeGone(home string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.home == home {
+		d.expires = time.Time{}
+	}
+}
+
 // failed records that the instance did not answer.
 func (d *directory) failed(base string) {
 	d.mu.Lock()
--- a/client/errors.go
+++ b/client/errors.go
@@ -53,7 +53,9 @@
 	// Attempts is the number of attempts that were made.
 	Attempts int
 
-	cause error
+	// repeated is set when the transport may have sent the attempt twice.
+	repeated bool
+	cause    error
 }
 
 // Error returns the kind, the outcome and the cause in one line.
--- a/client/send.go
+++ b/client/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"samphireferry.example/ferry/errkind"
@@ -14,6 +15,8 @@
 	request *Request
 	key     string
 	mode    mode
+	// ownKey is set when the client has made the key.
+	ownKey bool
 	// outcome is what is known over all attempts.
 	outcome  errkind.Outcome
 	attempts int
@@ -24,13 +27,13 @@
 	last   *Error
 }
 
-func (c *Client) send(ctx context.Context, request *Request, key string, m mode) (*Response, error) {
+func (c *Client) send(ctx context.Context, request *Request, key idempotencyKey, m mode) (*Response, error) {
 	ctx, cancel := c.withDeadline(ctx)
 	defer cancel()
 	if request.Method == "" {
 		request.Method = http.MethodGet
 	}
-	s := &sending{client: c, request: request, key: key, mode: m, outcome: errkind.NotRun}
+	s := &sending{client: c, request: request, key: key.text, ownKey: key.own, mode: m, outcome: errkind.NotRun}
 	response, err := s.run(ctx)
 	if err != nil {
 		return nil, err
@@ -75,6 +78,9 @@
 	response, err := s.client.attempt(ctx, base, s.request, s.key)
 	if err != nil {
 		err.Entry = base
+		if s.mayRekey(err) {
+			err.Outcome = errkind.NotRun
+		}
 		s.last = err
 		s.outcome = worse(s.outcome, err.Outcome)
 		return nil, err
@@ -94,6 +100,9 @@
 	if options.ReturnLater && s.last.Retry == errkind.RetryLater {
 		return stop
 	}
+	if s.mayRekey(s.last) && s.rekey(ctx) {
+		return nextNow
+	}
 	next := nextStep(s.mode, s.last, s.outcome)
 	if next == stop || next == nextNow && s.tried < instances {
 		return next
@@ -104,6 +113,27 @@
 	return next
 }
 
+// mayRekey says whether the action can take a new key: its home has gone, the
+// refused attempt was not sent, and neither was any before it.
+func (s *sending) mayRekey(last *Error) bool {
+	return s.ownKey && s.outcome == errkind.NotRun && !last.repeated &&
+		last.Kind == errkind.IdempotencyHomeGone.String()
+}
+
+// rekey takes a new key of another home. It returns false when there is none.
+func (s *sending) rekey(ctx context.Context) bool {
+	s.client.directory.homeGone(homeOf(s.key))
+	key, err := s.client.NewKey(ctx)
+	if err != nil || homeOf(key) == homeOf(s.key) {
+		return false
+	}
+	s.key = key
+	return true
+}
+
+// homeOf returns the home in an idempotency key. The home may have dots.
+func homeOf(key string) string { return key[:max(strings.LastIndexByte(key, '.'), 0)] }
+
 // wait waits for the next repeat. It returns false at once if the deadline
 // comes before.
 func (s *sending) wait(ctx context.Context) bool {
