--- a/systemtest/harness_test.go
+++ b/systemtest/harness_test.go
@@ -222,7 +222,7 @@
 	var rows []platform.Instance
 	for _, e := range s.entries {
 		rows = append(rows, platform.Instance{Name: e.name, Role: "entry", Address: e.address, RPCAddress: e.rpc,
-			FailureDomain: e.domain, State: platform.InstanceLive})
+			OperatorAddress: e.operator, FailureDomain: e.domain, State: platform.InstanceLive})
 	}
 	send(t, http.MethodPut, s.platformURL+"/standin/instances", map[string]any{"instances": rows})
 }
