Ports for processes that are about to start lie below the ephemeral range

Ruled out: holding the listener open (the instance binds its own address). Change: internal/freeport counts through ports below the range of outgoing connections, from a place that differs from process to process; used by demo and systemtest.

--- a/demo/system.go
+++ b/demo/system.go
@@ -15,6 +15,7 @@
 	"samphireferry.example/ferry/config/dynamic"
 	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/daemon"
+	"samphireferry.example/ferry/internal/freeport"
 	"samphireferry.example/ferry/invariant"
 	"samphireferry.example/ferry/platform"
 	standinplatform "samphireferry.example/ferry/standin/platform"
@@ -118,7 +119,7 @@
 
 func (s *System) startPlatform() error {
 	s.Platform = standinplatform.New(standinplatform.Options{})
-	_, address, err := s.serveAt(anyAddress, s.Platform.Handler())
+	_, address, err := s.serve(s.Platform.Handler())
 	s.PlatformURL = "http://" + address
 	s.Network.place(address, PlacePlatform)
 	return err
@@ -146,7 +147,7 @@
 		ServiceTime:  size.time,
 		ShedWhenFull: true,
 	})
-	server, address, err := s.serveAt(anyAddress, u)
+	server, address, err := s.serve(u)
 	if err != nil {
 		return err
 	}
@@ -240,7 +241,7 @@
 func (s *System) entrySettings(n int, domain dynamic.FailureDomain) (*static.Settings, error) {
 	addresses := make([]string, 3)
 	for i := range addresses {
-		address, err := freeAddress()
+		address, err := freeport.Next()
 		if err != nil {
 			return nil, err
 		}
@@ -292,8 +293,15 @@
 	return all
 }
 
-// anyAddress is a loopback address with a port that the system chooses.
-const anyAddress = "127.0.0.1:0"
+// serve starts an HTTP server at a free address, at which it can be started
+// again later.
+func (s *System) serve(handler http.Handler) (*http.Server, string, error) {
+	address, err := freeport.Next()
+	if err != nil {
+		return nil, "", err
+	}
+	return s.serveAt(address, handler)
+}
 
 // serveAt starts an HTTP server and returns it with its address.
 func (s *System) serveAt(address string, handler http.Handler) (*http.Server, string, error) {
@@ -308,13 +316,3 @@
 	go func() { _ = server.Serve(listener) }()
 	return server, listener.Addr().String(), nil
 }
-
-// freeAddress returns a loopback address with a port that is free now.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", anyAddress)
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
--- a/systemtest/harness_test.go
+++ b/systemtest/harness_test.go
@@ -23,6 +23,7 @@
 	"gotest.tools/v3/poll"
 
 	"samphireferry.example/ferry/config/dynamic"
+	"samphireferry.example/ferry/internal/freeport"
 	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/routing"
 	standinplatform "samphireferry.example/ferry/standin/platform"
@@ -285,10 +286,9 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := freeport.Next()
 	assert.NilError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 func waitListening(t *testing.T, address string) {
