An answer of the store confirms shares only if it is the newest known

Cause: found while reading: an older answer of the store, which the records ignore, still counted as a sign that no newer share table existed. Change: its revision must be the one up to which all records are known. The error of an expired deadline no longer guesses about earlier attempts; the dispatcher does that in one place.

--- a/daemon/records.go
+++ b/daemon/records.go
@@ -80,7 +80,7 @@
 	if isUrgent(changes) {
 		c.registry.HurryDomain(now)
 	}
-	if e.update.Err == nil {
+	if e.update.Err == nil && e.update.Revision == c.dist.Revision() {
 		c.sharesReadFromStore(now, e.update.Heard)
 	}
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -161,7 +161,7 @@
 
 func (a *attempts) try(ctx context.Context, version string, target Target) (*Answer, error) {
 	if ctx.Err() != nil {
-		return nil, a.expired(ctx)
+		return nil, expired(ctx)
 	}
 	a.request.Attempt = a.made
 	a.request.Body = a.body.next()
@@ -177,15 +177,11 @@
 }
 
 // expired returns the error for a context that has ended between two attempts.
-// No attempt runs at that moment, and each earlier one was safe to repeat.
-func (a *attempts) expired(ctx context.Context) error {
+func expired(ctx context.Context) error {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return errkind.Wrap(ctx.Err(), errkind.CallerGone, "")
 	}
-	if a.made == 0 || a.request.AtMostOnce() {
-		return errkind.Wrap(ctx.Err(), errkind.DeadlineExceeded, "")
-	}
-	return errkind.Wrap(ctx.Err(), errkind.UpstreamTimeout, "")
+	return errkind.Wrap(ctx.Err(), errkind.DeadlineExceeded, "")
 }
 
 // mayRetry says whether the request may be sent again after the error.
