--- a/daemon/control.go
+++ b/daemon/control.go
@@ -151,7 +151,7 @@
 
 // tick does what time alone makes due.
 func (c *control) tick(now time.Time) {
-	c.parts.pulse.tick(now)
+	c.parts.stalls.tick(now)
 	paused := c.member.Tick(now)
 	if c.parts.limiter.Tick(now) || paused {
 		c.parts.log.Warn("control goroutine was paused; rate shares must be confirmed again")
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -15,14 +15,14 @@
 // ownerTarget serves relayed requests on the upstreams that this instance owns,
 // within the grant of the instance that relays them.
 type ownerTarget struct {
-	views *views
-	local *localTarget
-	pulse *pulse
+	views  *views
+	local  *localTarget
+	stalls *stallDetector
 }
 
 // Send implements relay.Handler.
 func (t *ownerTarget) Send(ctx context.Context, request *dispatch.Request, version string) (*dispatch.Answer, error) {
-	if !t.pulse.steady(time.Now()) {
+	if !t.stalls.steady(time.Now()) {
 		return nil, errkind.New(errkind.Overloaded, "the owner of the upstreams was paused")
 	}
 	v := t.views.load()
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -32,7 +32,7 @@
 	upstreams  *upstream.Client
 	limiter    *admission.Limiter
 	prober     *upstream.Prober
-	pulse      *pulse
+	stalls     *stallDetector
 	// dist holds the records of the store. Only its Snapshot may be used
 	// outside the control goroutine.
 	dist *distribution.State
--- a/daemon/records.go
+++ b/daemon/records.go
@@ -78,7 +78,7 @@
 	changes := c.dist.ApplyUpdate(e.update)
 	c.applyChanges(now, changes)
 	if isUrgent(changes) {
-		c.registry.HurryDomain(now)
+		c.registry.HeartbeatDomainNow(now)
 	}
 	if e.update.Err == nil && e.update.Revision == c.dist.Revision() {
 		c.sharesReadFromStore(now, e.update.Heard)
--- a/daemon/pulse_test.go
+++ b/daemon/stall_test.go
@@ -7,15 +7,15 @@
 	"gotest.tools/v3/assert"
 )
 
-func TestPulseIsNotSteadyDuringAndAfterAPause(t *testing.T) {
+func TestStallDetectorIsNotSteadyDuringAndAfterAPause(t *testing.T) {
 	start := time.Now()
 	at := func(d time.Duration) time.Time { return start.Add(d) }
-	p := newPulse(start)
+	p := newStallDetector(start)
 	p.tick(at(50 * time.Millisecond))
 	assert.Assert(t, p.steady(at(100*time.Millisecond)))
 	assert.Assert(t, !p.steady(at(3*time.Second)), "paused")
 	p.tick(at(3 * time.Second))
-	assert.Assert(t, !p.steady(at(3*time.Second+pulseSettle-1)), "just woken")
-	p.tick(at(3*time.Second + pulseSettle))
-	assert.Assert(t, p.steady(at(3*time.Second+pulseSettle)))
+	assert.Assert(t, !p.steady(at(3*time.Second+settleTime-1)), "just woken")
+	p.tick(at(3*time.Second + settleTime))
+	assert.Assert(t, p.steady(at(3*time.Second+settleTime)))
 }
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -171,7 +171,7 @@
 		upstreams:  do.MustInvoke[*upstream.Client](i),
 		limiter:    do.MustInvoke[*admission.Limiter](i),
 		prober:     do.MustInvoke[*upstream.Prober](i),
-		pulse:      newPulse(time.Now()),
+		stalls:     newStallDetector(time.Now()),
 		dist:       do.MustInvoke[*distribution.State](i),
 		departed:   make(chan struct{}),
 	}, nil
@@ -230,7 +230,7 @@
 	if err != nil {
 		return nil, err
 	}
-	owned := &ownerTarget{views: p.views, local: do.MustInvoke[*localTarget](i), pulse: p.pulse}
+	owned := &ownerTarget{views: p.views, local: do.MustInvoke[*localTarget](i), stalls: p.stalls}
 	handler := &entryServer{
 		parts: p,
 		loop:  do.MustInvoke[*loop](i),
--- a/membership/contacts.go
+++ b/membership/contacts.go
@@ -51,10 +51,10 @@
 	}
 }
 
-// HurryDomain makes a heartbeat to every contact in the own failure domain due
+// HeartbeatDomainNow makes a heartbeat to every contact in the own failure domain due
 // at once. The owner calls it when it has read something from the store that
 // the others should learn of before the next heartbeat.
-func (r *Registry) HurryDomain(now time.Time) {
+func (r *Registry) HeartbeatDomainNow(now time.Time) {
 	r.chooseContacts(now)
 	for _, m := range r.contacts {
 		if m.domain == r.config.Self.GetFailureDomain() {
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -152,17 +152,17 @@
 	})
 }
 
-func TestHurryReachesTheOwnDomainOnly(t *testing.T) {
+func TestHeartbeatDomainNowReachesTheOwnDomainOnly(t *testing.T) {
 	f := newFleet(1, 0)
 	for i := range 18 {
 		f.start(i)
 	}
 	f.list()
 	f.run(5 * time.Second)
-	const hurried = "10.0.0.4:90"
-	r := f.registries[hurried]
+	const sender = "10.0.0.4:90"
+	r := f.registries[sender]
 	r.Due(f.now)
-	r.HurryDomain(f.now)
+	r.HeartbeatDomainNow(f.now)
 	var names []string
 	for _, target := range r.Due(f.now) {
 		names = append(names, target.Name)
