--- a/relay/client.go
+++ b/relay/client.go
@@ -108,11 +108,10 @@
 	if response.GetAnswer() == nil {
 		return nil, errors.New("the answer has no head")
 	}
-	body := &answerBody{stream: stream, cancel: cancel, rest: response.GetChunk(), ended: response.GetEnd()}
 	return &dispatch.Answer{
 		Status:        int(response.GetAnswer().GetStatus()),
 		Header:        decodeHeader(response.GetAnswer().GetHeaders()),
-		Body:          body,
+		Body:          newAnswerBody(stream, response, cancel),
 		ContentLength: response.GetAnswer().GetContentLength(),
 		Upstream:      response.GetAnswer().GetUpstream(),
 		Version:       head.GetVersion(),
--- a/relay/server.go
+++ b/relay/server.go
@@ -48,7 +48,7 @@
 		return stream.Send(&entrypb.RelayResponse{Refusal: encodeRefusal(err)})
 	}
 	if !first.GetEnd() {
-		req.Body = &requestBody{stream: stream, rest: first.GetChunk()}
+		req.Body = newRequestBody(stream, first.GetChunk())
 	}
 	answer, err := s.handler(ctx, req, head.GetVersion())
 	if err != nil {
