--- a/admission/bucket.go
+++ b/admission/bucket.go
@@ -66,6 +66,13 @@
 	return b.totals
 }
 
+// Share returns the share in force.
+func (b *Bucket) Share() sharetable.Share {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.share
+}
+
 // Customer returns the name of the customer.
 func (b *Bucket) Customer() string { return b.customer }
 
--- a/caller/services.go
+++ b/caller/services.go
@@ -72,6 +72,8 @@
 	TTLSeconds int `json:"ttl_seconds" doc:"Seconds for which the list may be used."`
 	// Home is the first part of the idempotency keys to use now.
 	Home string `json:"home" doc:"First part of idempotency keys: <home>.<unique>."`
+	// Leaving is set while the instance that answers is shutting down.
+	Leaving bool `json:"leaving" doc:"Set while the entry instance that answers is shutting down."`
 	// Instances are in the order in which they should be tried.
 	Instances []EntryInstance `json:"entry_instances" doc:"Entry instances in the order in which they should be tried."`
 }
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -26,6 +26,8 @@
 	metricPoolQueued       = "ferry_pool_queued"
 	metricClaims           = "ferry_idempotency_claims"
 	metricSilentConnection = "ferry_silent_peer_connections_total"
+	metricShareRate        = "ferry_customer_share_rate"
+	metricShareBurst       = "ferry_customer_share_burst"
 	metricAdmitted         = "ferry_customer_admitted_total"
 	metricRefused          = "ferry_customer_refused_total"
 	metricTokensLent       = "ferry_tokens_lent_total"
@@ -83,6 +85,9 @@
 func writeCustomerMetrics(w io.Writer, b *admission.Bucket) {
 	totals := b.Totals()
 	labels := []string{"customer", b.Customer()}
+	share := b.Share()
+	metrics.WriteGaugeFloat64(w, telemetry.Series(metricShareRate, labels...), share.Rate)
+	metrics.WriteGaugeUint64(w, telemetry.Series(metricShareBurst, labels...), uint64(share.Burst))
 	metrics.WriteCounterUint64(w, telemetry.Series(metricAdmitted, labels...), totals.Admitted+totals.BorrowedSpend)
 	metrics.WriteCounterUint64(w, telemetry.Series(metricRefused, labels...), totals.Refused)
 	metrics.WriteCounterFloat64(w, telemetry.Series(metricTokensLent, labels...), totals.LentReserve+totals.LentSpend)
--- a/daemon/services.go
+++ b/daemon/services.go
@@ -41,6 +41,7 @@
 	list := caller.EntryInstanceList{
 		TTLSeconds: int(l.parts.settings.ListTTL.Seconds()),
 		Home:       l.keys.HomeName(),
+		Leaving:    v.leaving,
 	}
 	if v.directory == nil {
 		return list
