--- a/standin/platform/doc.go
+++ b/standin/platform/doc.go
@@ -4,15 +4,14 @@
 // A Platform implements platform.Store and platform.InstanceLister directly,
 // and serves the same over HTTP with Handler:
 //
-//	GET    /v1/entry?key=K                              one entry
-//	PUT    /v1/entry?key=K  {value, expected, lease}    compare-and-swap
-//	DELETE /v1/entry?key=K&expected=R                   delete
-//	GET    /v1/entries?prefix=P                         list
-//	GET    /v1/watch?prefix=P&after=R&wait=10s          long poll
-//	POST   /v1/leases {ttl}                             grant a lease
-//	PUT    /v1/leases?lease=L                           keep it alive
-//	DELETE /v1/leases?lease=L                           revoke it
-//	GET    /v1/instances                                list of instances
+//	GET    /samphireferry/kv-key?key=K                      one key
+//	GET    /samphireferry/kv-range?prefix=P                 list, in one page
+//	GET    /samphireferry/kv-watch?prefix=P&after=R&wait_ms=N  long poll
+//	POST   /samphireferry/kv-txn {precondition, writes, remove} compare-and-swap
+//	POST   /samphireferry/kv-lease {ttl_ms}                 grant a lease
+//	POST   /samphireferry/kv-keep/L                         keep it alive
+//	DELETE /samphireferry/kv-lease-end/L                    revoke it
+//	GET    /standin/instance-list                           list of instances
 //
 // Three more paths control the stand-in itself and are not counted as calls:
 //
