--- a/balancing/retry.go
+++ b/balancing/retry.go
@@ -18,17 +18,26 @@
 // retries cannot multiply the load of a failing service. It is safe for
 // concurrent use.
 type RetryBudget struct {
+	ratio float64
+	most  float64
+
 	mu     sync.Mutex
 	tokens float64
 }
 
-// NewRetryBudget returns a full budget.
-func NewRetryBudget() *RetryBudget { return &RetryBudget{tokens: maxRetryTokens} }
+// NewRetryBudget returns a full budget with the default ratio and size.
+func NewRetryBudget() *RetryBudget { return NewRetryBudgetOf(defaultRetryRatio, maxRetryTokens) }
+
+// NewRetryBudgetOf returns a full budget in which each success pays for ratio
+// retries, and that holds at most most retries.
+func NewRetryBudgetOf(ratio, most float64) *RetryBudget {
+	return &RetryBudget{ratio: ratio, most: most, tokens: most}
+}
 
-// Succeed records a successful request, which pays for a tenth of a retry.
+// Succeed records a successful request, which pays for a part of a retry.
 func (b *RetryBudget) Succeed() {
 	b.mu.Lock()
-	b.tokens = min(maxRetryTokens, b.tokens+defaultRetryRatio)
+	b.tokens = min(b.most, b.tokens+b.ratio)
 	b.mu.Unlock()
 }
 
--- a/config/dynamic/check_customers.go
+++ b/config/dynamic/check_customers.go
@@ -15,6 +15,7 @@
 		o.require(customer.Burst >= 1, "burst", "must be at least 1")
 		o.require(customer.Burst <= maxBurst, "burst", "must be at most %d", maxBurst)
 		o.require(customer.Weight >= 0, "weight", "must not be negative")
+		o.require(customer.Priority == nil || *customer.Priority >= 0, "priority", "must not be negative")
 	}
 	c.checkKeys()
 }
--- a/config/dynamic/check_routes.go
+++ b/config/dynamic/check_routes.go
@@ -18,16 +18,34 @@
 	}
 	for i, route := range c.set.Routes {
 		o := c.object(KindRoute, i, route.Name)
-		o.refer("service", KindService, route.Service)
+		o.checkTarget(route)
 		o.checkMatch(route)
 		o.checkRouteKind(route)
 		o.checkAccess(route, left)
 		o.checkKeyPlace(route)
 		o.checkCutOff(route)
+		o.require(route.Attempts >= 0, "attempts", "must not be negative")
+		o.require(route.Priority >= 0, "priority", "must not be negative")
 		o.checkShadow(route, c.set.Routes[:i])
 	}
 }
 
+// checkTarget checks the service of a route, or the parts of its split.
+func (o object) checkTarget(route Route) {
+	if len(route.Split) == 0 {
+		o.refer("service", KindService, route.Service)
+		return
+	}
+	o.require(route.Service == "", "service", "a route has a service or a split, not both")
+	total := 0.0
+	for _, part := range route.Split {
+		o.refer("split", KindService, part.Service)
+		o.require(part.Weight >= 0, "split", "the weight of %q is negative", part.Service)
+		total += part.Weight
+	}
+	o.require(total > 0, "split", "all weights are 0")
+}
+
 func (o object) checkMatch(route Route) {
 	o.require(validHost(route.Host), "host", "%q is not a host name or IP address without port", route.Host)
 	prefix := route.PathPrefix
--- a/config/dynamic/objects.go
+++ b/config/dynamic/objects.go
@@ -19,6 +19,19 @@
 	Drains         []Drain         `json:"drains,omitempty"`
 	Moves          []Move          `json:"moves,omitempty"`
 	Rollouts       []Rollout       `json:"rollouts,omitempty"`
+	// Limits bounds what callers may send. Nil leaves it to the settings.
+	Limits *CallerLimits `json:"limits,omitempty"`
+}
+
+// CallerLimits bounds what callers may send and how long they may take.
+type CallerLimits struct {
+	// MaxHeader and MaxBody are the largest header and body of a request.
+	MaxHeader units.Size `json:"max_header"`
+	MaxBody   units.Size `json:"max_body"`
+	// HeaderTimeout bounds the time to send a request header.
+	HeaderTimeout units.Duration `json:"header_timeout"`
+	// IdleTimeout bounds how long an unused connection stays open.
+	IdleTimeout units.Duration `json:"idle_timeout"`
 }
 
 // Region is a group of failure domains that are near each other.
@@ -59,6 +72,12 @@
 	// on the routes that name it in Customers and on open ones; no new key may
 	// be added for it.
 	Left bool `json:"left,omitempty"`
+	// Priority replaces that of the route for the requests of this customer; 0
+	// is the most urgent.
+	Priority *int `json:"priority,omitempty"`
+	// HomeRegions are the only regions that may serve the customer. Empty
+	// allows all.
+	HomeRegions []string `json:"home_regions,omitempty"`
 }
 
 // Key is the credential of a customer. Only its SHA-256 is kept.
@@ -92,6 +111,12 @@
 	// HealthInterval is the time between two health probes of an upstream.
 	// Default "500ms".
 	HealthInterval units.Duration `json:"health_interval,omitempty"`
+	// Connections bounds the connections of all entry instances together to one
+	// upstream. 0 sets no bound.
+	Connections int `json:"connections,omitempty"`
+	// ColdRate is the number of requests per second, over all entry instances
+	// together, that an upstream with cold caches bears. 0 sets no bound.
+	ColdRate float64 `json:"cold_rate,omitempty"`
 }
 
 // Version is one version of the program of a service.
@@ -137,10 +162,18 @@
 	CutOffRefuse CutOffRule = "refuse"
 )
 
-// Route leads requests to a service.
+// WeightedService is one part of a split of a route.
+type WeightedService struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
+}
+
+// Route leads requests to a service, or to several in fixed proportions.
 type Route struct {
 	Name    string `json:"name"`
-	Service string `json:"service"`
+	Service string `json:"service,omitempty"`
+	// Split replaces Service by several services.
+	Split []WeightedService `json:"split,omitempty"`
 	// Host matches the host of the request, without port. Empty matches all.
 	Host string `json:"host,omitempty"`
 	// PathPrefix matches whole path segments: "/a" matches "/a" and "/a/b".
@@ -170,6 +203,21 @@
 	WhenCutOff CutOffRule `json:"when_cut_off,omitempty"`
 	// CutOffAfter is the bound of the rule "refuse". Default "30s".
 	CutOffAfter units.Duration `json:"cut_off_after,omitempty"`
+	// WholePrefix requires the slash at the end of PathPrefix: "/a/" then does
+	// not match "/a".
+	WholePrefix bool `json:"whole_prefix,omitempty"`
+	// Attempts bounds the upstreams to which one request is sent. 0 sets no
+	// bound but the retry budget.
+	Attempts int `json:"attempts,omitempty"`
+	// TargetLatency is the time within which an answer is fully useful.
+	TargetLatency units.Duration `json:"target_latency,omitempty"`
+	// Priority orders the requests under overload; 0 is the most urgent.
+	Priority int `json:"priority,omitempty"`
+	// Sticky says that an upstream answers faster when it has handled the same
+	// object before.
+	Sticky bool `json:"sticky,omitempty"`
+	// HomeRegions are the only regions that may serve the route. Empty allows all.
+	HomeRegions []string `json:"home_regions,omitempty"`
 }
 
 // ClientBlock maps a block of caller addresses to failure domains.
--- /dev/null
+++ b/config/static/edge.go
@@ -0,0 +1,173 @@
+package static
+
+import (
+	"flag"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3"
+	"go.uber.org/zap/zapcore"
+
+	"samphireferry.example/ferry/units"
+)
+
+// EdgeEnvPrefix precedes the names of edge settings in the environment.
+const EdgeEnvPrefix = "FERRY_EDGE"
+
+// EdgeSettings are the settings of one entry instance on the platform.
+type EdgeSettings struct {
+	// Name is unique in the deployment. Required.
+	Name string
+	// Region and FailureDomain say where the instance runs. Required.
+	Region        string
+	FailureDomain string
+	// Domains maps every failure domain of the deployment to its region. Required.
+	Domains map[string]string
+	// Listen is the IP address and port for callers. Required.
+	Listen string
+	// DirectoryListen is the IP address and port at which callers ask for entry
+	// instances, ReadyListen that of the readiness check. Required.
+	DirectoryListen string
+	ReadyListen     string
+	// RPCListen is the IP address and port for other entry instances. Required.
+	RPCListen string
+	// MetricsListen is the IP address and port of the metrics. Empty serves none.
+	MetricsListen string
+	// Platform is the base URL of the platform's store. Required.
+	Platform string
+	// MaxHeader bounds the header of a request. Default "32KiB".
+	MaxHeader units.Size
+	// HeaderTimeout bounds the time to send a request header. Default "5s".
+	HeaderTimeout time.Duration
+	// IdleTimeout bounds how long an unused connection stays open. Default "60s".
+	IdleTimeout time.Duration
+	// HeartbeatInterval is the time between two heartbeats to a peer. Default "1s".
+	HeartbeatInterval time.Duration
+	// ListTTL is the time for which callers may use a list of entry instances.
+	// Default "2s".
+	ListTTL time.Duration
+	// Grace is the time between SIGTERM and the end of the process. Default "6s".
+	Grace time.Duration
+	// RetryRatio and RetrySlack bound the retries of a service over RetryWindow
+	// by all entry instances together: ratio x requests + slack. Defaults 0.1,
+	// 20 and "10s".
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// CanaryShare bounds the part of the requests of a service that go to a new
+	// version before it has been judged. Default 0.05.
+	CanaryShare float64
+	// LogLevel is debug, info, warn or error. Default "info".
+	LogLevel string
+	// Check validates the settings and exits.
+	Check bool
+	// ShowVersion prints the version and exits.
+	ShowVersion bool
+}
+
+// ParseEdge reads the settings of an entry instance on the platform from the
+// arguments, the environment and the file that the flag -config names. It
+// returns flag.ErrHelp after -help, and otherwise one error for each bad setting.
+func ParseEdge(program string, args []string, output io.Writer) (*EdgeSettings, error) {
+	settings := &EdgeSettings{Domains: map[string]string{}}
+	fs := flag.NewFlagSet(program, flag.ContinueOnError)
+	fs.SetOutput(output)
+	settings.flags(fs)
+	fs.String("config", "", "file of settings, JSON with comments")
+	err := ff.Parse(fs, args,
+		ff.WithEnvVarPrefix(EdgeEnvPrefix),
+		ff.WithConfigFileFlag("config"),
+		ff.WithConfigFileParser(ParseCommentedJSON),
+	)
+	if err != nil {
+		return nil, err
+	}
+	if fs.NArg() > 0 {
+		return nil, errors.Newf("unexpected argument %q", fs.Arg(0))
+	}
+	if settings.ShowVersion {
+		return settings, nil
+	}
+	return settings, settings.Validate()
+}
+
+func (s *EdgeSettings) flags(fs *flag.FlagSet) {
+	fs.StringVar(&s.Name, "name", "", "unique name of the instance (required)")
+	fs.StringVar(&s.Region, "region", "", "region of the instance (required)")
+	fs.StringVar(&s.FailureDomain, "failure-domain", "", "failure domain of the instance (required)")
+	fs.Func("domain", "failure domain and its region, as \"domain=region\" (repeatable)", s.addDomain)
+	fs.StringVar(&s.Listen, "listen", "", "IP address and port for callers (required)")
+	fs.StringVar(&s.DirectoryListen, "directory-listen", "", "IP address and port for the list of entry instances (required)")
+	fs.StringVar(&s.ReadyListen, "ready-listen", "", "IP address and port of the readiness check (required)")
+	fs.StringVar(&s.RPCListen, "rpc-listen", "", "IP address and port for other entry instances (required)")
+	fs.StringVar(&s.MetricsListen, "metrics-listen", "", "IP address and port of the metrics")
+	fs.StringVar(&s.Platform, "platform", "", "base URL of the platform's store (required)")
+	s.limitFlags(fs)
+	fs.StringVar(&s.LogLevel, "log-level", "info", "debug, info, warn or error")
+	fs.BoolVar(&s.Check, "check", false, "check the settings and exit")
+	fs.BoolVar(&s.ShowVersion, "version", false, "print the version and exit")
+}
+
+func (s *EdgeSettings) limitFlags(fs *flag.FlagSet) {
+	s.MaxHeader = 32 << 10
+	fs.TextVar(&s.MaxHeader, "max-header", s.MaxHeader, "largest request header, with unit")
+	fs.DurationVar(&s.HeaderTimeout, "header-timeout", 5*time.Second, "longest time to send a request header")
+	fs.DurationVar(&s.IdleTimeout, "idle-timeout", time.Minute, "longest time that an unused connection stays open")
+	fs.DurationVar(&s.HeartbeatInterval, "heartbeat-interval", time.Second, "time between two heartbeats to a peer")
+	fs.DurationVar(&s.ListTTL, "list-ttl", 2*time.Second, "time for which callers may use a list of entry instances")
+	fs.DurationVar(&s.Grace, "grace", 6*time.Second, "time between SIGTERM and the end of the process")
+	fs.Float64Var(&s.RetryRatio, "retry-ratio", 0.1, "retries for each request of a service, over all entry instances")
+	fs.Float64Var(&s.RetrySlack, "retry-slack", 20, "retries of a service beyond the ratio in one window")
+	fs.DurationVar(&s.RetryWindow, "retry-window", 10*time.Second, "window of the bound on retries")
+	fs.Float64Var(&s.CanaryShare, "canary-share", 0.05, "largest part of a service for a version that has not been judged")
+}
+
+func (s *EdgeSettings) addDomain(text string) error {
+	domain, region, ok := strings.Cut(text, "=")
+	if !ok || domain == "" || region == "" {
+		return errors.Newf("%q is not of the form domain=region", text)
+	}
+	s.Domains[domain] = region
+	return nil
+}
+
+// Validate returns one error for all settings that are missing or out of range,
+// or nil.
+func (s *EdgeSettings) Validate() error {
+	return errors.Join(
+		s.checkPlace(),
+		checkAddress("listen", s.Listen),
+		checkAddress("directory-listen", s.DirectoryListen),
+		checkAddress("ready-listen", s.ReadyListen),
+		checkAddress("rpc-listen", s.RPCListen),
+		checkPlatformURL(s.Platform),
+		checkRange("max-header", int64(s.MaxHeader), 1<<10, 1<<20),
+		checkDuration("header-timeout", s.HeaderTimeout, 100*time.Millisecond, time.Minute),
+		checkDuration("idle-timeout", s.IdleTimeout, time.Second, time.Hour),
+		checkDuration("heartbeat-interval", s.HeartbeatInterval, 20*time.Millisecond, 5*time.Second),
+		checkDuration("list-ttl", s.ListTTL, time.Second, time.Minute),
+		checkDuration("grace", s.Grace, time.Second, time.Hour),
+		checkDuration("retry-window", s.RetryWindow, time.Second, time.Hour),
+		checkShare("canary-share", s.CanaryShare),
+	)
+}
+
+func (s *EdgeSettings) checkPlace() error {
+	if s.Name == "" {
+		return errors.New("name: missing")
+	}
+	if s.Domains[s.FailureDomain] == "" || s.Domains[s.FailureDomain] != s.Region {
+		return errors.Newf("failure-domain: domain has no entry %s=%s", s.FailureDomain, s.Region)
+	}
+	_, err := zapcore.ParseLevel(s.LogLevel)
+	return errors.Wrap(err, "log-level")
+}
+
+func checkShare(name string, value float64) error {
+	if value < 0 || value > 1 {
+		return errors.Newf("%s: %g is not between 0 and 1", name, value)
+	}
+	return nil
+}
--- a/config/static/validate.go
+++ b/config/static/validate.go
@@ -93,9 +93,13 @@
 		}
 		return nil
 	}
-	parsed, err := url.Parse(s.Platform)
+	return checkPlatformURL(s.Platform)
+}
+
+func checkPlatformURL(text string) error {
+	parsed, err := url.Parse(text)
 	if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
-		return errors.Newf("platform: %q is not an http or https URL", s.Platform)
+		return errors.Newf("platform: %q is not an http or https URL", text)
 	}
 	return nil
 }
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -12,6 +12,7 @@
 
 	"samphireferry.example/ferry/buildinfo"
 	"samphireferry.example/ferry/config/static"
+	"samphireferry.example/ferry/telemetry"
 )
 
 // The exit codes of Main.
@@ -49,7 +50,7 @@
 }
 
 func run(settings *static.Settings, output io.Writer) error {
-	log, err := NewLog(output, settings.LogLevel)
+	log, err := telemetry.NewLog(output, settings.LogLevel)
 	if err != nil {
 		return err
 	}
--- a/demo/main.go
+++ b/demo/main.go
@@ -16,7 +16,7 @@
 	"github.com/peterbourgon/ff/v3"
 
 	"samphireferry.example/ferry/buildinfo"
-	"samphireferry.example/ferry/daemon"
+	"samphireferry.example/ferry/telemetry"
 )
 
 // The exit codes of Main.
@@ -49,7 +49,7 @@
 		return exitDone
 	}
 	if err == nil {
-		options.Log, err = daemon.NewLog(errOutput, *logLevel)
+		options.Log, err = telemetry.NewLog(errOutput, *logLevel)
 	}
 	if err != nil {
 		fmt.Fprintf(errOutput, "%s: %v\n", program, err)
--- /dev/null
+++ b/edge/attempts.go
@@ -0,0 +1,244 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"samphireferry.example/ferry/dispatch"
+	"samphireferry.example/ferry/errkind"
+	"samphireferry.example/ferry/placement"
+	"samphireferry.example/ferry/platform/headers"
+	"samphireferry.example/ferry/telemetry"
+	"samphireferry.example/ferry/upstream"
+)
+
+const (
+	// bufferedAnswer is the largest answer in bytes that is read whole before its
+	// head is sent, so that a broken one can be repeated.
+	bufferedAnswer = 256 << 10
+	// comeBack is the delay that a refused caller is told.
+	comeBack = 300 * time.Millisecond
+	// maxTries bounds the upstreams that one request asks for room.
+	maxTries = 4
+)
+
+// answer is an answer of an upstream whose body has been read, wholly or up to
+// bufferedAnswer bytes.
+type answer struct {
+	*dispatch.Answer
+	read []byte
+	// whole says that read is the whole body.
+	whole bool
+	lease *placement.Lease
+}
+
+// attempts sends the request to one upstream after the other until one answers
+// or no other may be tried.
+func (x *exchange) attempts(ctx context.Context) error {
+	var last *answer
+	for {
+		got, err := x.attempt(ctx)
+		if got != nil {
+			last = got
+		}
+		failed := err != nil || got.Status >= http.StatusInternalServerError
+		if failed && x.mayRetry(ctx, err) {
+			continue
+		}
+		if err != nil && last != nil {
+			// An earlier upstream has answered; its failure is the better answer.
+			return x.deliver(last)
+		}
+		if err != nil {
+			return x.finalError(err)
+		}
+		return x.deliver(got)
+	}
+}
+
+// attempt sends the request to one upstream and reads the answer.
+func (x *exchange) attempt(ctx context.Context) (*answer, error) {
+	lease, err := x.acquire()
+	if err != nil {
+		return nil, err
+	}
+	x.tried = append(x.tried, lease.Upstream.Name)
+	response, err := x.parts.upstreams.Send(ctx, lease.Upstream, x.service, x.request)
+	if err == nil {
+		var got *answer
+		got, err = readAnswer(response, lease)
+		if err == nil {
+			x.ran++
+			x.observe(got)
+			return got, nil
+		}
+	}
+	if upstream.MayHaveRun(err) {
+		x.ran++
+	}
+	lease.Release(time.Now(), resultOf(ctx, err), refusedLoad(err))
+	x.parts.log.Info("attempt failed",
+		zap.String("request_id", x.caller.AttemptID),
+		zap.String("upstream", lease.Upstream.Name),
+		zap.Duration("age", time.Since(x.started)),
+		zap.Error(err),
+	)
+	return nil, err
+}
+
+// acquire takes a place at an upstream.
+func (x *exchange) acquire() (*placement.Lease, error) {
+	lease, refusal := x.parts.pool.Acquire(time.Now(), placement.Query{
+		Service:      x.service.Name,
+		Object:       x.object(),
+		Version:      x.view.versions[x.service.Name].next(x.route.Name),
+		AllowsRegion: x.allowsRegion,
+		Tried:        x.tried,
+	})
+	switch refusal {
+	case placement.NoneInReach:
+		return nil, errkind.New(errkind.NoUpstream, "")
+	case placement.AllBusy:
+		return nil, errkind.New(errkind.Overloaded, "")
+	}
+	return lease, nil
+}
+
+// readAnswer reads the body up to bufferedAnswer bytes.
+func readAnswer(response *dispatch.Answer, lease *placement.Lease) (*answer, error) {
+	got := &answer{Answer: response, lease: lease}
+	read, err := io.ReadAll(io.LimitReader(response.Body, bufferedAnswer))
+	if err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	got.read = read
+	got.whole = len(read) < bufferedAnswer
+	if got.whole {
+		return got, response.Body.Close()
+	}
+	return got, nil
+}
+
+// observe gives the place back once the upstream has done its work.
+func (x *exchange) observe(got *answer) {
+	result := placement.Answered
+	if got.Status >= http.StatusInternalServerError {
+		result = placement.Failed
+	}
+	got.lease.Release(time.Now(), result, loadOf(got.Header))
+}
+
+// mayRetry says whether the request may go to another upstream.
+func (x *exchange) mayRetry(ctx context.Context, err error) bool {
+	limit := x.route.Attempts
+	if ctx.Err() != nil || len(x.tried) >= maxTries || limit > 0 && x.ran >= limit {
+		return false
+	}
+	if err == nil {
+		return !x.route.AtMostOnce && x.spend(telemetry.RetryUpstreamFailed, nil)
+	}
+	reason, useful := upstream.RetryReason(err)
+	if !useful || x.route.AtMostOnce && errkind.Of(err).Row().Outcome != errkind.NotRun {
+		return false
+	}
+	if reason == telemetry.RetryConnectionFailed {
+		// Nothing has reached the upstream, so nothing is repeated.
+		x.countRetry(reason)
+		return true
+	}
+	return x.spend(reason, err)
+}
+
+// spend takes a retry out of the budget of the service.
+func (x *exchange) spend(reason telemetry.RetryReason, err error) bool {
+	if !x.parts.retries.of(x.service.Name).Spend(false, err) {
+		return false
+	}
+	x.countRetry(reason)
+	return true
+}
+
+func (x *exchange) countRetry(reason telemetry.RetryReason) {
+	customer := ""
+	if x.customer != nil {
+		customer = x.customer.Name
+	}
+	x.parts.metrics.Retried(reason, x.service.Name, customer)
+}
+
+// finalError turns a refusal into one that is true of the whole request: it must
+// not say that the request has not run when an earlier attempt may have run it.
+func (x *exchange) finalError(err error) error {
+	kind := errkind.Of(err)
+	notRun := kind.Row().Outcome == errkind.NotRun
+	switch {
+	case notRun && x.ran > 0:
+		return errkind.Wrap(err, errkind.UpstreamFailed, "")
+	case kind == errkind.DeadlineExceeded, kind == errkind.NoUpstream, kind == errkind.Overloaded:
+		refusal := errkind.Wrap(err, errkind.Overloaded, "")
+		refusal.RetryAfter = comeBack
+		return refusal
+	}
+	return err
+}
+
+// deliver writes the answer to the caller.
+func (x *exchange) deliver(got *answer) error {
+	x.parts.retries.of(x.service.Name).Succeed()
+	out := x.w.Header()
+	for name, values := range got.Header {
+		out[name] = values
+	}
+	if got.whole && x.r.Method != http.MethodHead {
+		out.Set("Content-Length", strconv.Itoa(len(got.read)))
+	}
+	if got.Status == http.StatusNoContent || got.Status == http.StatusNotModified {
+		out.Del("Content-Length")
+	}
+	x.answered = true
+	x.w.WriteHeader(got.Status)
+	_, err := x.w.Write(got.read)
+	if err != nil || got.whole {
+		// A caller that cannot be written to has gone.
+		return nil
+	}
+	defer got.Body.Close()
+	_, err = io.Copy(x.w, got.Body)
+	if err != nil {
+		return errkind.Wrap(err, errkind.AnswerTruncated, "")
+	}
+	return nil
+}
+
+// resultOf returns what a failed attempt shows about its upstream.
+func resultOf(ctx context.Context, err error) placement.Result {
+	status, _ := upstream.RefusedAnswer(err)
+	switch {
+	case headers.IsOtherInstance(status):
+		return placement.Replaced
+	case status != 0:
+		return placement.Shed
+	case errors.Is(ctx.Err(), context.Canceled):
+		return placement.Unclear
+	case errkind.Of(err) == errkind.NoUpstream:
+		return placement.Unreachable
+	}
+	return placement.Failed
+}
+
+func loadOf(header http.Header) placement.Load {
+	report, ok := headers.ReadLoad(header)
+	return placement.Load{Known: ok, Requests: report.Running + report.Waiting}
+}
+
+func refusedLoad(err error) placement.Load {
+	_, header := upstream.RefusedAnswer(err)
+	return loadOf(header)
+}
--- /dev/null
+++ b/edge/heartbeat.go
@@ -0,0 +1,202 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/encoding/gzip"
+	"google.golang.org/grpc/status"
+
+	"samphireferry.example/ferry/membership"
+	"samphireferry.example/ferry/platform"
+	"samphireferry.example/ferry/rpc/entrypb"
+)
+
+const (
+	// heartbeatTimeout bounds one exchange of heartbeats.
+	heartbeatTimeout = time.Second
+	// pullTimeout bounds the call to a peer for its records.
+	pullTimeout = 2 * time.Second
+	// staleAfter is the silence of the store after which records are pulled from
+	// peers, if one has newer ones. A watch that waits is silent too, so a peer's
+	// newer revision decides.
+	staleAfter = 700 * time.Millisecond
+)
+
+// state builds the heartbeat of this instance.
+func (c *control) state() *entrypb.State {
+	s := &entrypb.State{
+		Identity:      c.parts.identity,
+		Leaving:       c.leaving,
+		StoreRevision: uint64(c.revision),
+		VersionCounts: c.rollouts.counts(),
+	}
+	if c.table != nil {
+		s.ConfigVersion = c.table.Version
+	}
+	return s
+}
+
+// sendHeartbeats exchanges heartbeats with the peers that are due.
+func (c *control) sendHeartbeats(now time.Time) {
+	targets := c.members.Due(now)
+	if len(targets) == 0 {
+		return
+	}
+	state := c.state()
+	for _, target := range targets {
+		address := target.RPCAddress
+		c.background(heartbeatTimeout, func(ctx context.Context) event {
+			client, err := c.parts.peers.Client(address)
+			if err != nil {
+				return heartbeatFailed{address: address}
+			}
+			answer, err := client.Heartbeat(ctx, state)
+			if err != nil {
+				return heartbeatFailed{address: address}
+			}
+			return heartbeatAnswered{address: address, state: answer}
+		})
+	}
+}
+
+// heartbeatReceived is a heartbeat that a peer has sent.
+type heartbeatReceived struct {
+	state  *entrypb.State
+	answer chan *entrypb.State
+}
+
+func (e heartbeatReceived) apply(c *control, now time.Time) {
+	c.members.Heard(e.state, now)
+	c.rollouts.hear(now, e.state)
+	e.answer <- c.state()
+}
+
+// heartbeatAnswered is the answer of a peer to a heartbeat of this instance.
+type heartbeatAnswered struct {
+	address string
+	state   *entrypb.State
+}
+
+func (e heartbeatAnswered) apply(c *control, now time.Time) {
+	c.members.Answered(e.address, e.state, now)
+	c.rollouts.hear(now, e.state)
+}
+
+// heartbeatFailed is a heartbeat that got no answer.
+type heartbeatFailed struct{ address string }
+
+func (e heartbeatFailed) apply(c *control, now time.Time) { c.members.Failed(e.address, now) }
+
+// pullIfBehind asks a peer for its records when it has newer ones and the store
+// has been silent.
+func (c *control) pullIfBehind(now time.Time) {
+	if c.pulling || now.Sub(c.storeHeard) < staleAfter {
+		return
+	}
+	best := c.newestPeer(now)
+	if best == nil {
+		return
+	}
+	c.pulling = true
+	address, name, after := best.RPCAddress, best.Name, c.revision
+	c.background(pullTimeout, func(ctx context.Context) event {
+		client, err := c.parts.peers.Client(address)
+		if err != nil {
+			return pulled{err: err}
+		}
+		request := &entrypb.GetConfigRequest{Revision: uint64(after)}
+		response, err := client.GetConfig(ctx, request, grpc.UseCompressor(gzip.Name))
+		return pulled{peer: name, response: response, err: err}
+	})
+}
+
+// newestPeer returns the usable peer with the newest records, if they are newer
+// than this instance's own.
+func (c *control) newestPeer(now time.Time) *membership.Peer {
+	var best *membership.Peer
+	newest := uint64(c.revision)
+	for _, p := range c.members.Snapshot(now).All {
+		if p.State != nil && p.Health == membership.Alive && p.State.GetStoreRevision() > newest {
+			best, newest = p, p.State.GetStoreRevision()
+		}
+	}
+	return best
+}
+
+// pulled are the records of a peer.
+type pulled struct {
+	peer     string
+	response *entrypb.GetConfigResponse
+	err      error
+}
+
+func (e pulled) apply(c *control, now time.Time) {
+	c.pulling = false
+	if e.err != nil || e.response == nil {
+		return
+	}
+	read := recordsRead{
+		revision: platform.Revision(e.response.GetRevision()),
+		full:     e.response.GetFull(),
+		fromPeer: e.peer,
+	}
+	for _, entry := range e.response.GetEntries() {
+		read.entries = append(read.entries, platform.Entry{
+			Key:      entry.GetKey(),
+			Value:    entry.GetValue(),
+			Revision: platform.Revision(entry.GetRevision()),
+			Deleted:  entry.GetDeleted(),
+		})
+	}
+	read.apply(c, now)
+}
+
+// recordsAsked is the question of a peer for all records.
+type recordsAsked struct {
+	answer chan *entrypb.GetConfigResponse
+}
+
+func (e recordsAsked) apply(c *control, _ time.Time) {
+	response := &entrypb.GetConfigResponse{Revision: uint64(c.revision), Full: true}
+	c.each("", func(entry platform.Entry) {
+		response.Entries = append(response.Entries, &entrypb.StoreEntry{
+			Key:      entry.Key,
+			Value:    entry.Value,
+			Revision: uint64(entry.Revision),
+		})
+	})
+	e.answer <- response
+}
+
+// entryServer serves the other entry instances.
+type entryServer struct {
+	entrypb.UnimplementedEntryServer
+	control *control
+}
+
+// Heartbeat implements entrypb.EntryServer.
+func (s *entryServer) Heartbeat(ctx context.Context, state *entrypb.State) (*entrypb.State, error) {
+	answer := make(chan *entrypb.State, 1)
+	s.control.post(heartbeatReceived{state: state, answer: answer})
+	return waitFor(ctx, answer)
+}
+
+// GetConfig implements entrypb.EntryServer.
+func (s *entryServer) GetConfig(ctx context.Context, _ *entrypb.GetConfigRequest) (*entrypb.GetConfigResponse, error) {
+	answer := make(chan *entrypb.GetConfigResponse, 1)
+	s.control.post(recordsAsked{answer: answer})
+	return waitFor(ctx, answer)
+}
+
+func waitFor[T any](ctx context.Context, answer <-chan T) (T, error) {
+	select {
+	case a := <-answer:
+		return a, nil
+	case <-ctx.Done():
+		var none T
+		return none, status.Error(codes.Unavailable, "the instance did not answer in time")
+	}
+}
--- /dev/null
+++ b/edge/parts.go
@@ -0,0 +1,30 @@
+package edge
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"samphireferry.example/ferry/config/static"
+	"samphireferry.example/ferry/entryinstance"
+	"samphireferry.example/ferry/placement"
+	"samphireferry.example/ferry/platform"
+	"samphireferry.example/ferry/rpc/entrypb"
+	"samphireferry.example/ferry/telemetry"
+	"samphireferry.example/ferry/upstream"
+)
+
+// parts are what several pieces of an instance share.
+type parts struct {
+	settings  *static.EdgeSettings
+	identity  *entrypb.Identity
+	log       *zap.Logger
+	metrics   *telemetry.Metrics
+	views     *views
+	store     platform.Store
+	peers     *entryinstance.Pool
+	upstreams *upstream.Client
+	pool      *placement.Pool
+	retries   *retryBudgets
+	started   time.Time
+}
--- /dev/null
+++ b/edge/records.go
@@ -0,0 +1,224 @@
+package edge
+
+import (
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"samphireferry.example/ferry/membership"
+	"samphireferry.example/ferry/placement"
+	"samphireferry.example/ferry/platform"
+	"samphireferry.example/ferry/platform/records"
+	"samphireferry.example/ferry/registry"
+	"samphireferry.example/ferry/routing"
+)
+
+// recordsRead are records that the store or a peer has given.
+type recordsRead struct {
+	entries  []platform.Entry
+	revision platform.Revision
+	// full says that there are no other records.
+	full bool
+	// fromPeer names the peer that gave them; empty for the store.
+	fromPeer string
+}
+
+func (e recordsRead) apply(c *control, now time.Time) {
+	if e.fromPeer == "" {
+		c.heardStore(now)
+	}
+	if e.full && e.revision < c.revision {
+		return
+	}
+	changed := c.merge(e)
+	c.revision = max(c.revision, e.revision)
+	c.applyRecords(now, changed)
+}
+
+func (c *control) heardStore(now time.Time) {
+	c.storeHeard = now
+	c.upstreams.StoreBack(now)
+	if c.storeAway {
+		c.storeAway = false
+		c.parts.log.Info("store back", zap.Int64("revision", int64(c.revision)))
+	}
+}
+
+// merge takes in the entries and returns the keys that changed.
+func (c *control) merge(e recordsRead) []string {
+	var changed []string
+	present := make(map[string]bool, len(e.entries))
+	for _, entry := range e.entries {
+		present[entry.Key] = true
+		if c.records[entry.Key].Revision >= entry.Revision {
+			continue
+		}
+		c.records[entry.Key] = entry
+		changed = append(changed, entry.Key)
+	}
+	if !e.full {
+		return changed
+	}
+	for key, entry := range c.records {
+		if !present[key] && !entry.Deleted && entry.Revision <= e.revision {
+			c.records[key] = platform.Entry{Key: key, Revision: e.revision, Deleted: true}
+			changed = append(changed, key)
+		}
+	}
+	return changed
+}
+
+// applyRecords puts changed records in force.
+func (c *control) applyRecords(now time.Time, changed []string) {
+	var upstreams, instances, evacuations, rollouts bool
+	for _, key := range changed {
+		switch {
+		case key == records.KeyConfig:
+			c.adoptConfig(now)
+		case strings.HasPrefix(key, records.PrefixUpstreams):
+			upstreams = true
+		case strings.HasPrefix(key, records.PrefixInstances):
+			instances = true
+		case strings.HasPrefix(key, records.PrefixEvacuations):
+			evacuations = true
+		case strings.HasPrefix(key, records.PrefixRolloutOrders), strings.HasPrefix(key, records.PrefixRolloutStatus):
+			rollouts = true
+		}
+	}
+	if upstreams {
+		c.readUpstreams(now)
+	}
+	if instances {
+		c.readInstances(now)
+	}
+	if evacuations {
+		c.readEvacuations()
+	}
+	if rollouts {
+		c.rollouts.read(now)
+	}
+}
+
+// each calls do with every entry whose key has the prefix.
+func (c *control) each(prefix string, do func(entry platform.Entry)) {
+	for key, entry := range c.records {
+		if !entry.Deleted && strings.HasPrefix(key, prefix) {
+			do(entry)
+		}
+	}
+}
+
+func (c *control) adoptConfig(now time.Time) {
+	entry := c.records[records.KeyConfig]
+	if entry.Deleted {
+		return
+	}
+	config, err := records.Config(entry.Value)
+	if err != nil {
+		c.parts.log.Error("configuration cannot be read", zap.Int64("revision", int64(entry.Revision)), zap.Error(err))
+		return
+	}
+	if c.table != nil && config.Version <= c.table.Version {
+		return
+	}
+	table, err := routing.Compile(config)
+	if err != nil {
+		c.parts.log.Error("configuration cannot be compiled", zap.Uint64("version", config.Version), zap.Error(err))
+		return
+	}
+	c.table = table
+	c.setSplits()
+	c.poolDirty, c.viewDirty = true, true
+	c.parts.log.Info("configuration in force",
+		zap.Uint64("version", config.Version),
+		zap.Int64("revision", int64(entry.Revision)),
+		zap.Int("routes", len(table.Routes)),
+		zap.Time("at", now),
+	)
+}
+
+// setSplits keeps the running counts of splits that did not change.
+func (c *control) setSplits() {
+	splits := map[string]*split{}
+	for _, route := range c.table.Routes {
+		if route.Split == nil {
+			continue
+		}
+		splits[route.Name] = newSplit(route.Split)
+	}
+	c.splits = splits
+}
+
+func (c *control) readUpstreams(now time.Time) {
+	var entries []registry.Entry
+	c.each(records.PrefixUpstreams, func(entry platform.Entry) {
+		parsed, err := records.Upstream(entry)
+		if err != nil {
+			c.parts.metrics.Counter("ferry_unreadable_entries_total").Inc()
+			c.parts.log.Warn("entry of an upstream cannot be read", zap.Error(err))
+			return
+		}
+		entries = append(entries, parsed)
+	})
+	if c.upstreams.Replace(now, entries) {
+		c.poolDirty, c.viewDirty = true, true
+		c.parts.log.Info("upstreams changed", zap.Int64("revision", int64(c.revision)), zap.Int("entries", len(entries)))
+	}
+}
+
+func (c *control) readInstances(now time.Time) {
+	var rows []platform.Instance
+	c.each(records.PrefixInstances, func(entry platform.Entry) {
+		i, err := records.DecodeInstance(entry)
+		if err != nil {
+			c.parts.log.Warn("entry of an instance cannot be read", zap.Error(err))
+			return
+		}
+		rows = append(rows, platform.Instance{
+			Name:          i.Name,
+			Role:          membership.RoleEntry,
+			Address:       i.Address,
+			RPCAddress:    i.RPCAddress,
+			FailureDomain: i.FailureDomain,
+			State:         platform.InstanceLive,
+		})
+	})
+	c.members.SetInstances(rows, now)
+	c.viewDirty = true
+}
+
+func (c *control) readEvacuations() {
+	evacuated := map[string]bool{}
+	c.each(records.PrefixEvacuations, func(entry platform.Entry) {
+		if domain, ok := records.NameIn(entry.Key, records.PrefixEvacuations); ok {
+			evacuated[domain] = true
+		}
+	})
+	for domain := range evacuated {
+		if !c.evacuated[domain] {
+			c.parts.log.Info("failure domain evacuated", zap.String("failure_domain", domain), zap.Int64("revision", int64(c.revision)))
+		}
+	}
+	c.evacuated = evacuated
+	c.poolDirty = true
+}
+
+// updatePool gives traffic the upstreams that are known now.
+func (c *control) updatePool() {
+	settings := placement.Settings{
+		Regions:     c.parts.settings.Domains,
+		Evacuated:   c.evacuated,
+		Connections: map[string]int{},
+		ColdRate:    map[string]float64{},
+	}
+	if c.table != nil {
+		instances := len(c.members.Snapshot(time.Now()).All) + 1
+		for _, service := range c.table.Services {
+			settings.Connections[service.Name] = max(service.Connections/instances, 1)
+			settings.ColdRate[service.Name] = service.ColdRate / float64(instances)
+		}
+	}
+	c.parts.pool.Update(c.upstreams.All(), settings)
+	c.parts.upstreams.Retain(c.parts.pool.Upstreams())
+}
--- /dev/null
+++ b/edge/register.go
@@ -0,0 +1,92 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"samphireferry.example/ferry/platform"
+	"samphireferry.example/ferry/platform/records"
+)
+
+const (
+	// leaseTTL is how long the entry of an instance that has died stays. Heartbeats
+	// tell earlier, so it may be long.
+	leaseTTL = 12 * time.Second
+	// renewInterval leaves time for two failed renewals.
+	renewInterval = leaseTTL / 3
+)
+
+// registrar keeps the entry of this instance in the store.
+type registrar struct {
+	store platform.Store
+	log   *zap.Logger
+	key   string
+	value []byte
+	lease platform.LeaseID
+}
+
+func newRegistrar(store platform.Store, log *zap.Logger, i records.Instance) (*registrar, error) {
+	value, err := records.EncodeInstance(i)
+	if err != nil {
+		return nil, err
+	}
+	return &registrar{store: store, log: log, key: records.PrefixInstances + i.Name, value: value}, nil
+}
+
+// run registers the instance and renews its lease until the context ends.
+func (r *registrar) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := r.step(ctx)
+		if err == nil {
+			sleep(ctx, renewInterval)
+			continue
+		}
+		if ctx.Err() == nil {
+			r.log.Warn("the instance is not registered", zap.Error(err))
+		}
+		sleep(ctx, retryPause)
+	}
+}
+
+func (r *registrar) step(ctx context.Context) error {
+	if r.lease == 0 {
+		return r.register(ctx)
+	}
+	err := r.store.KeepAlive(ctx, r.lease)
+	if errors.Is(err, platform.ErrLeaseExpired) {
+		r.lease = 0
+		return r.register(ctx)
+	}
+	return err
+}
+
+func (r *registrar) register(ctx context.Context) error {
+	old, err := r.store.Get(ctx, r.key)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	lease, err := r.store.GrantLease(ctx, leaseTTL)
+	if err != nil {
+		return err
+	}
+	_, err = r.store.CompareAndSwap(ctx, r.key, r.value, old.Revision, lease)
+	if err != nil {
+		return err
+	}
+	r.lease = lease
+	return nil
+}
+
+// leave removes the entry.
+func (r *registrar) leave(ctx context.Context) {
+	if r.lease == 0 {
+		return
+	}
+	err := r.store.RevokeLease(ctx, r.lease)
+	if err != nil {
+		r.log.Warn("the entry of the instance was not removed", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/edge/retries.go
@@ -0,0 +1,56 @@
+package edge
+
+import (
+	"sync"
+
+	"samphireferry.example/ferry/balancing"
+	"samphireferry.example/ferry/config/static"
+)
+
+const (
+	// retryReserve is the part of the fleet's bound that the instances use. The
+	// rest covers requests that callers move between instances.
+	retryReserve = 0.6
+	// leastRetries lets one retry pass however many instances there are.
+	leastRetries = 1
+)
+
+// retryBudgets holds the retry budget of this instance for each service.
+type retryBudgets struct {
+	ratio float64
+	slack float64
+
+	mu        sync.Mutex
+	instances int
+	budgets   map[string]*balancing.RetryBudget
+}
+
+func newRetryBudgets(settings *static.EdgeSettings) *retryBudgets {
+	return &retryBudgets{
+		ratio:   settings.RetryRatio * retryReserve,
+		slack:   settings.RetrySlack * retryReserve,
+		budgets: map[string]*balancing.RetryBudget{},
+	}
+}
+
+// setInstances tells the number of entry instances that share the slack. A
+// change starts new budgets.
+func (r *retryBudgets) setInstances(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n > r.instances {
+		r.instances = n
+		r.budgets = map[string]*balancing.RetryBudget{}
+	}
+}
+
+func (r *retryBudgets) of(service string) *balancing.RetryBudget {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.budgets[service]
+	if b == nil {
+		b = balancing.NewRetryBudgetOf(r.ratio, max(r.slack/float64(max(r.instances, 1)), leastRetries))
+		r.budgets[service] = b
+	}
+	return b
+}
--- /dev/null
+++ b/edge/split.go
@@ -0,0 +1,36 @@
+package edge
+
+import (
+	"sync"
+
+	"samphireferry.example/ferry/routing"
+)
+
+// split divides the requests of a route among its services by running count: the
+// next request goes to the part that is furthest behind its weight. So every
+// prefix of the requests keeps to the weights within one request.
+type split struct {
+	parts []routing.Part
+
+	mu      sync.Mutex
+	credits []float64
+}
+
+func newSplit(parts []routing.Part) *split {
+	return &split{parts: parts, credits: make([]float64, len(parts))}
+}
+
+// next returns the service of the next request.
+func (s *split) next() *routing.Service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	best := 0
+	for i, part := range s.parts {
+		s.credits[i] += part.Weight
+		if s.credits[i] > s.credits[best] {
+			best = i
+		}
+	}
+	s.credits[best]--
+	return s.parts[best].Service
+}
--- /dev/null
+++ b/edge/traffic.go
@@ -0,0 +1,211 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"samphireferry.example/ferry/dispatch"
+	"samphireferry.example/ferry/errkind"
+	"samphireferry.example/ferry/platform/headers"
+	"samphireferry.example/ferry/routing"
+)
+
+// bufferedBody is the largest request body in bytes that is read whole before it
+// is sent, so that a slow caller holds no upstream.
+const bufferedBody = 256 << 10
+
+// traffic serves callers.
+type traffic struct {
+	parts *parts
+}
+
+// ServeHTTP implements http.Handler.
+func (t *traffic) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{parts: t.parts, w: w, r: r, started: time.Now(), view: t.parts.views.load(), caller: headers.ReadCaller(r.Header)}
+	if x.view.leaving {
+		w.Header().Set("Connection", "close")
+	}
+	err := x.serve()
+	if err != nil {
+		x.refuse(err)
+	}
+}
+
+// exchange is one request of a caller.
+type exchange struct {
+	parts    *parts
+	w        http.ResponseWriter
+	r        *http.Request
+	started  time.Time
+	view     *view
+	caller   headers.Caller
+	route    *routing.Route
+	service  *routing.Service
+	customer *routing.Customer
+	request  *dispatch.Request
+	// answered is set once the head of the answer has been written.
+	answered bool
+	// tried are the upstreams that got the request.
+	tried []string
+	// ran counts the upstreams that may have run it.
+	ran int
+}
+
+func (x *exchange) serve() error {
+	err := x.match()
+	if err != nil {
+		return err
+	}
+	err = x.authenticate()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline())
+	defer cancel()
+	err = x.prepare()
+	if err != nil {
+		return err
+	}
+	return x.attempts(ctx)
+}
+
+// match finds the route of the request.
+func (x *exchange) match() error {
+	if x.view.table == nil {
+		return errkind.New(errkind.NoConfiguration, "")
+	}
+	route, ok := x.view.table.Match(x.r.Host, x.r.URL.Path, x.r.Method)
+	if !ok {
+		return errkind.New(errkind.UnknownRoute, "")
+	}
+	x.route = route
+	x.service = route.Service
+	if s := x.view.splits[route.Name]; s != nil {
+		x.service = s.next()
+	}
+	return nil
+}
+
+// authenticate finds the customer whose key came with the request.
+func (x *exchange) authenticate() error {
+	if x.route.Open || len(x.view.table.Customers) == 0 {
+		return nil
+	}
+	if x.caller.Key == "" {
+		return errkind.New(errkind.KeyMissing, "")
+	}
+	key, ok := x.view.table.Key(routing.HashKey(x.caller.Key))
+	if !ok {
+		return errkind.New(errkind.KeyUnknown, "")
+	}
+	x.customer = key.Customer
+	return nil
+}
+
+// deadline is the earlier of the caller's deadline and the route's timeout.
+func (x *exchange) deadline() time.Time {
+	limit := x.route.Timeout
+	if x.caller.Deadline > 0 {
+		limit = min(limit, x.caller.Deadline)
+	}
+	return x.started.Add(limit)
+}
+
+// prepare makes the request for upstreams.
+func (x *exchange) prepare() error {
+	name := ""
+	if x.customer != nil {
+		name = x.customer.Name
+	}
+	headers.Forwarded(x.r.Header, name)
+	x.request = &dispatch.Request{
+		ID:            x.caller.AttemptID,
+		Route:         x.route,
+		Customer:      x.customer,
+		Method:        x.r.Method,
+		Path:          x.r.URL.EscapedPath(),
+		RawQuery:      x.r.URL.RawQuery,
+		Host:          x.r.Host,
+		Header:        x.r.Header,
+		ContentLength: x.r.ContentLength,
+	}
+	if x.r.ContentLength == 0 {
+		return nil
+	}
+	if x.r.ContentLength > bufferedBody {
+		x.request.Body = x.r.Body
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(x.r.Body, bufferedBody+1))
+	if err != nil {
+		return errkind.Wrap(err, errkind.BodyIncomplete, "")
+	}
+	if len(body) > bufferedBody {
+		x.request.Body = io.MultiReader(bytes.NewReader(body), x.r.Body)
+		return nil
+	}
+	x.request.Body = bytes.NewReader(body)
+	x.request.ContentLength = int64(len(body))
+	return nil
+}
+
+// object is the hash of what the request is about, for the choice of the upstream.
+func (x *exchange) object() uint64 {
+	if x.caller.ObjectKey == "" {
+		return xxhash.Sum64String(x.caller.AttemptID)
+	}
+	return xxhash.Sum64String(x.caller.ObjectKey)
+}
+
+func (x *exchange) allowsRegion(region string) bool {
+	return x.route.AllowsRegion(x.customer, region)
+}
+
+// refuse answers with the error, or cuts an answer that has begun.
+func (x *exchange) refuse(err error) {
+	kind := errkind.Of(err)
+	x.log(kind, err)
+	if x.answered {
+		panic(http.ErrAbortHandler)
+	}
+	writeRefusal(x.w, err)
+}
+
+func (x *exchange) log(kind errkind.Kind, err error) {
+	service, customer := "", ""
+	if x.service != nil {
+		service = x.service.Name
+	}
+	if x.customer != nil {
+		customer = x.customer.Name
+	}
+	x.parts.metrics.Refused(kind, service, customer)
+	x.parts.log.Info("request refused",
+		zap.String("request_id", x.caller.AttemptID),
+		zap.String("kind", kind.String()),
+		zap.String("service", service),
+		zap.String("customer", customer),
+		zap.Strings("tried", x.tried),
+		zap.Int("ran", x.ran),
+		zap.Duration("age", time.Since(x.started)),
+		zap.String("error", err.Error()),
+	)
+}
+
+// writeRefusal answers with the row of the kind of the error.
+func writeRefusal(w http.ResponseWriter, err error) {
+	row := errkind.Of(err).Row()
+	after := errkind.RetryAfterOf(err)
+	if after > 0 {
+		headers.SetRetryAfter(w.Header(), after)
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(row.Status)
+	_, _ = io.WriteString(w, row.Title+"\n")
+}
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -245,3 +245,15 @@
 	}
 	return Internal
 }
+
+// RetryAfterOf returns the delay that the answer to err tells the caller, or 0.
+func RetryAfterOf(err error) time.Duration {
+	var e *Error
+	if !errors.As(err, &e) {
+		return Internal.Row().RetryAfter
+	}
+	if e.RetryAfter != 0 {
+		return e.RetryAfter
+	}
+	return e.Kind.Row().RetryAfter
+}
--- /dev/null
+++ b/placement/lease.go
@@ -0,0 +1,64 @@
+package placement
+
+import (
+	"time"
+
+	"samphireferry.example/ferry/routing"
+)
+
+// Result is what an attempt shows about its upstream.
+type Result uint8
+
+// The results of attempts.
+const (
+	// Answered is an answer of the upstream that is no failure of its own.
+	Answered Result = iota
+	// Failed is a failure, a foreign or a broken answer.
+	Failed
+	// Shed is a promise that the upstream has not run the request.
+	Shed
+	// Unreachable is a connection that could not be opened.
+	Unreachable
+	// Replaced means that another upstream has the address by now.
+	Replaced
+	// Unclear says nothing about the upstream: the caller has gone.
+	Unclear
+)
+
+// Load is the load that an upstream reported with an answer: the requests that
+// run and wait there.
+type Load struct {
+	Known    bool
+	Requests int
+}
+
+// Lease is a place of one request at an upstream.
+type Lease struct {
+	// Upstream is where to send the request.
+	Upstream *routing.Upstream
+	pool     *Pool
+	target   *target
+	begun    time.Time
+}
+
+// Release gives the place back with what the attempt has shown.
+func (l *Lease) Release(now time.Time, result Result, load Load) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	t := l.target
+	t.inFlight--
+	if load.Known {
+		t.report(now, load.Requests)
+	}
+	switch result {
+	case Answered:
+		t.succeed(now.Sub(l.begun))
+	case Failed, Unreachable:
+		t.fail(now)
+	case Shed:
+		t.shedUntil = now.Add(shedPause)
+	case Replaced:
+		t.ejectedUntil = now.Add(maxEjection)
+	case Unclear:
+	}
+}
--- a/routing/compile.go
+++ b/routing/compile.go
@@ -41,11 +41,13 @@
 func (t *Table) addCustomers(customers []dynamic.Customer) {
 	for _, c := range customers {
 		t.Customers = append(t.Customers, &Customer{
-			Name:   c.Name,
-			Rate:   c.Rate.PerSecond(),
-			Burst:  c.Burst,
-			Weight: max(c.Weight, 1),
-			Left:   c.Left,
+			Name:        c.Name,
+			Rate:        c.Rate.PerSecond(),
+			Burst:       c.Burst,
+			Weight:      max(c.Weight, 1),
+			Left:        c.Left,
+			Priority:    c.Priority,
+			HomeRegions: homes(c.HomeRegions),
 		})
 	}
 	slices.SortFunc(t.Customers, func(a, b *Customer) int { return cmp.Compare(a.Name, b.Name) })
@@ -66,6 +68,8 @@
 			HealthPath:     cmp.Or(s.HealthPath, defaultHealthPath),
 			LoadPath:       cmp.Or(s.LoadPath, defaultLoadPath),
 			HealthInterval: cmp.Or(s.HealthInterval.Std(), defaultHealthInterval),
+			Connections:    s.Connections,
+			ColdRate:       s.ColdRate,
 		})
 	}
 	slices.SortFunc(t.Services, func(a, b *Service) int { return cmp.Compare(a.Name, b.Name) })
@@ -175,27 +179,34 @@
 }
 
 func (t *Table) compileRoute(r *dynamic.Route) (*Route, error) {
-	service := t.services[r.Service]
-	if service == nil {
-		return nil, errors.Newf("route %s: no service %s", r.Name, r.Service)
+	service, split, err := t.targetsOf(r)
+	if err != nil {
+		return nil, err
 	}
 	compiled := &Route{
-		Name:         r.Name,
-		Service:      service,
-		Host:         strings.ToLower(r.Host),
-		PathPrefix:   strings.TrimSuffix(r.PathPrefix, "/"),
-		Methods:      r.Methods,
-		AtMostOnce:   r.Kind == dynamic.AtMostOnce,
-		Open:         r.Open,
-		OpenCustomer: t.customers[r.OpenCustomer],
-		KeyHeader:    r.KeyHeader,
-		KeyQuery:     r.KeyQuery,
-		Timeout:      cmp.Or(r.Timeout.Std(), defaultTimeout),
-		MaxBody:      cmp.Or(int64(r.MaxBody), defaultMaxBody),
-		WhenCutOff:   cmp.Or(r.WhenCutOff, dynamic.CutOffServe),
-		CutOffAfter:  cmp.Or(r.CutOffAfter.Std(), defaultCutOffAfter),
-	}
-	if compiled.Open && compiled.OpenCustomer == nil {
+		Name:          r.Name,
+		Service:       service,
+		Split:         split,
+		Host:          strings.ToLower(r.Host),
+		PathPrefix:    strings.TrimSuffix(r.PathPrefix, "/"),
+		Methods:       r.Methods,
+		AtMostOnce:    r.Kind == dynamic.AtMostOnce,
+		Open:          r.Open,
+		OpenCustomer:  t.customers[r.OpenCustomer],
+		KeyHeader:     r.KeyHeader,
+		KeyQuery:      r.KeyQuery,
+		Timeout:       cmp.Or(r.Timeout.Std(), defaultTimeout),
+		MaxBody:       cmp.Or(int64(r.MaxBody), defaultMaxBody),
+		WhenCutOff:    cmp.Or(r.WhenCutOff, dynamic.CutOffServe),
+		CutOffAfter:   cmp.Or(r.CutOffAfter.Std(), defaultCutOffAfter),
+		WholePrefix:   r.WholePrefix,
+		Attempts:      r.Attempts,
+		TargetLatency: r.TargetLatency.Std(),
+		Priority:      r.Priority,
+		Sticky:        r.Sticky,
+		HomeRegions:   homes(r.HomeRegions),
+	}
+	if r.OpenCustomer != "" && compiled.OpenCustomer == nil {
 		return nil, errors.Newf("route %s: no customer %s", r.Name, r.OpenCustomer)
 	}
 	if len(r.Customers) > 0 {
@@ -207,6 +218,43 @@
 	return compiled, nil
 }
 
+// targetsOf returns the only service of a route, or its split and the first
+// service of that. Weights become shares of 1.
+func (t *Table) targetsOf(r *dynamic.Route) (*Service, []Part, error) {
+	if len(r.Split) == 0 {
+		service := t.services[r.Service]
+		if service == nil {
+			return nil, nil, errors.Newf("route %s: no service %s", r.Name, r.Service)
+		}
+		return service, nil, nil
+	}
+	total := 0.0
+	parts := make([]Part, 0, len(r.Split))
+	for _, part := range r.Split {
+		service := t.services[part.Service]
+		if service == nil {
+			return nil, nil, errors.Newf("route %s: no service %s", r.Name, part.Service)
+		}
+		total += part.Weight
+		parts = append(parts, Part{Service: service, Weight: part.Weight})
+	}
+	if total <= 0 {
+		return nil, nil, errors.Newf("route %s: all weights are 0", r.Name)
+	}
+	for i := range parts {
+		parts[i].Weight /= total
+	}
+	return parts[0].Service, parts, nil
+}
+
+// homes keeps an empty list nil.
+func homes(regions []string) []string {
+	if len(regions) == 0 {
+		return nil
+	}
+	return regions
+}
+
 func compareRoutes(a, b *Route) int {
 	return cmp.Or(
 		cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)),
--- a/routing/match.go
+++ b/routing/match.go
@@ -34,18 +34,22 @@
 
 func matchRoute(routes []*Route, path, method string) *Route {
 	for _, r := range routes {
-		if matchPath(r.PathPrefix, path) && matchMethod(r.Methods, method) {
+		if matchPath(r, path) && matchMethod(r.Methods, method) {
 			return r
 		}
 	}
 	return nil
 }
 
-func matchPath(prefix, path string) bool {
+func matchPath(r *Route, path string) bool {
+	prefix := r.PathPrefix
 	if !strings.HasPrefix(path, prefix) {
 		return false
 	}
-	return len(path) == len(prefix) || path[len(prefix)] == '/'
+	if len(path) == len(prefix) {
+		return !r.WholePrefix
+	}
+	return path[len(prefix)] == '/'
 }
 
 func matchMethod(methods []string, method string) bool {
--- a/routing/table.go
+++ b/routing/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 	"time"
 
 	"samphireferry.example/ferry/config/dynamic"
@@ -36,6 +37,10 @@
 	Weight int
 	// Left says that only open routes and those that name the customer admit it.
 	Left bool
+	// Priority replaces that of a route, unless it is nil.
+	Priority *int
+	// HomeRegions is nil when any region may serve the customer.
+	HomeRegions []string
 }
 
 // Key is one key of a table.
@@ -69,18 +74,33 @@
 	HealthPath     string
 	LoadPath       string
 	HealthInterval time.Duration
-	Versions       []string
+	// Connections bounds the connections to one upstream over all entry
+	// instances together; 0 is no bound.
+	Connections int
+	// ColdRate bounds the requests per second to a cold upstream over all entry
+	// instances together; 0 is no bound.
+	ColdRate float64
+	Versions []string
 	// StableVersion serves requests outside a roll-out; empty if the service
 	// has no version.
 	StableVersion string
 	Upstreams     []*Upstream
 }
 
+// Part is one part of the split of a route. Weight is its share, from 0 to 1.
+type Part struct {
+	Service *Service
+	Weight  float64
+}
+
 // Route is one route of a table.
 type Route struct {
-	Name         string
-	Index        int
-	Service      *Service
+	Name  string
+	Index int
+	// Service is the only service, or the first of Split.
+	Service *Service
+	// Split is nil when the route has one service.
+	Split        []Part
 	Host         string
 	PathPrefix   string
 	Methods      []string
@@ -95,6 +115,32 @@
 	MaxBody     int64
 	WhenCutOff  dynamic.CutOffRule
 	CutOffAfter time.Duration
+	// WholePrefix requires a slash after PathPrefix.
+	WholePrefix bool
+	// Attempts bounds the upstreams of one request; 0 is no bound.
+	Attempts      int
+	TargetLatency time.Duration
+	Priority      int
+	Sticky        bool
+	// HomeRegions is nil when any region may serve the route.
+	HomeRegions []string
+}
+
+// PriorityOf returns the priority of a request of the customer, which may be nil.
+func (r *Route) PriorityOf(customer *Customer) int {
+	if customer != nil && customer.Priority != nil {
+		return *customer.Priority
+	}
+	return r.Priority
+}
+
+// AllowsRegion says whether the homes of the route and of the customer, which
+// may be nil, include the region.
+func (r *Route) AllowsRegion(customer *Customer, region string) bool {
+	if r.HomeRegions != nil && !slices.Contains(r.HomeRegions, region) {
+		return false
+	}
+	return customer == nil || customer.HomeRegions == nil || slices.Contains(customer.HomeRegions, region)
 }
 
 // Admits says whether the customer may use the route. One that has left may
--- a/daemon/log.go
+++ b/telemetry/log.go
@@ -1,4 +1,4 @@
-package daemon
+package telemetry
 
 import (
 	"io"
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -29,7 +29,9 @@
 
 func (e *exchange) answer(resp *http.Response) *dispatch.Answer {
 	removeHopByHop(resp.Header)
-	resp.Header.Del(dispatch.HeaderRequestID)
+	if !e.client.options.KeepRequestID {
+		resp.Header.Del(e.client.options.Headers.RequestID)
+	}
 	return &dispatch.Answer{
 		Status:        resp.StatusCode,
 		Header:        resp.Header,
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -24,6 +24,34 @@
 	ShedNotRun = "not-run"
 )
 
+// HeaderNames are the names of the header fields between the system and an
+// upstream. Empty names stand for those of the product.
+type HeaderNames struct {
+	// RequestID carries the id of the request. Default dispatch.HeaderRequestID.
+	RequestID string
+	// Deadline carries the milliseconds that are left. Default dispatch.HeaderDeadline.
+	Deadline string
+	// ExpectedUpstream carries the name of the upstream that the request is meant
+	// for. Empty sends none.
+	ExpectedUpstream string
+	// NotRun says whether an answer promises that the request was not run.
+	// Default: status 503 with HeaderShed.
+	NotRun func(status int, header http.Header) bool
+}
+
+func (n HeaderNames) withDefaults() HeaderNames {
+	n.RequestID = cmp.Or(n.RequestID, dispatch.HeaderRequestID)
+	n.Deadline = cmp.Or(n.Deadline, dispatch.HeaderDeadline)
+	if n.NotRun == nil {
+		n.NotRun = isShed
+	}
+	return n
+}
+
+func isShed(status int, header http.Header) bool {
+	return status == http.StatusServiceUnavailable && header.Get(HeaderShed) == ShedNotRun
+}
+
 // Defaults of Options.
 const (
 	defaultDialTimeout    = 1 * time.Second
@@ -58,6 +86,16 @@
 	SilenceTimeout time.Duration
 	// MaxHeaderBytes bounds the header of an answer. Default 64 KiB.
 	MaxHeaderBytes int64
+	// Headers are the names of the header fields.
+	Headers HeaderNames
+	// KeepRequestID sends the id of the request as it is. Otherwise each attempt
+	// has an id of its own.
+	KeepRequestID bool
+	// UntilClose takes an answer with neither a length nor chunks, which ends
+	// with its connection. Otherwise such an answer is refused.
+	UntilClose bool
+	// NoSilenceTimer leaves it to keep-alive probes to find silent connections.
+	NoSilenceTimer bool
 }
 
 func (o Options) withDefaults() Options {
@@ -68,6 +106,7 @@
 	o.TrustedFor = cmp.Or(o.TrustedFor, defaultTrustedFor)
 	o.SilenceTimeout = cmp.Or(o.SilenceTimeout, defaultSilenceTimeout)
 	o.MaxHeaderBytes = cmp.Or(o.MaxHeaderBytes, defaultMaxHeaderBytes)
+	o.Headers = o.Headers.withDefaults()
 	return o
 }
 
@@ -161,6 +200,9 @@
 }
 
 func (c *Client) attemptID(requestID string) string {
+	if c.options.KeepRequestID {
+		return requestID
+	}
 	return requestID + "-" + c.prefix + "-" + strconv.FormatUint(c.attempts.Add(1), 36)
 }
 
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/cockroachdb/errors"
 
@@ -19,6 +20,10 @@
 	MayHaveRun bool
 	// Reason is the reason of a retry, or empty when a retry is useless.
 	Reason telemetry.RetryReason
+	// Status and Header are those of an answer that was not taken; 0 and nil when
+	// there was none.
+	Status int
+	Header http.Header
 	cause  error
 }
 
@@ -35,6 +40,16 @@
 	return !errors.As(err, &a) || a.MayHaveRun
 }
 
+// RefusedAnswer returns the status and header of the answer that err is about,
+// or 0 and nil when there was none.
+func RefusedAnswer(err error) (int, http.Header) {
+	var a *AttemptError
+	if !errors.As(err, &a) {
+		return 0, nil
+	}
+	return a.Status, a.Header
+}
+
 // RetryReason returns why another attempt is useful after err, or false when
 // it is not. At-most-once requests may be retried only when the kind of err has
 // the outcome errkind.NotRun.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -14,6 +15,7 @@
 	"samphireferry.example/ferry/dispatch"
 	"samphireferry.example/ferry/errkind"
 	"samphireferry.example/ferry/routing"
+	"samphireferry.example/ferry/telemetry"
 )
 
 // The parts of the remaining time after which a read without an answer moves
@@ -83,7 +85,7 @@
 
 // bound starts the silence timer of a read, once it has a connection.
 func (e *exchange) bound(reused bool) {
-	if e.req.AtMostOnce() {
+	if e.req.AtMostOnce() || e.client.options.NoSilenceTimer {
 		return
 	}
 	e.stopTimer()
@@ -155,30 +157,53 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = nil
 	}
-	h.Set(dispatch.HeaderRequestID, e.id)
+	names := e.client.options.Headers
+	h.Set(names.RequestID, e.id)
+	if names.ExpectedUpstream != "" {
+		h.Set(names.ExpectedUpstream, e.target.Name)
+	}
 	left := time.Until(e.attempt.deadline)
-	h.Set(dispatch.HeaderDeadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	h.Set(names.Deadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	return h
 }
 
 // check refuses an answer that is not known to belong to this request or that
 // cannot be known to be whole.
 func (e *exchange) check(resp *http.Response) error {
-	if e.service != nil && e.service.EchoRequestID && resp.Header.Get(dispatch.HeaderRequestID) != e.id {
+	options := &e.client.options
+	if e.service != nil && e.service.EchoRequestID && resp.Header.Get(options.Headers.RequestID) != e.id {
 		return e.wrap(errors.New("request id differs"), errkind.AnswerMismatched, true)
 	}
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderShed) == ShedNotRun {
-		return e.wrap(errShed, errkind.Overloaded, false)
+	if options.Headers.NotRun(resp.StatusCode, resp.Header) {
+		return e.shed(resp)
 	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return e.wrap(errors.New("protocol switch"), errkind.UpstreamFailed, true)
 	}
-	if hasNoLength(resp) {
+	if hasNoLength(resp) && !options.UntilClose {
 		return e.wrap(errors.New("answer has neither a length nor chunks"), errkind.AnswerTruncated, true)
 	}
 	return nil
 }
 
+// maxDrained is the size in bytes of a refusal that is read to its end, so that
+// its connection can be used again.
+const maxDrained = 4 << 10
+
+// shed returns the error for an upstream that refused the request unrun.
+func (e *exchange) shed(resp *http.Response) error {
+	// A failure here only costs the connection.
+	_, _ = io.CopyN(io.Discard, resp.Body, maxDrained)
+	attempt := &AttemptError{
+		Upstream: e.target.Name,
+		Reason:   telemetry.RetryUpstreamShed,
+		Status:   resp.StatusCode,
+		Header:   resp.Header,
+		cause:    errShed,
+	}
+	return errkind.Wrap(attempt, errkind.Overloaded, "upstream "+e.target.Name)
+}
+
 func hasNoLength(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 }
