Rates divided by demand, roll-outs judged, staggered watches

Waits are now 0.4 s for each instance, spread, so that one instance finds out within about a second and tells the others, which pull. EXPOSURE: new versions get the canary share until judged. QUOTA: buckets divided by announced demand.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -82,7 +82,11 @@
 	if upstream.MayHaveRun(err) {
 		x.ran++
 	}
-	lease.Release(time.Now(), resultOf(ctx, err), refusedLoad(err))
+	result := resultOf(ctx, err)
+	if result == placement.Failed {
+		x.recordVersion(lease.Upstream.Version, true)
+	}
+	lease.Release(time.Now(), result, refusedLoad(err))
 	x.parts.log.Info("attempt failed",
 		zap.String("request_id", x.caller.AttemptID),
 		zap.String("upstream", lease.Upstream.Name),
@@ -92,15 +96,14 @@
 	return nil, err
 }
 
-// acquire takes a place at an upstream.
+// acquire takes a place at an upstream. A request that was chosen for a new
+// version goes to the old one when the new one has no room.
 func (x *exchange) acquire() (*placement.Lease, error) {
-	lease, refusal := x.parts.pool.Acquire(time.Now(), placement.Query{
-		Service:      x.service.Name,
-		Object:       x.object(),
-		Version:      x.view.versions[x.service.Name].next(x.route.Name),
-		AllowsRegion: x.allowsRegion,
-		Tried:        x.tried,
-	})
+	versions := x.view.versions[x.service.Name]
+	lease, refusal := x.acquireOf(versions.allows(x.wantsNew))
+	if x.wantsNew && versions.mayFallBack(refusal) {
+		lease, refusal = x.acquireOf(versions.allows(false))
+	}
 	switch refusal {
 	case placement.NoneInReach:
 		return nil, errkind.New(errkind.NoUpstream, "")
@@ -110,6 +113,23 @@
 	return lease, nil
 }
 
+func (x *exchange) acquireOf(allows func(version string) bool) (*placement.Lease, placement.Refusal) {
+	return x.parts.pool.Acquire(time.Now(), placement.Query{
+		Service:       x.service.Name,
+		Object:        x.object(),
+		AllowsVersion: allows,
+		AllowsRegion:  x.allowsRegion,
+		Tried:         x.tried,
+	})
+}
+
+// recordVersion counts the answer of a version under a roll-out.
+func (x *exchange) recordVersion(version string, failed bool) {
+	if v := x.view.versions[x.service.Name]; v != nil {
+		v.record(x.route.Name, version == v.version, failed)
+	}
+}
+
 // readAnswer reads the body up to bufferedAnswer bytes.
 func readAnswer(response *dispatch.Answer, lease *placement.Lease) (*answer, error) {
 	got := &answer{Answer: response, lease: lease}
@@ -132,6 +152,7 @@
 	if got.Status >= http.StatusInternalServerError {
 		result = placement.Failed
 	}
+	x.recordVersion(got.lease.Upstream.Version, result == placement.Failed)
 	got.lease.Release(time.Now(), result, loadOf(got.Header))
 }
 
--- a/edge/control.go
+++ b/edge/control.go
@@ -114,6 +114,7 @@
 	c.sendHeartbeats(now)
 	c.pullIfBehind(now)
 	c.rollouts.tick(now)
+	c.divideRates(now)
 	c.viewDirty = true
 }
 
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -2,16 +2,23 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"samphireferry.example/ferry/platform"
 )
 
 const (
-	// watchWait is how long one watch waits. Each return costs a call.
-	watchWait = 20 * time.Second
+	// watchPerInstance is the wait of a watch for each entry instance. A watch
+	// that has lost its history does not say so before its wait is over; with this
+	// wait one instance of the fleet finds out within about a second, and tells the
+	// others.
+	watchPerInstance = 400 * time.Millisecond
+	// watchSpread is the part of the wait by which watches differ at random.
+	watchSpread = 0.3
 	// watchBatch is the pause after a watch that brought changes, so that changes
 	// in a row cost one call. It is small beside the bound on drains.
 	watchBatch = 100 * time.Millisecond
@@ -22,7 +29,10 @@
 // follower reads the records of the store from a goroutine of its own.
 type follower struct {
 	store platform.Store
-	post  func(event)
+	log   *zap.Logger
+	// instances returns the number of entry instances.
+	instances func() int
+	post      func(event)
 }
 
 // run reads all records, then their changes, until the context ends.
@@ -50,7 +60,13 @@
 
 // watch returns where to go on, and false when all records have to be read again.
 func (f *follower) watch(ctx context.Context, after platform.Revision) (platform.Revision, bool) {
-	entries, revision, err := f.store.Watch(ctx, "", after, watchWait)
+	entries, revision, err := f.store.Watch(ctx, "", after, f.wait())
+	f.log.Debug("watch returned",
+		zap.Int64("after", int64(after)),
+		zap.Int64("revision", int64(revision)),
+		zap.Int("changes", len(entries)),
+		zap.Error(err),
+	)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		return 0, false
 	}
@@ -65,6 +81,13 @@
 	return revision, true
 }
 
+// wait returns how long the next watch waits.
+func (f *follower) wait() time.Duration {
+	base := float64(f.instances()) * float64(watchPerInstance)
+	wait := time.Duration(base * (1 + watchSpread*(2*rand.Float64()-1)))
+	return min(wait, platform.MaxWatchWait)
+}
+
 func (f *follower) fail(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
--- a/edge/heartbeat.go
+++ b/edge/heartbeat.go
@@ -11,6 +11,7 @@
 
 	"samphireferry.example/ferry/membership"
 	"samphireferry.example/ferry/platform"
+	"samphireferry.example/ferry/quota"
 	"samphireferry.example/ferry/rpc/entrypb"
 )
 
@@ -36,6 +37,12 @@
 	if c.table != nil {
 		s.ConfigVersion = c.table.Version
 	}
+	for customer, perSecond := range c.parts.quotas.Demand() {
+		s.Demands = append(s.Demands, &entrypb.CustomerDemand{
+			Customer:       customer,
+			MilliPerSecond: uint32(perSecond * 1000),
+		})
+	}
 	return s
 }
 
@@ -70,7 +77,7 @@
 
 func (e heartbeatReceived) apply(c *control, now time.Time) {
 	c.members.Heard(e.state, now)
-	c.rollouts.hear(now, e.state)
+	c.hear(now, e.state)
 	e.answer <- c.state()
 }
 
@@ -82,7 +89,30 @@
 
 func (e heartbeatAnswered) apply(c *control, now time.Time) {
 	c.members.Answered(e.address, e.state, now)
-	c.rollouts.hear(now, e.state)
+	c.hear(now, e.state)
+}
+
+// hear takes in what any heartbeat says.
+func (c *control) hear(now time.Time, state *entrypb.State) {
+	c.rollouts.hear(now, state)
+	demand := quota.Demand{}
+	for _, d := range state.GetDemands() {
+		demand[d.GetCustomer()] = float64(d.GetMilliPerSecond()) / 1000
+	}
+	c.parts.quotas.Hear(now, state.GetIdentity().GetName(), demand)
+}
+
+// divideRates tells the limiter who the other instances are.
+func (c *control) divideRates(now time.Time) {
+	peers := c.members.Snapshot(now).All
+	complete := true
+	names := make([]string, 0, len(peers))
+	for _, p := range peers {
+		names = append(names, p.Name)
+		complete = complete && (p.Health == membership.Alive || p.Leaving)
+	}
+	c.parts.quotas.SetPeers(names, complete)
+	c.parts.quotas.Tick(now)
 }
 
 // heartbeatFailed is a heartbeat that got no answer.
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -18,6 +18,7 @@
 	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/platform/headers"
 	"samphireferry.example/ferry/platform/records"
+	"samphireferry.example/ferry/quota"
 	"samphireferry.example/ferry/rpc/entrypb"
 	"samphireferry.example/ferry/telemetry"
 	"samphireferry.example/ferry/upstream"
@@ -145,6 +146,7 @@
 		upstreams: do.MustInvoke[*upstream.Client](i),
 		pool:      placement.NewPool(placement.Self{FailureDomain: settings.FailureDomain, Region: settings.Region}),
 		retries:   newRetryBudgets(settings),
+		quotas:    quota.New(),
 		started:   time.Now(),
 	}, nil
 }
@@ -184,7 +186,7 @@
 
 func (i *Instance) startControl() {
 	go i.control.run()
-	f := &follower{store: i.parts.store, post: i.control.post}
+	f := &follower{store: i.parts.store, log: i.parts.log, instances: i.instances, post: i.control.post}
 	go f.run(i.ctx)
 	ctx, cancel := context.WithCancel(i.ctx)
 	i.registering = cancel
@@ -194,6 +196,9 @@
 	}()
 }
 
+// instances returns the number of entry instances that are known.
+func (i *Instance) instances() int { return len(i.parts.views.load().peers.All) + 1 }
+
 func (i *Instance) server(handler http.Handler) *http.Server {
 	s := i.parts.settings
 	return &http.Server{
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -9,6 +9,7 @@
 	"samphireferry.example/ferry/entryinstance"
 	"samphireferry.example/ferry/placement"
 	"samphireferry.example/ferry/platform"
+	"samphireferry.example/ferry/quota"
 	"samphireferry.example/ferry/rpc/entrypb"
 	"samphireferry.example/ferry/telemetry"
 	"samphireferry.example/ferry/upstream"
@@ -26,5 +27,6 @@
 	upstreams *upstream.Client
 	pool      *placement.Pool
 	retries   *retryBudgets
+	quotas    *quota.Limiter
 	started   time.Time
 }
--- a/edge/records.go
+++ b/edge/records.go
@@ -4,12 +4,14 @@
 	"strings"
 	"time"
 
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"samphireferry.example/ferry/membership"
 	"samphireferry.example/ferry/placement"
 	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/platform/records"
+	"samphireferry.example/ferry/quota"
 	"samphireferry.example/ferry/registry"
 	"samphireferry.example/ferry/routing"
 )
@@ -33,6 +35,10 @@
 	}
 	changed := c.merge(e)
 	c.revision = max(c.revision, e.revision)
+	if len(changed) > 0 && e.full {
+		// The watches of the others may not have heard of it either.
+		c.members.HeartbeatNow(now)
+	}
 	c.applyRecords(now, changed)
 }
 
@@ -129,6 +135,7 @@
 	}
 	c.table = table
 	c.setSplits()
+	c.parts.quotas.Configure(now, limitsOf(table))
 	c.poolDirty, c.viewDirty = true, true
 	c.parts.log.Info("configuration in force",
 		zap.Uint64("version", config.Version),
@@ -138,6 +145,12 @@
 	)
 }
 
+func limitsOf(table *routing.Table) []quota.Customer {
+	return lo.Map(table.Customers, func(c *routing.Customer, _ int) quota.Customer {
+		return quota.Customer{Name: c.Name, Rate: c.Rate, Burst: float64(c.Burst)}
+	})
+}
+
 // setSplits keeps the running counts of splits that did not change.
 func (c *control) setSplits() {
 	splits := map[string]*split{}
--- a/edge/rollout.go
+++ b/edge/rollout.go
@@ -1,23 +1,362 @@
 package edge
 
 import (
+	"context"
+	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"samphireferry.example/ferry/canary"
+	"samphireferry.example/ferry/membership"
+	"samphireferry.example/ferry/placement"
+	"samphireferry.example/ferry/platform"
+	"samphireferry.example/ferry/platform/records"
 	"samphireferry.example/ferry/rpc/entrypb"
+	"samphireferry.example/ferry/splitting"
+)
+
+const (
+	// canaryReserve is the part of the allowed share that is used; the rest covers
+	// requests that are sent a second time.
+	canaryReserve = 0.8
+	// promoteSettle is how long the old version ends what it runs before the
+	// operator may stop it.
+	promoteSettle = 2500 * time.Millisecond
+	// writerDelay is how long each further instance waits before it writes a phase
+	// in place of those before it.
+	writerDelay = 700 * time.Millisecond
+	// statusTimeout bounds a write of the status.
+	statusTimeout = 2 * time.Second
 )
 
-// versionChoice chooses the version of each request of a service.
-type versionChoice struct{}
+// versionChoice is what traffic knows of the roll-out of a service.
+type versionChoice struct {
+	version  string
+	splitter *splitting.Splitter
+	phase    canary.Phase
+	record   func(route string, isNew, failed bool)
+}
+
+// wantsNew says whether the next request goes to the new version.
+func (v *versionChoice) wantsNew() bool {
+	if v == nil {
+		return false
+	}
+	switch v.phase {
+	case canary.Canary:
+		return v.splitter.Next()
+	case canary.Promoting, canary.Done:
+		return true
+	}
+	return false
+}
+
+// mayFallBack says whether a request that found no place at the new version may
+// go to the old one. The old one gets no work that it may not end.
+func (v *versionChoice) mayFallBack(refusal placement.Refusal) bool {
+	switch v.phase {
+	case canary.Canary:
+		return refusal != placement.Chosen
+	case canary.Promoting:
+		return refusal == placement.NoneInReach
+	}
+	return false
+}
+
+// allows returns which versions may serve a request. One that does not want the
+// new version must not get it; one that does may get the old one instead, unless
+// the old one is about to stop.
+func (v *versionChoice) allows(wantsNew bool) func(version string) bool {
+	if v == nil {
+		return nil
+	}
+	return func(version string) bool { return (version == v.version) == wantsNew }
+}
+
+// rolloutRun is one roll-out with what belongs to it in the store.
+type rolloutRun struct {
+	*canary.Rollout
+	splitter *splitting.Splitter
+	// status is the newest record of the status; its revision is 0 without one.
+	status   records.RolloutStatus
+	revision platform.Revision
+	writing  bool
+	// wantedAt is when this instance first wanted the phase that it wants now.
+	wanted   canary.Phase
+	wantedAt time.Time
+}
+
+// rolloutControl leads the roll-outs. The control goroutine owns it.
+type rolloutControl struct {
+	c    *control
+	runs map[string]*rolloutRun
+}
+
+func newRolloutControl(c *control) *rolloutControl {
+	return &rolloutControl{c: c, runs: map[string]*rolloutRun{}}
+}
+
+// read takes in the orders and the status records of the store.
+func (r *rolloutControl) read(now time.Time) {
+	ordered := map[string]bool{}
+	r.c.each(records.PrefixRolloutOrders, func(entry platform.Entry) {
+		order, err := records.Rollout(entry)
+		if err != nil {
+			r.c.parts.log.Warn("roll-out order cannot be read", zap.Error(err))
+			return
+		}
+		ordered[order.Service] = true
+		r.order(now, canary.Order(order))
+	})
+	for service := range r.runs {
+		if !ordered[service] {
+			delete(r.runs, service)
+		}
+	}
+	for service, run := range r.runs {
+		r.readStatus(now, service, run)
+	}
+	r.c.viewDirty = true
+}
+
+func (r *rolloutControl) order(now time.Time, order canary.Order) {
+	run := r.runs[order.Service]
+	if run != nil && run.Order.Revision == order.Revision {
+		return
+	}
+	run = &rolloutRun{Rollout: canary.New(order, now), splitter: splitting.NewSplitter(nil), wantedAt: now}
+	run.splitter.SetShare(r.c.parts.settings.CanaryShare * canaryReserve)
+	r.runs[order.Service] = run
+	r.c.parts.log.Info("roll-out ordered",
+		zap.String("service", order.Service),
+		zap.String("version", order.Version),
+		zap.Int64("order", order.Revision),
+		zap.Duration("within", order.Within),
+	)
+}
+
+func (r *rolloutControl) readStatus(now time.Time, service string, run *rolloutRun) {
+	entry, ok := r.c.records[records.PrefixRolloutStatus+service]
+	if !ok || entry.Deleted || entry.Revision == run.revision {
+		return
+	}
+	run.revision = entry.Revision
+	status, err := records.Status(entry.Value)
+	if err != nil {
+		r.c.parts.log.Warn("roll-out status cannot be read", zap.String("service", service), zap.Error(err))
+		return
+	}
+	if status.Order != run.Order.Revision {
+		return
+	}
+	run.status = status
+	if started := time.UnixMilli(status.StartedMillis); started.Before(run.Started) {
+		run.Started = started
+	}
+	if run.Enter(now, phaseOf(status)) {
+		r.logPhase(run, "recorded")
+	}
+}
+
+func (r *rolloutControl) logPhase(run *rolloutRun, why string) {
+	r.c.parts.log.Info("roll-out phase",
+		zap.String("service", run.Order.Service),
+		zap.String("version", run.Order.Version),
+		zap.Stringer("phase", run.Phase),
+		zap.Int64("order", run.Order.Revision),
+		zap.String("reason", why),
+	)
+}
+
+func phaseOf(s records.RolloutStatus) canary.Phase {
+	switch {
+	case s.State == records.RolloutDone:
+		return canary.Done
+	case s.State == records.RolloutReverted:
+		return canary.Reverted
+	case s.Promoting:
+		return canary.Promoting
+	}
+	return canary.Canary
+}
+
+func statusOf(run *rolloutRun, phase canary.Phase) records.RolloutStatus {
+	s := records.RolloutStatus{
+		State:         records.RolloutRunning,
+		Version:       run.Order.Version,
+		Order:         run.Order.Revision,
+		StartedMillis: run.Started.UnixMilli(),
+	}
+	switch phase {
+	case canary.Done:
+		s.State = records.RolloutDone
+	case canary.Reverted:
+		s.State = records.RolloutReverted
+	case canary.Promoting:
+		s.Promoting = true
+	}
+	return s
+}
+
+// tick judges the roll-outs and writes the phases that are due.
+func (r *rolloutControl) tick(now time.Time) {
+	for service, run := range r.runs {
+		next := run.Next(now, promoteSettle)
+		if next == canary.Reverted && run.Phase != canary.Reverted {
+			r.stop(now, run)
+		}
+		if next != run.wanted {
+			run.wanted, run.wantedAt = next, now
+		}
+		recorded := run.revision != 0 && run.status.Order == run.Order.Revision
+		if recorded && phaseOf(run.status) == run.wanted {
+			continue
+		}
+		if !run.writing && now.Sub(run.wantedAt) >= time.Duration(r.rank(now))*writerDelay {
+			r.write(service, run, run.wanted)
+		}
+	}
+}
+
+// stop takes a bad version out of use at once, without waiting for the store.
+func (r *rolloutControl) stop(now time.Time, run *rolloutRun) {
+	finding := run.Judge()
+	if finding == nil || !run.Enter(now, canary.Reverted) {
+		return
+	}
+	r.c.viewDirty = true
+	r.c.parts.log.Info("version judged worse",
+		zap.String("service", run.Order.Service),
+		zap.String("version", run.Order.Version),
+		zap.String("route", finding.Route),
+		zap.Uint32("old_answers", finding.Old.Answers),
+		zap.Uint32("old_failures", finding.Old.Failures),
+		zap.Uint32("new_answers", finding.New.Answers),
+		zap.Uint32("new_failures", finding.New.Failures),
+	)
+}
+
+// rank is the place of this instance among the usable ones, by name.
+func (r *rolloutControl) rank(now time.Time) int {
+	self := r.c.parts.identity.GetName()
+	return len(slices.DeleteFunc(slices.Clone(r.c.members.Snapshot(now).All), func(p *membership.Peer) bool {
+		return !p.Usable() || p.Name > self
+	}))
+}
+
+func (r *rolloutControl) write(service string, run *rolloutRun, phase canary.Phase) {
+	value, err := statusOf(run, phase).Encode()
+	if err != nil {
+		r.c.parts.log.Error("roll-out status cannot be encoded", zap.Error(err))
+		return
+	}
+	run.writing = true
+	expected := run.revision
+	key := records.PrefixRolloutStatus + service
+	r.c.background(statusTimeout, func(ctx context.Context) event {
+		revision, err := r.c.parts.store.CompareAndSwap(ctx, key, value, expected, 0)
+		if errors.Is(err, platform.ErrConflict) {
+			entry, getErr := r.c.parts.store.Get(ctx, key)
+			return statusWritten{service: service, entry: entry, err: getErr}
+		}
+		return statusWritten{service: service, entry: platform.Entry{Key: key, Value: value, Revision: revision}, err: err}
+	})
+}
+
+// statusWritten is the end of a write of a status: the record as it is now.
+type statusWritten struct {
+	service string
+	entry   platform.Entry
+	err     error
+}
+
+func (e statusWritten) apply(c *control, now time.Time) {
+	run := c.rollouts.runs[e.service]
+	if run == nil {
+		return
+	}
+	run.writing = false
+	if e.err != nil {
+		c.parts.log.Warn("roll-out status was not written", zap.String("service", e.service), zap.Error(e.err))
+		return
+	}
+	if c.records[e.entry.Key].Revision < e.entry.Revision {
+		c.records[e.entry.Key] = e.entry
+	}
+	c.rollouts.read(now)
+}
+
+// versionAnswered is one answer of a version under a roll-out.
+type versionAnswered struct {
+	service string
+	order   int64
+	key     canary.Key
+	failed  bool
+}
 
-// next returns the version for the next request; empty allows all.
-func (v *versionChoice) next(string) string { return "" }
+func (e versionAnswered) apply(c *control, _ time.Time) {
+	run := c.rollouts.runs[e.service]
+	if run != nil && run.Order.Revision == e.order {
+		run.Record(e.key, e.failed)
+	}
+}
 
-type rolloutControl struct{}
+// hear takes in the counts of another instance.
+func (r *rolloutControl) hear(_ time.Time, state *entrypb.State) {
+	for service, run := range r.runs {
+		counts := map[canary.Key]canary.Count{}
+		for _, m := range state.GetVersionCounts() {
+			if m.GetService() != service || m.GetOrder() != uint64(run.Order.Revision) {
+				continue
+			}
+			key := canary.Key{Route: m.GetRoute(), New: m.GetVersion() == run.Order.Version}
+			counts[key] = canary.Count{Answers: m.GetAnswers(), Failures: m.GetFailures()}
+		}
+		if len(counts) > 0 {
+			run.Hear(state.GetIdentity().GetIncarnation(), counts)
+		}
+	}
+}
 
-func newRolloutControl(*control) *rolloutControl { return &rolloutControl{} }
+// counts returns what the heartbeats tell of the roll-outs under way.
+func (r *rolloutControl) counts() []*entrypb.VersionCount {
+	var messages []*entrypb.VersionCount
+	for service, run := range r.runs {
+		if run.Phase == canary.Done || run.Phase == canary.Reverted {
+			continue
+		}
+		for key, count := range run.Counts() {
+			m := &entrypb.VersionCount{
+				Service:  service,
+				Order:    uint64(run.Order.Revision),
+				Route:    key.Route,
+				Answers:  count.Answers,
+				Failures: count.Failures,
+			}
+			if key.New {
+				m.Version = run.Order.Version
+			}
+			messages = append(messages, m)
+		}
+	}
+	return messages
+}
 
-func (r *rolloutControl) tick(time.Time)                     {}
-func (r *rolloutControl) read(time.Time)                     {}
-func (r *rolloutControl) hear(time.Time, *entrypb.State)     {}
-func (r *rolloutControl) counts() []*entrypb.VersionCount    { return nil }
-func (r *rolloutControl) choices() map[string]*versionChoice { return nil }
+// choices returns what traffic has to know.
+func (r *rolloutControl) choices() map[string]*versionChoice {
+	choices := make(map[string]*versionChoice, len(r.runs))
+	for service, run := range r.runs {
+		order := run.Order.Revision
+		choices[service] = &versionChoice{
+			version:  run.Order.Version,
+			splitter: run.splitter,
+			phase:    run.Phase,
+			record: func(route string, isNew, failed bool) {
+				r.c.post(versionAnswered{service: service, order: order, key: canary.Key{Route: route, New: isNew}, failed: failed})
+			},
+		}
+	}
+	return choices
+}
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -49,6 +49,8 @@
 	service  *routing.Service
 	customer *routing.Customer
 	request  *dispatch.Request
+	// wantsNew is set when the request goes to the new version of a roll-out.
+	wantsNew bool
 	// answered is set once the head of the answer has been written.
 	answered bool
 	// tried are the upstreams that got the request.
@@ -72,9 +74,22 @@
 	if err != nil {
 		return err
 	}
+	err = x.admit()
+	if err != nil {
+		return err
+	}
+	x.wantsNew = x.view.versions[x.service.Name].wantsNew()
 	return x.attempts(ctx)
 }
 
+// admit takes the request out of the customer's rate.
+func (x *exchange) admit() error {
+	if x.customer == nil || x.parts.quotas.Admit(time.Now(), x.customer.Name) {
+		return nil
+	}
+	return errkind.New(errkind.RateExceeded, "")
+}
+
 // match finds the route of the request.
 func (x *exchange) match() error {
 	if x.view.table == nil {
--- a/membership/contacts.go
+++ b/membership/contacts.go
@@ -44,7 +44,11 @@
 
 // Leaving makes a heartbeat to every contact due at once. The owner calls it
 // when its own State starts to say that it is leaving.
-func (r *Registry) Leaving(now time.Time) {
+func (r *Registry) Leaving(now time.Time) { r.HeartbeatNow(now) }
+
+// HeartbeatNow makes a heartbeat to every contact due at once. The owner calls
+// it when it knows something that no other may know.
+func (r *Registry) HeartbeatNow(now time.Time) {
 	r.chooseContacts(now)
 	for _, m := range r.contacts {
 		m.nextExchange = now
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -100,8 +100,9 @@
 	Service string
 	// Object is the hash of the object that the request is about.
 	Object uint64
-	// Version limits the choice to one version; empty allows all.
-	Version string
+	// AllowsVersion says whether an upstream of the version may serve the request;
+	// nil allows all.
+	AllowsVersion func(version string) bool
 	// AllowsRegion says whether an upstream of the region may serve the request.
 	AllowsRegion func(region string) bool
 	// Tried are the upstreams that have been tried before.
@@ -154,7 +155,7 @@
 
 func (p *Pool) allows(t *target, q Query) bool {
 	return !p.evacuated[t.upstream.FailureDomain] &&
-		(q.Version == "" || q.Version == t.upstream.Version) &&
+		(q.AllowsVersion == nil || q.AllowsVersion(t.upstream.Version)) &&
 		(q.AllowsRegion == nil || q.AllowsRegion(t.region)) &&
 		!slices.Contains(q.Tried, t.upstream.ID)
 }
