--- a/config/static/edge.go
+++ b/config/static/edge.go
@@ -56,6 +56,9 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// RateWindow is the window in which a customer's rate and burst are counted:
+	// it may have rate x window + burst requests in any such window. Default "5s".
+	RateWindow time.Duration
 	// CanaryShare bounds the part of the requests of a service that go to a new
 	// version before it has been judged. Default 0.05.
 	CanaryShare float64
@@ -121,6 +124,7 @@
 	fs.Float64Var(&s.RetryRatio, "retry-ratio", 0.1, "retries for each request of a service, over all entry instances")
 	fs.Float64Var(&s.RetrySlack, "retry-slack", 20, "retries of a service beyond the ratio in one window")
 	fs.DurationVar(&s.RetryWindow, "retry-window", 10*time.Second, "window of the bound on retries")
+	fs.DurationVar(&s.RateWindow, "rate-window", 5*time.Second, "window in which rate and burst of a customer are counted")
 	fs.Float64Var(&s.CanaryShare, "canary-share", 0.05, "largest part of a service for a version that has not been judged")
 }
 
@@ -150,6 +154,7 @@
 		checkDuration("list-ttl", s.ListTTL, time.Second, time.Minute),
 		checkDuration("grace", s.Grace, time.Second, time.Hour),
 		checkDuration("retry-window", s.RetryWindow, time.Second, time.Hour),
+		checkDuration("rate-window", s.RateWindow, time.Second, time.Minute),
 		checkShare("canary-share", s.CanaryShare),
 	)
 }
--- a/daemon/loans.go
+++ b/daemon/loans.go
@@ -7,13 +7,10 @@
 	"time"
 
 	"samphireferry.example/ferry/admission"
+	"samphireferry.example/ferry/lending"
 	"samphireferry.example/ferry/membership"
-	"samphireferry.example/ferry/rpc/entrypb"
 )
 
-// loanTimeout bounds one loan request; the limiter gives up earlier.
-const loanTimeout = 500 * time.Millisecond
-
 // sendLoans asks peers for the tokens that the customers here lack.
 func (c *control) sendLoans(now time.Time) {
 	for _, request := range c.parts.limiter.PlanLoans(now) {
@@ -22,71 +19,14 @@
 			c.parts.limiter.LoanLost(now, request.ID)
 			continue
 		}
-		message := loanMessage(c.parts.identity, c.member.Acknowledged(), request)
-		address := peer.RPCAddress
-		c.background(loanTimeout, func(ctx context.Context) event {
-			c.borrow(ctx, address, request.ID, message)
+		address, version := peer.RPCAddress, c.member.Acknowledged()
+		c.background(lending.Timeout, func(ctx context.Context) event {
+			lending.Borrow(ctx, c.parts.peers, c.parts.limiter, address, c.parts.identity, version, request)
 			return nil
 		})
 	}
 }
 
-// borrow makes one loan request. The limiter takes answers from any goroutine.
-func (c *control) borrow(ctx context.Context, address string, id uint64, message *entrypb.LendRequest) {
-	client, err := c.parts.peers.Client(address)
-	if err != nil {
-		c.parts.limiter.LoanLost(time.Now(), id)
-		return
-	}
-	response, err := client.Lend(ctx, message)
-	if err != nil {
-		c.parts.limiter.LoanLost(time.Now(), id)
-		return
-	}
-	c.parts.limiter.Granted(time.Now(), id, grantsOf(response))
-}
-
-func loanMessage(self *entrypb.Identity, version uint64, request admission.LoanRequest) *entrypb.LendRequest {
-	message := &entrypb.LendRequest{
-		Borrower:     self.GetName(),
-		Incarnation:  self.GetIncarnation(),
-		ShareVersion: version,
-	}
-	for _, item := range request.Items {
-		message.Requests = append(message.Requests, &entrypb.TokenRequest{
-			Customer: item.Customer,
-			Reserve:  item.Reserve,
-			Spend:    item.Spend,
-		})
-	}
-	return message
-}
-
-func grantsOf(response *entrypb.LendResponse) []admission.Grant {
-	grants := make([]admission.Grant, 0, len(response.GetGrants()))
-	for _, g := range response.GetGrants() {
-		grants = append(grants, admission.Grant{
-			Customer:  g.GetCustomer(),
-			Reserve:   g.GetReserve(),
-			Spend:     g.GetSpend(),
-			Remaining: g.GetRemaining(),
-		})
-	}
-	return grants
-}
-
-func itemsOf(request *entrypb.LendRequest) []admission.Item {
-	items := make([]admission.Item, 0, len(request.GetRequests()))
-	for _, r := range request.GetRequests() {
-		items = append(items, admission.Item{
-			Customer: r.GetCustomer(),
-			Reserve:  r.GetReserve(),
-			Spend:    r.GetSpend(),
-		})
-	}
-	return items
-}
-
 // maxLenders bounds the peers that are asked for loans.
 const maxLenders = 64
 
--- a/daemon/rpc.go
+++ b/daemon/rpc.go
@@ -7,7 +7,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	"samphireferry.example/ferry/admission"
+	"samphireferry.example/ferry/lending"
 	"samphireferry.example/ferry/relay"
 	"samphireferry.example/ferry/requestkeys"
 	"samphireferry.example/ferry/rpc/entrypb"
@@ -39,21 +39,7 @@
 
 // Lend implements entrypb.EntryServer.
 func (s *entryServer) Lend(_ context.Context, request *entrypb.LendRequest) (*entrypb.LendResponse, error) {
-	grants := s.parts.limiter.Lend(time.Now(), itemsOf(request))
-	return lendResponse(grants), nil
-}
-
-func lendResponse(grants []admission.Grant) *entrypb.LendResponse {
-	response := &entrypb.LendResponse{}
-	for _, g := range grants {
-		response.Grants = append(response.Grants, &entrypb.TokenGrant{
-			Customer:  g.Customer,
-			Reserve:   g.Reserve,
-			Spend:     g.Spend,
-			Remaining: g.Remaining,
-		})
-	}
-	return response
+	return lending.Lend(s.parts.limiter, request), nil
 }
 
 // Relay implements entrypb.EntryServer.
--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -187,11 +187,7 @@
 }
 
 func (x *exchange) countRetry(reason telemetry.RetryReason) {
-	customer := ""
-	if x.customer != nil {
-		customer = x.customer.Name
-	}
-	x.parts.metrics.Retried(reason, x.service.Name, customer)
+	x.parts.metrics.Retried(reason, x.service.Name, x.customerName())
 }
 
 // finalError turns a refusal into one that is true of the whole request: it must
@@ -223,6 +219,15 @@
 	if got.Status == http.StatusNoContent || got.Status == http.StatusNotModified {
 		out.Del("Content-Length")
 	}
+	x.parts.log.Debug("request served",
+		zap.String("request_id", x.caller.AttemptID),
+		zap.String("service", x.service.Name),
+		zap.String("customer", x.customerName()),
+		zap.String("object", x.caller.ObjectKey),
+		zap.Strings("tried", x.tried),
+		zap.Int("status", got.Status),
+		zap.Duration("age", time.Since(x.started)),
+	)
 	x.answered = true
 	x.w.WriteHeader(got.Status)
 	_, err := x.w.Write(got.read)
--- a/edge/control.go
+++ b/edge/control.go
@@ -8,6 +8,7 @@
 
 	"samphireferry.example/ferry/membership"
 	"samphireferry.example/ferry/platform"
+	"samphireferry.example/ferry/quota"
 	"samphireferry.example/ferry/registry"
 	"samphireferry.example/ferry/routing"
 )
@@ -42,6 +43,7 @@
 	evacuated map[string]bool
 	members   *membership.Registry
 	rollouts  *rolloutControl
+	rates     *quota.Divider
 	leaving   bool
 	// poolDirty and viewDirty ask for a new pool or view.
 	poolDirty bool
@@ -62,6 +64,7 @@
 			Self:     p.identity,
 			Interval: p.settings.HeartbeatInterval,
 		}, now),
+		rates:     quota.New(),
 		viewDirty: true,
 	}
 	c.rollouts = newRolloutControl(c)
@@ -100,6 +103,8 @@
 			return
 		case e := <-c.events:
 			e.apply(c, time.Now())
+		case <-c.parts.limiter.Wanted():
+			c.sendLoans(time.Now())
 		case <-ticker.C:
 			c.tick(time.Now())
 		}
@@ -115,6 +120,7 @@
 	c.pullIfBehind(now)
 	c.rollouts.tick(now)
 	c.divideRates(now)
+	c.sendLoans(now)
 	c.viewDirty = true
 }
 
--- a/edge/heartbeat.go
+++ b/edge/heartbeat.go
@@ -9,9 +9,9 @@
 	"google.golang.org/grpc/encoding/gzip"
 	"google.golang.org/grpc/status"
 
+	"samphireferry.example/ferry/lending"
 	"samphireferry.example/ferry/membership"
 	"samphireferry.example/ferry/platform"
-	"samphireferry.example/ferry/quota"
 	"samphireferry.example/ferry/rpc/entrypb"
 )
 
@@ -37,12 +37,7 @@
 	if c.table != nil {
 		s.ConfigVersion = c.table.Version
 	}
-	for customer, perSecond := range c.parts.quotas.Demand() {
-		s.Demands = append(s.Demands, &entrypb.CustomerDemand{
-			Customer:       customer,
-			MilliPerSecond: uint32(perSecond * 1000),
-		})
-	}
+	s.Demands = c.demands()
 	return s
 }
 
@@ -95,24 +90,7 @@
 // hear takes in what any heartbeat says.
 func (c *control) hear(now time.Time, state *entrypb.State) {
 	c.rollouts.hear(now, state)
-	demand := quota.Demand{}
-	for _, d := range state.GetDemands() {
-		demand[d.GetCustomer()] = float64(d.GetMilliPerSecond()) / 1000
-	}
-	c.parts.quotas.Hear(now, state.GetIdentity().GetName(), demand)
-}
-
-// divideRates tells the limiter who the other instances are.
-func (c *control) divideRates(now time.Time) {
-	peers := c.members.Snapshot(now).All
-	complete := true
-	names := make([]string, 0, len(peers))
-	for _, p := range peers {
-		names = append(names, p.Name)
-		complete = complete && (p.Health == membership.Alive || p.Leaving)
-	}
-	c.parts.quotas.SetPeers(names, complete)
-	c.parts.quotas.Tick(now)
+	c.hearDemand(now, state)
 }
 
 // heartbeatFailed is a heartbeat that got no answer.
@@ -221,6 +199,11 @@
 	return waitFor(ctx, answer)
 }
 
+// Lend implements entrypb.EntryServer.
+func (s *entryServer) Lend(_ context.Context, request *entrypb.LendRequest) (*entrypb.LendResponse, error) {
+	return lending.Lend(s.control.parts.limiter, request), nil
+}
+
 func waitFor[T any](ctx context.Context, answer <-chan T) (T, error) {
 	select {
 	case a := <-answer:
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -11,6 +11,7 @@
 	"github.com/samber/do/v2"
 	"go.uber.org/zap"
 
+	"samphireferry.example/ferry/admission"
 	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/entryinstance"
 	"samphireferry.example/ferry/membership"
@@ -18,7 +19,6 @@
 	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/platform/headers"
 	"samphireferry.example/ferry/platform/records"
-	"samphireferry.example/ferry/quota"
 	"samphireferry.example/ferry/rpc/entrypb"
 	"samphireferry.example/ferry/telemetry"
 	"samphireferry.example/ferry/upstream"
@@ -146,7 +146,7 @@
 		upstreams: do.MustInvoke[*upstream.Client](i),
 		pool:      placement.NewPool(placement.Self{FailureDomain: settings.FailureDomain, Region: settings.Region}),
 		retries:   newRetryBudgets(settings),
-		quotas:    quota.New(),
+		limiter:   admission.NewLimiter(admission.Settings{}, time.Now()),
 		started:   time.Now(),
 	}, nil
 }
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -5,11 +5,11 @@
 
 	"go.uber.org/zap"
 
+	"samphireferry.example/ferry/admission"
 	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/entryinstance"
 	"samphireferry.example/ferry/placement"
 	"samphireferry.example/ferry/platform"
-	"samphireferry.example/ferry/quota"
 	"samphireferry.example/ferry/rpc/entrypb"
 	"samphireferry.example/ferry/telemetry"
 	"samphireferry.example/ferry/upstream"
@@ -27,6 +27,6 @@
 	upstreams *upstream.Client
 	pool      *placement.Pool
 	retries   *retryBudgets
-	quotas    *quota.Limiter
+	limiter   *admission.Limiter
 	started   time.Time
 }
--- /dev/null
+++ b/edge/rates.go
@@ -0,0 +1,106 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/samber/lo"
+
+	"samphireferry.example/ferry/admission"
+	"samphireferry.example/ferry/lending"
+	"samphireferry.example/ferry/membership"
+	"samphireferry.example/ferry/quota"
+	"samphireferry.example/ferry/routing"
+	"samphireferry.example/ferry/rpc/entrypb"
+	"samphireferry.example/ferry/sharetable"
+)
+
+// configureRates takes in the customers of a configuration.
+func (c *control) configureRates(now time.Time, table *routing.Table) {
+	limited := lo.Filter(table.Customers, func(customer *routing.Customer, _ int) bool { return customer.Rate > 0 })
+	c.rates.Configure(lo.Map(limited, func(customer *routing.Customer, _ int) quota.Customer {
+		whole := quota.Customer{Name: customer.Name, Rate: customer.Rate, Burst: float64(customer.Burst)}
+		return quota.Windowed(whole, c.parts.settings.RateWindow)
+	}))
+	c.applyRates(now)
+}
+
+// divideRates divides the rates anew by what is known of the other instances.
+func (c *control) divideRates(now time.Time) {
+	peers := c.members.Snapshot(now)
+	complete := true
+	names := make([]string, 0, len(peers.All))
+	for _, p := range peers.All {
+		names = append(names, p.Name)
+		complete = complete && (p.Health == membership.Alive || p.Leaving)
+	}
+	c.rates.SetPeers(names, complete)
+	c.rates.Tick(now, c.arrivals)
+	c.parts.limiter.Tick(now)
+	c.parts.limiter.SetPeers(lenders(peers))
+	c.applyRates(now)
+}
+
+// arrivals returns the requests of the customer so far.
+func (c *control) arrivals(name string) uint64 {
+	b := c.parts.limiter.Bucket(name)
+	if b == nil {
+		return 0
+	}
+	totals := b.Totals()
+	return totals.Admitted + totals.BorrowedSpend + totals.Refused
+}
+
+func (c *control) applyRates(now time.Time) {
+	shares := lo.Map(c.rates.Parts(), func(p quota.Part, _ int) sharetable.Share {
+		return sharetable.Share{
+			Customer: sharetable.Customer{Name: p.Customer.Name, Rate: p.Customer.Rate, Burst: int(p.Customer.Burst)},
+			Rate:     p.Rate,
+			Burst:    p.Burst,
+		}
+	})
+	c.parts.limiter.Configure(now, shares, true)
+}
+
+// hearDemand takes in what callers ask of another instance.
+func (c *control) hearDemand(now time.Time, state *entrypb.State) {
+	demand := quota.Demand{}
+	for _, d := range state.GetDemands() {
+		demand[d.GetCustomer()] = float64(d.GetMilliPerSecond()) / milli
+	}
+	c.rates.Hear(now, state.GetIdentity().GetName(), demand)
+}
+
+// milli is the number of thousandths in a whole.
+const milli = 1000
+
+// demands returns what the heartbeats tell of the demand here.
+func (c *control) demands() []*entrypb.CustomerDemand {
+	return lo.MapToSlice(c.rates.Demand(), func(customer string, perSecond float64) *entrypb.CustomerDemand {
+		return &entrypb.CustomerDemand{Customer: customer, MilliPerSecond: uint32(perSecond * milli)}
+	})
+}
+
+// sendLoans asks other instances for the tokens that customers lack here.
+func (c *control) sendLoans(now time.Time) {
+	for _, request := range c.parts.limiter.PlanLoans(now) {
+		c.background(lending.Timeout, func(ctx context.Context) event {
+			lending.Borrow(ctx, c.parts.peers, c.parts.limiter, request.Peer, c.parts.identity, 0, request)
+			return nil
+		})
+	}
+}
+
+// lenders returns the peers that can be asked for loans, by their RPC addresses.
+func lenders(peers *membership.Peers) []admission.Peer {
+	return lo.FilterMap(peers.All, func(p *membership.Peer, _ int) (admission.Peer, bool) {
+		distance := admission.OtherRegion
+		switch {
+		case p.FailureDomain == peers.Self.FailureDomain:
+			distance = admission.SameDomain
+		case p.Region == peers.Self.Region:
+			distance = admission.SameRegion
+		}
+		return admission.Peer{Name: p.RPCAddress, Distance: distance}, p.Usable()
+	})
+}
--- a/edge/records.go
+++ b/edge/records.go
@@ -4,14 +4,12 @@
 	"strings"
 	"time"
 
-	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"samphireferry.example/ferry/membership"
 	"samphireferry.example/ferry/placement"
 	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/platform/records"
-	"samphireferry.example/ferry/quota"
 	"samphireferry.example/ferry/registry"
 	"samphireferry.example/ferry/routing"
 )
@@ -135,7 +133,7 @@
 	}
 	c.table = table
 	c.setSplits()
-	c.parts.quotas.Configure(now, limitsOf(table))
+	c.configureRates(now, table)
 	c.poolDirty, c.viewDirty = true, true
 	c.parts.log.Info("configuration in force",
 		zap.Uint64("version", config.Version),
@@ -145,12 +143,6 @@
 	)
 }
 
-func limitsOf(table *routing.Table) []quota.Customer {
-	return lo.Map(table.Customers, func(c *routing.Customer, _ int) quota.Customer {
-		return quota.Customer{Name: c.Name, Rate: c.Rate, Burst: float64(c.Burst)}
-	})
-}
-
 // setSplits keeps the running counts of splits that did not change.
 func (c *control) setSplits() {
 	splits := map[string]*split{}
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	err = x.admit()
+	err = x.admit(ctx)
 	if err != nil {
 		return err
 	}
@@ -82,12 +82,17 @@
 	return x.attempts(ctx)
 }
 
-// admit takes the request out of the customer's rate.
-func (x *exchange) admit() error {
-	if x.customer == nil || x.parts.quotas.Admit(time.Now(), x.customer.Name) {
+// admit takes the request out of the customer's rate. It waits a moment for a
+// loan of another instance when this one has no token left.
+func (x *exchange) admit(ctx context.Context) error {
+	if x.customer == nil || x.customer.Rate <= 0 {
 		return nil
 	}
-	return errkind.New(errkind.RateExceeded, "")
+	bucket := x.parts.limiter.Bucket(x.customer.Name)
+	if bucket == nil {
+		return errkind.New(errkind.ShareUnconfirmed, "")
+	}
+	return x.parts.limiter.AdmitWait(ctx, bucket).Err()
 }
 
 // match finds the route of the request.
@@ -134,11 +139,7 @@
 
 // prepare makes the request for upstreams.
 func (x *exchange) prepare() error {
-	name := ""
-	if x.customer != nil {
-		name = x.customer.Name
-	}
-	headers.Forwarded(x.r.Header, name)
+	headers.Forwarded(x.r.Header, x.customerName())
 	x.request = &dispatch.Request{
 		ID:            x.caller.AttemptID,
 		Route:         x.route,
@@ -178,6 +179,14 @@
 	return xxhash.Sum64String(x.caller.ObjectKey)
 }
 
+// customerName is empty on open routes.
+func (x *exchange) customerName() string {
+	if x.customer == nil {
+		return ""
+	}
+	return x.customer.Name
+}
+
 func (x *exchange) allowsRegion(region string) bool {
 	return x.route.AllowsRegion(x.customer, region)
 }
@@ -193,13 +202,10 @@
 }
 
 func (x *exchange) log(kind errkind.Kind, err error) {
-	service, customer := "", ""
+	service, customer := "", x.customerName()
 	if x.service != nil {
 		service = x.service.Name
 	}
-	if x.customer != nil {
-		customer = x.customer.Name
-	}
 	x.parts.metrics.Refused(kind, service, customer)
 	x.parts.log.Info("request refused",
 		zap.String("request_id", x.caller.AttemptID),
--- a/quota/demand.go
+++ b/quota/demand.go
@@ -9,7 +9,7 @@
 	// sampleInterval is the time over which arrivals are counted.
 	sampleInterval = 500 * time.Millisecond
 	// smoothing is the weight of a new sample in the demand.
-	smoothing = 0.4
+	smoothing = 0.2
 )
 
 // sample is a demand in requests per second at a time.
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -1,29 +1,26 @@
-// Package quota keeps the requests of each customer, over all entry instances
-// together, within its rate and burst.
+// Package quota divides the rate and burst of each customer among the entry
+// instances by the demand that each of them sees.
 //
 // # Division
 //
-// Each instance has a token bucket for each customer. Its rate and size are a
-// part of the customer's: an equal part of floorShare, and a part of the rest in
-// proportion to the demand that the instance sees. Instances tell each other
-// their demand with their heartbeats; no instance and no store is asked while a
-// request waits.
+// Each instance has an equal part of floorShare of a rate, and a part of the rest
+// in proportion to its demand. Instances tell each other their demand with their
+// heartbeats. What an instance lacks in the meantime it borrows from others
+// (package admission), so the division only has to be near the demand.
 //
 // # The bound
 //
-// The parts of all instances must never add up to more than the whole, although
+// The parts of all instances must not add up to more than the whole, although
 // each knows the demand of the others only as it was some time ago. So a demand
 // that grows counts for the instance itself only after settleTime, when all
 // others know it, while what others announce counts at once and what they take
 // back counts for settleTime more. While a peer cannot be heard, the demand of
 // the instance does not grow, and the last demand of the peer keeps its part.
-// A bucket is empty at the start, and a larger part adds no tokens by itself.
 //
 // # Limits
 //
-// An instance that starts has its floor only until it has heard the others. A
-// customer whose demand moves between instances is refused some requests for
-// settleTime when it needs more than the floor and its burst.
+// A burst is divided in whole tokens, at least one for each instance: together
+// the instances may have one token more each than the customer's burst.
 //
 // The package does no I/O and takes the time as an argument.
 package quota
