Objects keep a region by its capacity; cold limits shared by few instances

Cause: regions with few upstreams were overloaded while others idled, and a busy upstream sent its objects to others that did not know them. FAILBACK: upstreams are cold when an evacuation ends; all instances sent at once.

--- a/config/dynamic/objects.go
+++ b/config/dynamic/objects.go
@@ -117,6 +117,9 @@
 	// ColdRate is the number of requests per second, over all entry instances
 	// together, that an upstream with cold caches bears. 0 sets no bound.
 	ColdRate float64 `json:"cold_rate,omitempty"`
+	// ColdFor is how long an upstream stays cold after its start or after a time
+	// without requests.
+	ColdFor units.Duration `json:"cold_for,omitempty"`
 }
 
 // Version is one version of the program of a service.
--- a/edge/control.go
+++ b/edge/control.go
@@ -44,7 +44,12 @@
 	members   *membership.Registry
 	rollouts  *rolloutControl
 	rates     *quota.Divider
-	leaving   bool
+	demand    *serviceDemand
+	// evacuationEnded is when a failure domain was taken back.
+	evacuationEnded map[string]time.Time
+	// cold says that the pool holds cold upstreams.
+	cold    bool
+	leaving bool
 	// poolDirty and viewDirty ask for a new pool or view.
 	poolDirty bool
 	viewDirty bool
@@ -64,8 +69,10 @@
 			Self:     p.identity,
 			Interval: p.settings.HeartbeatInterval,
 		}, now),
-		rates:     quota.New(),
-		viewDirty: true,
+		rates:           quota.New(),
+		demand:          newServiceDemand(),
+		evacuationEnded: map[string]time.Time{},
+		viewDirty:       true,
 	}
 	c.rollouts = newRolloutControl(c)
 	c.members.SetRegions(p.settings.Domains)
@@ -120,6 +127,8 @@
 	c.pullIfBehind(now)
 	c.rollouts.tick(now)
 	c.divideRates(now)
+	c.balance(now)
+	c.poolDirty = c.poolDirty || c.cold
 	c.sendLoans(now)
 	c.viewDirty = true
 }
--- /dev/null
+++ b/edge/demand.go
@@ -0,0 +1,80 @@
+package edge
+
+import (
+	"time"
+
+	"samphireferry.example/ferry/membership"
+	"samphireferry.example/ferry/placement"
+	"samphireferry.example/ferry/rpc/entrypb"
+)
+
+const (
+	// demandInterval is the time over which arrivals are counted.
+	demandInterval = time.Second
+	// demandSmoothing is the weight of a new sample.
+	demandSmoothing = 0.3
+)
+
+// serviceDemand measures the requests of callers here for each service.
+type serviceDemand struct {
+	at       time.Time
+	arrivals map[string]uint64
+	rates    map[string]float64
+}
+
+func newServiceDemand() *serviceDemand {
+	return &serviceDemand{arrivals: map[string]uint64{}, rates: map[string]float64{}}
+}
+
+// sample takes in the arrivals so far. It returns whether the rates are new.
+func (d *serviceDemand) sample(now time.Time, arrivals map[string]uint64) bool {
+	elapsed := now.Sub(d.at)
+	if elapsed < demandInterval {
+		return false
+	}
+	first := d.at.IsZero()
+	d.at = now
+	for name, total := range arrivals {
+		rate := float64(total-min(d.arrivals[name], total)) / elapsed.Seconds()
+		if !first {
+			d.rates[name] += demandSmoothing * (rate - d.rates[name])
+		}
+	}
+	d.arrivals = arrivals
+	return !first
+}
+
+// balance tells the placement pool the demand of all regions.
+func (c *control) balance(now time.Time) {
+	if !c.demand.sample(now, c.parts.pool.Arrivals()) {
+		return
+	}
+	demand := map[string]placement.Demand{}
+	add := func(service, region string, perSecond float64) {
+		if demand[service] == nil {
+			demand[service] = placement.Demand{}
+		}
+		demand[service][region] += perSecond
+	}
+	for service, perSecond := range c.demand.rates {
+		add(service, c.parts.settings.Region, perSecond)
+	}
+	for _, p := range c.members.Snapshot(now).All {
+		if p.State == nil || p.Health == membership.Silent {
+			continue
+		}
+		for _, load := range p.State.GetLoads() {
+			add(load.GetService(), p.Region, float64(load.GetMilliPerSecond())/milli)
+		}
+	}
+	c.parts.pool.Balance(now, demand)
+}
+
+// loads returns what the heartbeats tell of the demand here.
+func (c *control) loads() []*entrypb.ServiceLoad {
+	loads := make([]*entrypb.ServiceLoad, 0, len(c.demand.rates))
+	for service, perSecond := range c.demand.rates {
+		loads = append(loads, &entrypb.ServiceLoad{Service: service, MilliPerSecond: uint32(perSecond * milli)})
+	}
+	return loads
+}
--- a/edge/heartbeat.go
+++ b/edge/heartbeat.go
@@ -38,6 +38,7 @@
 		s.ConfigVersion = c.table.Version
 	}
 	s.Demands = c.demands()
+	s.Loads = c.loads()
 	return s
 }
 
--- a/edge/records.go
+++ b/edge/records.go
@@ -97,7 +97,7 @@
 		c.readInstances(now)
 	}
 	if evacuations {
-		c.readEvacuations()
+		c.readEvacuations(now)
 	}
 	if rollouts {
 		c.rollouts.read(now)
@@ -193,13 +193,19 @@
 	c.viewDirty = true
 }
 
-func (c *control) readEvacuations() {
+func (c *control) readEvacuations(now time.Time) {
 	evacuated := map[string]bool{}
 	c.each(records.PrefixEvacuations, func(entry platform.Entry) {
 		if domain, ok := records.NameIn(entry.Key, records.PrefixEvacuations); ok {
 			evacuated[domain] = true
 		}
 	})
+	for domain := range c.evacuated {
+		if !evacuated[domain] {
+			c.evacuationEnded[domain] = now
+			c.parts.log.Info("failure domain taken back", zap.String("failure_domain", domain), zap.Int64("revision", int64(c.revision)))
+		}
+	}
 	for domain := range evacuated {
 		if !c.evacuated[domain] {
 			c.parts.log.Info("failure domain evacuated", zap.String("failure_domain", domain), zap.Int64("revision", int64(c.revision)))
@@ -211,17 +217,18 @@
 
 // updatePool gives traffic the upstreams that are known now.
 func (c *control) updatePool() {
+	now := time.Now()
 	settings := placement.Settings{
 		Regions:     c.parts.settings.Domains,
 		Evacuated:   c.evacuated,
 		Connections: map[string]int{},
-		ColdRate:    map[string]float64{},
+		Cold:        c.coldLimits(now),
 	}
+	c.cold = len(settings.Cold) > 0
 	if c.table != nil {
-		instances := len(c.members.Snapshot(time.Now()).All) + 1
+		instances := len(c.members.Snapshot(now).All) + 1
 		for _, service := range c.table.Services {
 			settings.Connections[service.Name] = max(service.Connections/instances, 1)
-			settings.ColdRate[service.Name] = service.ColdRate / float64(instances)
 		}
 	}
 	c.parts.pool.Update(c.upstreams.All(), settings)
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -3,19 +3,32 @@
 // # Affinity
 //
 // An upstream that has handled an object lately answers faster. Requests for the
-// same object therefore prefer the same upstream: the candidates are ordered by
-// the rendezvous hash of the object and the upstream, within their distance
-// (failure domain, region, elsewhere). All entry instances compute the same
-// order, so no agreement is needed. When an upstream joins or leaves, only the
-// objects that it had or gets change their upstream.
+// same object therefore prefer the same upstream. First the object gets a region,
+// by weighted rendezvous hashing over the shares of the regions; then an upstream
+// of that region, by the rendezvous hash of both. All entry instances of a region
+// compute the same order, so no agreement is needed. When an upstream joins or
+// leaves, only the objects that it had or gets change their upstream.
+//
+// # Regions
+//
+// A region keeps the requests of its own callers while its slots are easily
+// enough, or while it is no fuller than the others. What is over goes to the
+// regions with room. The shares follow the demand by small steps, so that no
+// traffic shifts suddenly.
 //
 // # Load
 //
-// A request takes the first candidate in that order that has a free slot, by the
-// number of requests that this instance has in flight there and by the load that
-// the upstream last reported with an answer. Without a free slot anywhere it
-// joins the shortest queue, as long as it can still be served in time; otherwise
-// it is refused.
+// A request waits in a short queue of the upstream that knows its object, since
+// that costs less than the work of one that does not. Beyond that it takes the
+// next upstream of the region with a free slot, then one of another region, then
+// the shortest queue, as long as it can still be served in time; otherwise it is
+// refused. The load of an upstream is the number of requests that this instance
+// has in flight there, corrected by what the upstream reported with an answer.
+//
+// # Cold upstreams
+//
+// A cold upstream bears few requests. Settings.Cold says which ones this instance
+// may send, so that all instances together stay within its bound.
 //
 // # Health
 //
--- a/placement/lease.go
+++ b/placement/lease.go
@@ -37,6 +37,7 @@
 	// Upstream is where to send the request.
 	Upstream *routing.Upstream
 	pool     *Pool
+	service  *service
 	target   *target
 	begun    time.Time
 }
@@ -52,7 +53,8 @@
 	}
 	switch result {
 	case Answered:
-		t.succeed(now.Sub(l.begun))
+		t.succeed()
+		l.service.served(now.Sub(l.begun))
 	case Failed, Unreachable:
 		t.fail(now)
 	case Shed:
@@ -62,3 +64,12 @@
 	case Unclear:
 	}
 }
+
+// served takes in the time that an answer took.
+func (s *service) served(took time.Duration) {
+	if s.work == 0 {
+		s.work = took
+		return
+	}
+	s.work += time.Duration(workSmoothing * float64(took-s.work))
+}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -10,9 +11,17 @@
 	"samphireferry.example/ferry/routing"
 )
 
-// queuePerSlot is the number of waiting requests for each slot of an upstream
-// beyond which this instance sends no more: an upstream queues a few.
-const queuePerSlot = 1
+const (
+	// homeQueue is the number of waiting requests for each slot up to which a
+	// request waits at the upstream that knows its object: that costs less than
+	// the work of another one that does not.
+	homeQueue = 0.6
+	// longestQueue is the same for requests that find no free slot anywhere.
+	longestQueue = 1.0
+	// farUse is the part of its slots up to which an upstream of another region
+	// takes what its own region has no room for.
+	farUse = 0.8
+)
 
 // Self says where the instance is.
 type Self struct {
@@ -25,17 +34,25 @@
 	self Self
 
 	mu       sync.Mutex
+	settings Settings
 	targets  map[string]*target
-	services map[string][]*target
-	// coldRate is what this instance may send to one cold upstream of a service,
-	// in requests per second; 0 is no bound.
-	coldRate  map[string]float64
-	evacuated map[string]bool
+	services map[string]*service
+}
+
+// service is what the pool knows of one service.
+type service struct {
+	targets []*target
+	regions []string
+	shares  shares
+	// arrivals counts requests, not attempts.
+	arrivals uint64
+	// work is a moving average of the time to an answer.
+	work time.Duration
 }
 
 // NewPool returns a pool without upstreams.
 func NewPool(self Self) *Pool {
-	return &Pool{self: self, targets: map[string]*target{}}
+	return &Pool{self: self, targets: map[string]*target{}, services: map[string]*service{}}
 }
 
 // Settings are what the pool must know besides the upstreams.
@@ -44,30 +61,46 @@
 	Regions map[string]string
 	// Evacuated failure domains get no requests.
 	Evacuated map[string]bool
-	// Connections and ColdRate are the parts of this instance by service, for
-	// each upstream.
+	// Connections is the number of connections of this instance to each upstream
+	// of a service.
 	Connections map[string]int
-	ColdRate    map[string]float64
+	// Cold holds the cold upstreams by id.
+	Cold map[string]ColdLimit
 }
 
 // Update replaces the upstreams. What is known of an upstream stays while it has
-// the same id and start.
+// the same id, start and address.
 func (p *Pool) Update(upstreams []*registry.Upstream, settings Settings) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	old := p.targets
+	p.settings = settings
+	oldTargets, oldServices := p.targets, p.services
 	p.targets = make(map[string]*target, len(upstreams))
-	p.services = map[string][]*target{}
-	p.coldRate = settings.ColdRate
-	p.evacuated = settings.Evacuated
+	p.services = map[string]*service{}
 	for _, u := range upstreams {
-		t := old[u.ID]
+		t := oldTargets[u.ID]
 		if t == nil || t.upstream.Started != u.Started || t.upstream.Address != u.Address {
 			t = newTarget(u, routeOf(u, settings))
 		}
 		t.upstream = u
 		p.targets[u.ID] = t
-		p.services[u.Service] = append(p.services[u.Service], t)
+		p.add(t, oldServices)
+	}
+}
+
+func (p *Pool) add(t *target, old map[string]*service) {
+	name := t.upstream.Service
+	s := p.services[name]
+	if s == nil {
+		s = &service{}
+		if known := old[name]; known != nil {
+			s.shares, s.arrivals, s.work = known.shares, known.arrivals, known.work
+		}
+		p.services[name] = s
+	}
+	s.targets = append(s.targets, t)
+	if !slices.Contains(s.regions, t.region) {
+		s.regions = append(s.regions, t.region)
 	}
 }
 
@@ -95,6 +128,43 @@
 	return all
 }
 
+// Arrivals returns the requests for each service so far.
+func (p *Pool) Arrivals() map[string]uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counts := make(map[string]uint64, len(p.services))
+	for name, s := range p.services {
+		counts[name] = s.arrivals
+	}
+	return counts
+}
+
+// Balance moves the shares of the regions towards the demand, by service.
+func (p *Pool) Balance(now time.Time, demand map[string]Demand) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, s := range p.services {
+		slots := map[string]float64{}
+		for _, t := range s.targets {
+			if t.usable(now) && !p.settings.Evacuated[t.upstream.FailureDomain] {
+				slots[t.region] += float64(t.upstream.Slots)
+			}
+		}
+		perSlot := easyUse / max(s.work, leastService).Seconds()
+		s.shares.step(now, targetShares(p.self.Region, demand[name], slots, perSlot))
+	}
+}
+
+// Shares returns the part of the own requests of a service for each region.
+func (p *Pool) Shares(name string) map[string]float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.services[name]; s != nil {
+		return maps.Clone(s.shares.parts)
+	}
+	return nil
+}
+
 // Query describes a request that needs an upstream.
 type Query struct {
 	Service string
@@ -126,26 +196,33 @@
 func (p *Pool) Acquire(now time.Time, q Query) (*Lease, Refusal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	candidates := p.candidates(now, q)
+	s := p.services[q.Service]
+	if s == nil {
+		return nil, NoneInReach
+	}
+	if len(q.Tried) == 0 {
+		s.arrivals++
+	}
+	candidates := p.candidates(now, s, q)
 	if len(candidates) == 0 {
 		return nil, NoneInReach
 	}
-	p.order(candidates, q.Object)
+	s.order(candidates, q.Object)
 	chosen := p.choose(now, candidates)
 	if chosen == nil {
 		return nil, AllBusy
 	}
-	if p.isCold(now, chosen) {
-		chosen.cold.take(now, p.coldRate[chosen.upstream.Service])
+	if _, cold := p.coldLimit(now, chosen); cold {
+		chosen.cold.take()
 	}
 	chosen.inFlight++
-	return &Lease{pool: p, target: chosen, Upstream: chosen.route, begun: now}, Chosen
+	return &Lease{pool: p, service: s, target: chosen, Upstream: chosen.route, begun: now}, Chosen
 }
 
 // candidates returns the upstreams that may serve the request.
-func (p *Pool) candidates(now time.Time, q Query) []*target {
+func (p *Pool) candidates(now time.Time, s *service, q Query) []*target {
 	var usable []*target
-	for _, t := range p.services[q.Service] {
+	for _, t := range s.targets {
 		if t.usable(now) && p.allows(t, q) {
 			usable = append(usable, t)
 		}
@@ -154,54 +231,58 @@
 }
 
 func (p *Pool) allows(t *target, q Query) bool {
-	return !p.evacuated[t.upstream.FailureDomain] &&
+	return !p.settings.Evacuated[t.upstream.FailureDomain] &&
 		(q.AllowsVersion == nil || q.AllowsVersion(t.upstream.Version)) &&
 		(q.AllowsRegion == nil || q.AllowsRegion(t.region)) &&
 		!slices.Contains(q.Tried, t.upstream.ID)
 }
 
-// order sorts the candidates by distance, then by the rank of the object.
-func (p *Pool) order(candidates []*target, object uint64) {
+// order sorts the candidates by the order of the object's regions, then by the
+// rank of the object.
+func (s *service) order(candidates []*target, object uint64) {
+	place := make(map[string]int, len(s.regions))
+	for i, region := range s.shares.orderRegions(object, s.regions) {
+		place[region] = i
+	}
 	slices.SortFunc(candidates, func(a, b *target) int {
 		return cmp.Or(
-			cmp.Compare(p.distance(a), p.distance(b)),
+			cmp.Compare(place[a.region], place[b.region]),
 			cmp.Compare(b.rank(object), a.rank(object)),
 		)
 	})
 }
 
-// distance is 0 in the region of the instance and 1 elsewhere.
-func (p *Pool) distance(t *target) int {
-	if t.region == p.self.Region {
-		return 0
-	}
-	return 1
-}
-
-// choose returns the first candidate with a free slot, or the one with the
-// shortest queue, or nil when all queues are full.
+// choose returns the upstream that knows the object while its queue is short;
+// else the first of its region with a free slot; else one of another region with
+// room; else the one with the shortest queue; nil when all queues are long.
 func (p *Pool) choose(now time.Time, candidates []*target) *target {
 	var shortest *target
-	best := float64(1 + queuePerSlot)
-	for _, t := range candidates {
+	best := 1 + longestQueue
+	home := candidates[0].region
+	for i, t := range candidates {
 		if now.Before(t.shedUntil) || !p.mayTakeCold(now, t) {
 			continue
 		}
-		filled := float64(t.load(now)) / float64(t.upstream.Slots)
-		if filled < 1 {
+		use := float64(t.load(now)+1) / float64(t.upstream.Slots)
+		switch {
+		case i == 0 && use <= 1+homeQueue,
+			t.region == home && use <= 1,
+			t.region != home && use <= farUse:
 			return t
-		}
-		if filled < best {
-			best, shortest = filled, t
+		case use <= best:
+			best, shortest = use, t
 		}
 	}
 	return shortest
 }
 
-func (p *Pool) isCold(now time.Time, t *target) bool {
-	return now.Before(t.upstream.ColdUntil) && p.coldRate[t.upstream.Service] > 0
+// coldLimit returns the bound of a cold upstream, and false for a warm one.
+func (p *Pool) coldLimit(now time.Time, t *target) (ColdLimit, bool) {
+	limit, ok := p.settings.Cold[t.upstream.ID]
+	return limit, ok && now.Before(limit.Until)
 }
 
 func (p *Pool) mayTakeCold(now time.Time, t *target) bool {
-	return !p.isCold(now, t) || t.cold.ready(now, p.coldRate[t.upstream.Service])
+	limit, cold := p.coldLimit(now, t)
+	return !cold || t.cold.ready(now, limit.Rate)
 }
--- a/placement/target.go
+++ b/placement/target.go
@@ -20,9 +20,9 @@
 	// shedPause is how long an upstream that refused unrun is left out.
 	shedPause = 100 * time.Millisecond
 	// reportAge is the age after which a load report says nothing.
-	reportAge = 1 * time.Second
-	// latencySmoothing is the weight of a new sample in the average latency.
-	latencySmoothing = 0.2
+	reportAge = 1500 * time.Millisecond
+	// workSmoothing is the weight of a new sample in the average time to an answer.
+	workSmoothing = 0.02
 )
 
 // target is one upstream with what this instance knows of it. The mutex of the
@@ -45,8 +45,6 @@
 	ejectedUntil time.Time
 	shedUntil    time.Time
 	cold         coldGate
-	// latency is a moving average of the time to an answer.
-	latency time.Duration
 }
 
 func newTarget(u *registry.Upstream, route *routing.Upstream) *target {
@@ -77,14 +75,9 @@
 	t.ejectedUntil = now.Add(pause)
 }
 
-func (t *target) succeed(latency time.Duration) {
+func (t *target) succeed() {
 	t.failures = 0
 	t.ejections = 0
-	if t.latency == 0 {
-		t.latency = latency
-		return
-	}
-	t.latency += time.Duration(latencySmoothing * float64(latency-t.latency))
 }
 
 func (t *target) report(now time.Time, load int) {
--- a/routing/compile.go
+++ b/routing/compile.go
@@ -70,6 +70,7 @@
 			HealthInterval: cmp.Or(s.HealthInterval.Std(), defaultHealthInterval),
 			Connections:    s.Connections,
 			ColdRate:       s.ColdRate,
+			ColdFor:        s.ColdFor.Std(),
 		})
 	}
 	slices.SortFunc(t.Services, func(a, b *Service) int { return cmp.Compare(a.Name, b.Name) })
--- a/routing/table.go
+++ b/routing/table.go
@@ -80,6 +80,8 @@
 	// ColdRate bounds the requests per second to a cold upstream over all entry
 	// instances together; 0 is no bound.
 	ColdRate float64
+	// ColdFor is how long an upstream stays cold.
+	ColdFor  time.Duration
 	Versions []string
 	// StableVersion serves requests outside a roll-out; empty if the service
 	// has no version.
