--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -120,6 +120,7 @@
 		AllowsVersion: allows,
 		AllowsRegion:  x.allowsRegion,
 		Tried:         x.tried,
+		TimeLeft:      time.Until(x.deadline()),
 	})
 }
 
--- a/placement/lease.go
+++ b/placement/lease.go
@@ -40,6 +40,8 @@
 	service  *service
 	target   *target
 	begun    time.Time
+	// use is the estimated number of requests for each slot, this one included.
+	use float64
 }
 
 // Release gives the place back with what the attempt has shown.
@@ -54,7 +56,7 @@
 	switch result {
 	case Answered:
 		t.succeed()
-		l.service.served(now.Sub(l.begun))
+		l.service.served(time.Duration(float64(now.Sub(l.begun)) / max(l.use, 1)))
 	case Failed, Unreachable:
 		t.fail(now)
 	case Shed:
@@ -65,7 +67,7 @@
 	}
 }
 
-// served takes in the time that an answer took.
+// served takes in the time that an upstream has worked.
 func (s *service) served(took time.Duration) {
 	if s.work == 0 {
 		s.work = took
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -18,6 +18,9 @@
 	homeQueue = 0.6
 	// longestQueue is the same for requests that find no free slot anywhere.
 	longestQueue = 1.0
+	// timeReserve is the part of the time left that the predicted time to an answer
+	// may take; the rest covers the spread of the work.
+	timeReserve = 0.85
 	// farUse is the part of its slots up to which an upstream of another region
 	// takes what its own region has no room for.
 	farUse = 0.8
@@ -46,7 +49,8 @@
 	shares  shares
 	// arrivals counts requests, not attempts.
 	arrivals uint64
-	// work is a moving average of the time to an answer.
+	// work is a moving average of the time that an upstream works on a request,
+	// without its wait in the queue.
 	work time.Duration
 }
 
@@ -177,6 +181,8 @@
 	AllowsRegion func(region string) bool
 	// Tried are the upstreams that have been tried before.
 	Tried []string
+	// TimeLeft is the time until the request has to be answered.
+	TimeLeft time.Duration
 }
 
 // Refusal says why no upstream was chosen.
@@ -208,7 +214,7 @@
 		return nil, NoneInReach
 	}
 	s.order(candidates, q.Object)
-	chosen := p.choose(now, candidates)
+	chosen := p.choose(now, candidates, s.longestUse(q.TimeLeft))
 	if chosen == nil {
 		return nil, AllBusy
 	}
@@ -216,7 +222,7 @@
 		chosen.cold.take()
 	}
 	chosen.inFlight++
-	return &Lease{pool: p, service: s, target: chosen, Upstream: chosen.route, begun: now}, Chosen
+	return &Lease{pool: p, service: s, target: chosen, Upstream: chosen.route, begun: now, use: float64(chosen.load(now)) / float64(chosen.upstream.Slots)}, Chosen
 }
 
 // candidates returns the upstreams that may serve the request.
@@ -255,9 +261,9 @@
 // choose returns the upstream that knows the object while its queue is short;
 // else the first of its region with a free slot; else one of another region with
 // room; else the one with the shortest queue; nil when all queues are long.
-func (p *Pool) choose(now time.Time, candidates []*target) *target {
+func (p *Pool) choose(now time.Time, candidates []*target, longestUse float64) *target {
 	var shortest *target
-	best := 1 + longestQueue
+	best := min(1+longestQueue, longestUse)
 	home := candidates[0].region
 	for i, t := range candidates {
 		if now.Before(t.shedUntil) || !p.mayTakeCold(now, t) {
@@ -265,7 +271,7 @@
 		}
 		use := float64(t.load(now)+1) / float64(t.upstream.Slots)
 		switch {
-		case i == 0 && use <= 1+homeQueue,
+		case i == 0 && use <= min(1+homeQueue, longestUse),
 			t.region == home && use <= 1,
 			t.region != home && use <= farUse:
 			return t
@@ -276,6 +282,15 @@
 	return shortest
 }
 
+// longestUse returns the requests for each slot beyond which a request would not
+// be answered in time.
+func (s *service) longestUse(timeLeft time.Duration) float64 {
+	if timeLeft <= 0 || s.work <= 0 {
+		return 1 + longestQueue
+	}
+	return timeReserve * float64(timeLeft) / float64(s.work)
+}
+
 // coldLimit returns the bound of a cold upstream, and false for a warm one.
 func (p *Pool) coldLimit(now time.Time, t *target) (ColdLimit, bool) {
 	limit, ok := p.settings.Cold[t.upstream.ID]
--- a/quota/demand.go
+++ b/quota/demand.go
@@ -10,6 +10,8 @@
 	sampleInterval = 500 * time.Millisecond
 	// smoothing is the weight of a new sample in the demand.
 	smoothing = 0.2
+	// noise is the factor by which a steady demand varies between two samples.
+	noise = 1.15
 )
 
 // sample is a demand in requests per second at a time.
@@ -29,25 +31,26 @@
 	}
 }
 
-// lowest returns the smallest value that was in force within settleTime.
-func (s *series) lowest() float64 {
-	if len(s.samples) == 0 {
-		return 0
-	}
-	low := s.samples[0].value
-	for _, x := range s.samples[1:] {
+// settledLow returns the newest value, or, when it has grown by more than noise
+// within settleTime, what it was before and the noise.
+func (s *series) settledLow() float64 {
+	newest := s.newest()
+	low := newest
+	for _, x := range s.samples {
 		low = min(low, x.value)
 	}
-	return low
+	return min(newest, low*noise)
 }
 
-// highest returns the largest value that was in force within settleTime.
-func (s *series) highest() float64 {
-	high := 0.0
+// settledHigh returns the newest value, or, when it has shrunk by more than noise
+// within settleTime, what it was before less the noise.
+func (s *series) settledHigh() float64 {
+	newest := s.newest()
+	high := newest
 	for _, x := range s.samples {
 		high = max(high, x.value)
 	}
-	return high
+	return max(newest, high/noise)
 }
 
 // newest returns the latest value.
--- a/quota/divider.go
+++ b/quota/divider.go
@@ -10,8 +10,9 @@
 const (
 	// floorShare is the part of a rate that is divided equally.
 	floorShare = 0.5
-	// leastBurst lets every instance save up for one request.
-	leastBurst = 1
+	// leastBurst is the least size of a bucket: with less, tokens are lost between
+	// two requests.
+	leastBurst = 2
 	// pauseBound is a gap between two ticks after which the demand of the others
 	// is not known any more, as after a suspension of the machine.
 	pauseBound = 2 * time.Second
@@ -28,7 +29,7 @@
 
 // burstPart is the part of what a customer may have in one window that may come
 // at once. The rest is spread over the window.
-const burstPart = 0.15
+const burstPart = 0.1
 
 // Windowed returns the rate and burst of a token bucket that admits at most
 // rate x window + burst requests in any window, also in each one after the other.
@@ -175,7 +176,7 @@
 		}
 		c.demand += smoothing * (arrived/elapsed - c.demand)
 		c.announced.add(now, c.demand)
-		settled := c.announced.lowest()
+		settled := c.announced.settledLow()
 		if settled < c.held || d.complete {
 			c.held = settled
 		}
@@ -203,7 +204,7 @@
 	total := c.held
 	for _, peer := range d.peers {
 		if s := peer[name]; s != nil {
-			total += s.highest()
+			total += s.settledHigh()
 		}
 	}
 	if total <= 0 {
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -19,8 +19,10 @@
 //
 // # Limits
 //
-// A burst is divided in whole tokens, at least one for each instance: together
-// the instances may have one token more each than the customer's burst.
+// A bucket holds at least leastBurst tokens: together the instances may have that
+// many more each than the customer's burst. Changes within the noise of a steady
+// demand count at once, so the parts may add up to a little more than the whole
+// for settleTime.
 //
 // The package does no I/O and takes the time as an argument.
 package quota
