Two upstreams for each object

Ruled out: too long queues alone (refusing by predicted time changed nothing), stale load reports alone. An object now has two upstreams; beyond their queues it is refused.

--- a/placement/pool.go
+++ b/placement/pool.go
@@ -21,9 +21,6 @@
 	// timeReserve is the part of the time left that the predicted time to an answer
 	// may take; the rest covers the spread of the work.
 	timeReserve = 0.85
-	// farUse is the part of its slots up to which an upstream of another region
-	// takes what its own region has no room for.
-	farUse = 0.8
 )
 
 // Self says where the instance is.
@@ -258,22 +255,29 @@
 	})
 }
 
-// choose returns the upstream that knows the object while its queue is short;
-// else the first of its region with a free slot; else one of another region with
-// room; else the one with the shortest queue; nil when all queues are long.
+// homes is the number of upstreams that share the requests for one object. More
+// of them would each know too many objects.
+const homes = 2
+
+// choose returns the upstream that knows the object while its queue is short, or
+// the object's second one when that has a free slot, or the one of both with the
+// shorter queue; nil when both queues are long. Upstreams that take nothing now
+// are passed over.
 func (p *Pool) choose(now time.Time, candidates []*target, longestUse float64) *target {
 	var shortest *target
 	best := min(1+longestQueue, longestUse)
-	home := candidates[0].region
-	for i, t := range candidates {
+	eligible := 0
+	for _, t := range candidates {
 		if now.Before(t.shedUntil) || !p.mayTakeCold(now, t) {
 			continue
 		}
+		eligible++
+		if eligible > homes {
+			break
+		}
 		use := float64(t.load(now)+1) / float64(t.upstream.Slots)
 		switch {
-		case i == 0 && use <= min(1+homeQueue, longestUse),
-			t.region == home && use <= 1,
-			t.region != home && use <= farUse:
+		case eligible == 1 && use <= min(1+homeQueue, longestUse), use <= 1:
 			return t
 		case use <= best:
 			best, shortest = use, t
--- a/placement/target.go
+++ b/placement/target.go
@@ -20,7 +20,7 @@
 	// shedPause is how long an upstream that refused unrun is left out.
 	shedPause = 100 * time.Millisecond
 	// reportAge is the age after which a load report says nothing.
-	reportAge = 1500 * time.Millisecond
+	reportAge = 3 * time.Second
 	// workSmoothing is the weight of a new sample in the average time to an answer.
 	workSmoothing = 0.02
 )
