A removal that another instance has read is no lapse

The peer now says whether the store has answered it long enough for a missing entry to be gone. With the old condition put back, TestARemovalReadFromAnotherInstance fails.

--- a/edge/heartbeat.go
+++ b/edge/heartbeat.go
@@ -150,6 +150,7 @@
 	read := recordsRead{
 		revision: platform.Revision(e.response.GetRevision()),
 		full:     e.response.GetFull(),
+		settled:  e.response.GetSettled(),
 		fromPeer: e.peer,
 	}
 	for _, entry := range e.response.GetEntries() {
@@ -168,8 +169,12 @@
 	answer chan *entrypb.GetConfigResponse
 }
 
-func (e recordsAsked) apply(c *control, _ time.Time) {
-	response := &entrypb.GetConfigResponse{Revision: uint64(c.revision), Full: true}
+func (e recordsAsked) apply(c *control, now time.Time) {
+	response := &entrypb.GetConfigResponse{
+		Revision: uint64(c.revision),
+		Full:     true,
+		Settled:  c.upstreams.Settled(now),
+	}
 	c.each("", func(entry platform.Entry) {
 		response.Entries = append(response.Entries, &entrypb.StoreEntry{
 			Key:      entry.Key,
--- a/edge/records.go
+++ b/edge/records.go
@@ -20,6 +20,8 @@
 	revision platform.Revision
 	// full says that there are no other records.
 	full bool
+	// settled is that of the peer, see registry.Registry.Replace.
+	settled bool
 	// fromPeer names the peer that gave them; empty for the store.
 	fromPeer string
 }
@@ -27,6 +29,7 @@
 func (e recordsRead) apply(c *control, now time.Time) {
 	if e.fromPeer == "" {
 		c.heardStore(now)
+		e.settled = c.upstreams.Settled(now)
 	}
 	if e.full && e.revision < c.revision {
 		return
@@ -37,7 +40,7 @@
 		// The watches of the others may not have heard of it either.
 		c.members.HeartbeatNow(now)
 	}
-	c.applyRecords(now, changed)
+	c.applyRecords(now, changed, e.settled)
 }
 
 func (c *control) heardStore(now time.Time) {
@@ -74,7 +77,7 @@
 }
 
 // applyRecords puts changed records in force.
-func (c *control) applyRecords(now time.Time, changed []string) {
+func (c *control) applyRecords(now time.Time, changed []string, settled bool) {
 	var upstreams, instances, evacuations, rollouts bool
 	for _, key := range changed {
 		switch {
@@ -91,7 +94,7 @@
 		}
 	}
 	if upstreams {
-		c.readUpstreams(now)
+		c.readUpstreams(now, settled)
 	}
 	if instances {
 		c.readInstances(now)
@@ -155,7 +158,7 @@
 	c.splits = splits
 }
 
-func (c *control) readUpstreams(now time.Time) {
+func (c *control) readUpstreams(now time.Time, settled bool) {
 	var entries []registry.Entry
 	c.each(records.PrefixUpstreams, func(entry platform.Entry) {
 		parsed, err := records.Upstream(entry)
@@ -166,7 +169,7 @@
 		}
 		entries = append(entries, parsed)
 	})
-	if c.upstreams.Replace(now, entries) {
+	if c.upstreams.Replace(now, entries, settled) {
 		c.poolDirty, c.viewDirty = true, true
 		c.parts.log.Info("upstreams changed", zap.Int64("revision", int64(c.revision)), zap.Int("entries", len(entries)))
 	}
--- a/registry/doc.go
+++ b/registry/doc.go
@@ -7,7 +7,9 @@
 // with one exception: entries can lapse while the store is away, although their
 // upstreams live. A removal that becomes known within Options.Return after the
 // store came back is therefore kept open until then; the entry is used until it
-// either comes back or that time is over.
+// either comes back or that time is over. An instance that is cut off from the store
+// and reads the entries from another instance goes by that one's word: the store may
+// have been there all the time.
 //
 // The package does no I/O and takes the time as an argument.
 package registry
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -84,8 +84,14 @@
 	r.away = false
 }
 
-// Replace takes in all entries of the store. It returns whether anything changed.
-func (r *Registry) Replace(now time.Time, entries []Entry) bool {
+// Settled says whether the store has answered for so long that a missing entry
+// names an upstream that is gone.
+func (r *Registry) Settled(now time.Time) bool { return !r.mayComeBack(now) }
+
+// Replace takes in all entries of the store. settled says whether a missing entry
+// names an upstream that is gone: it is that of the instance that read them, which
+// may be another one. It returns whether anything changed.
+func (r *Registry) Replace(now time.Time, entries []Entry, settled bool) bool {
 	present := make(map[string]bool, len(entries))
 	changed := false
 	for _, entry := range entries {
@@ -93,10 +99,11 @@
 		changed = r.put(now, entry) || changed
 	}
 	for id, u := range r.upstreams {
-		if !present[id] && !u.lapsed {
-			r.remove(now, u)
-			changed = true
+		if present[id] || u.lapsed && !settled {
+			continue
 		}
+		r.remove(u, settled)
+		changed = true
 	}
 	return r.Tick(now) || changed
 }
@@ -111,8 +118,8 @@
 	return true
 }
 
-func (r *Registry) remove(now time.Time, u *Upstream) {
-	if u.State == Ready && r.mayComeBack(now) {
+func (r *Registry) remove(u *Upstream, settled bool) {
+	if u.State == Ready && !settled {
 		kept := *u
 		kept.lapsed = true
 		r.upstreams[u.ID] = &kept
