--- a/placement/pool.go
+++ b/placement/pool.go
@@ -261,20 +261,23 @@
 
 // choose returns the upstream that knows the object while its queue is short, or
 // the object's second one when that has a free slot, or the one of both with the
-// shorter queue; nil when both queues are long. Upstreams that take nothing now
-// are passed over.
+// shorter queue; nil when both queues are long. A cold upstream that takes nothing
+// now is passed over, a full one is not: its requests would flood the others.
 func (p *Pool) choose(now time.Time, candidates []*target, longestUse float64) *target {
 	var shortest *target
 	best := min(1+longestQueue, longestUse)
 	eligible := 0
 	for _, t := range candidates {
-		if now.Before(t.shedUntil) || !p.mayTakeCold(now, t) {
+		if !p.mayTakeCold(now, t) {
 			continue
 		}
 		eligible++
 		if eligible > homes {
 			break
 		}
+		if now.Before(t.shedUntil) {
+			continue
+		}
 		use := float64(t.load(now)+1) / float64(t.upstream.Slots)
 		switch {
 		case eligible == 1 && use <= min(1+homeQueue, longestUse), use <= 1:
--- a/placement/regions.go
+++ b/placement/regions.go
@@ -39,6 +39,12 @@
 		totalSlots += n
 		totalDemand += demand[region]
 	}
+	if totalDemand <= 0 {
+		// As long as nothing is known, all regions are taken to ask the same.
+		demand = evenDemand(slots, totalSlots)
+		totalDemand = totalSlots
+		perSlot = 0
+	}
 	own := demand[self]
 	if totalSlots <= 0 || own <= 0 {
 		return map[string]float64{self: 1}
@@ -63,6 +69,15 @@
 	return parts
 }
 
+// evenDemand divides one request for each slot among the regions.
+func evenDemand(slots map[string]float64, total float64) Demand {
+	demand := Demand{}
+	for region := range slots {
+		demand[region] = total / float64(len(slots))
+	}
+	return demand
+}
+
 // step moves the parts towards the target, by maxStep a second at most.
 func (s *shares) step(now time.Time, target map[string]float64) {
 	if s.parts == nil {
