The first recorded end of a roll-out stays

Ends are final now, in the store and at each instance; versions are judged only while both answer, and only against a baseline. Tests: TestTheFirstRecordedEndStays, TestNothingIsJudgedWhilePromoting.

--- a/canary/judge.go
+++ b/canary/judge.go
@@ -10,6 +10,9 @@
 	minDifference = 0.1
 	// minFailures keeps single failures from deciding.
 	minFailures = 4
+	// minBaseline is the number of answers of the old version without which there
+	// is nothing to compare with.
+	minBaseline = 10
 )
 
 // Count is what one version has answered.
@@ -28,13 +31,10 @@
 // Worse says whether the new version fails more often than the old one by more
 // than chance explains.
 func Worse(old, fresh Count) bool {
-	if fresh.Failures < minFailures || fresh.rate() < old.rate()+minDifference {
+	if old.Answers < minBaseline || fresh.Failures < minFailures || fresh.rate() < old.rate()+minDifference {
 		return false
 	}
-	// A few answers without failure are added to the old version, so that it can
-	// be compared before it has answered much.
-	const assumed = 20
-	n0, n1 := float64(old.Answers+assumed), float64(fresh.Answers)
+	n0, n1 := float64(old.Answers), float64(fresh.Answers)
 	f0, f1 := float64(old.Failures), float64(fresh.Failures)
 	pooled := (f0 + f1) / (n0 + n1)
 	deviation := math.Sqrt(pooled * (1 - pooled) * (1/n0 + 1/n1))
--- a/canary/rollout.go
+++ b/canary/rollout.go
@@ -49,11 +49,14 @@
 // Rollout is one roll-out as this instance knows it.
 type Rollout struct {
 	Order Order
-	Phase Phase
+	// Recorded is the phase in the store.
+	Recorded Phase
 	// Started is when the order was first known to any instance.
 	Started time.Time
-	// PhaseAt is when this instance learnt of the phase.
-	PhaseAt time.Time
+	// RecordedAt is when this instance learnt of that phase.
+	RecordedAt time.Time
+	// stopped is set by the own judgement, until the store records an end.
+	stopped bool
 	// counts are the own counts; peers those of other instances.
 	counts map[Key]Count
 	peers  map[string]map[Key]Count
@@ -62,22 +65,46 @@
 // New returns a roll-out in its first phase.
 func New(order Order, now time.Time) *Rollout {
 	return &Rollout{
-		Order: order, Started: now, PhaseAt: now,
+		Order: order, Started: now, RecordedAt: now,
 		counts: map[Key]Count{},
 		peers:  map[string]map[Key]Count{},
 	}
 }
 
-// Enter moves to a phase that the store has recorded. Final phases stay.
-func (r *Rollout) Enter(now time.Time, phase Phase) bool {
-	if r.Phase >= phase {
+// Final says whether the phase is an end.
+func (p Phase) Final() bool { return p == Done || p == Reverted }
+
+// Adopt takes in the phase that the store has recorded. It returns whether that is
+// new. The first end that is recorded stays.
+func (r *Rollout) Adopt(now time.Time, phase Phase) bool {
+	if r.Recorded.Final() || r.Recorded >= phase {
 		return false
 	}
-	r.Phase = phase
-	r.PhaseAt = now
+	r.Recorded = phase
+	r.RecordedAt = now
 	return true
 }
 
+// Stop takes the version out of use here, before the store has recorded it. It
+// returns false when the roll-out has ended or was stopped before.
+func (r *Rollout) Stop() bool {
+	if r.stopped || r.Recorded.Final() {
+		return false
+	}
+	r.stopped = true
+	return true
+}
+
+// Phase is what traffic goes by: the recorded end, else the own judgement, else
+// the recorded phase. Once the old version has been given up in the store, the own
+// judgement cannot bring it back.
+func (r *Rollout) Phase() Phase {
+	if r.stopped && !r.Recorded.Final() {
+		return Reverted
+	}
+	return r.Recorded
+}
+
 // Record counts one answer or failure.
 func (r *Rollout) Record(key Key, failed bool) {
 	c := r.counts[key]
@@ -116,8 +143,12 @@
 	New   Count
 }
 
-// Judge returns the route on which the new version is worse, or nil.
+// Judge returns the route on which the new version is worse, or nil. It judges in
+// the first phase only: later the versions do not answer side by side.
 func (r *Rollout) Judge() *Finding {
+	if r.Recorded != Canary {
+		return nil
+	}
 	total := r.totals()
 	for key, fresh := range total {
 		if !key.New {
@@ -131,20 +162,18 @@
 	return nil
 }
 
-// Next returns the phase that the roll-out should enter now. settle is the time
-// that the old version needs to end what it runs.
+// Next returns the phase that the store should record now. settle is the time that
+// the old version needs to end what it runs.
 func (r *Rollout) Next(now time.Time, settle time.Duration) Phase {
-	if r.Phase == Done || r.Phase == Reverted {
-		return r.Phase
-	}
-	if r.Judge() != nil {
+	switch {
+	case r.Recorded.Final():
+		return r.Recorded
+	case r.stopped:
 		return Reverted
-	}
-	if r.Phase == Promoting {
-		if now.Sub(r.PhaseAt) >= settle {
-			return Done
-		}
+	case r.Recorded == Promoting && now.Sub(r.RecordedAt) < settle:
 		return Promoting
+	case r.Recorded == Promoting:
+		return Done
 	}
 	elapsed := now.Sub(r.Started).Seconds() / r.Order.Within.Seconds()
 	if elapsed >= judgeLatest || elapsed >= judgeUntil && r.newAnswers() >= enoughAnswers {
--- /dev/null
+++ b/canary/rollout_test.go
@@ -0,0 +1,103 @@
+package canary
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const settle = 2 * time.Second
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func newRollout() *Rollout {
+	return New(Order{Service: "lookup", Version: "v2", Within: 10 * time.Second, Revision: 5}, at(0))
+}
+
+// count records answers and failures of one version.
+func count(r *Rollout, isNew bool, answers, failures int) {
+	for i := range answers {
+		r.Record(Key{Route: "a", New: isNew}, i < failures)
+	}
+}
+
+func TestWorse(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		old, fresh Count
+		want       bool
+	}{
+		{"no failures", Count{200, 0}, Count{40, 0}, false},
+		{"half fail", Count{200, 2}, Count{12, 6}, true},
+		{"a few by chance", Count{200, 4}, Count{60, 4}, false},
+		{"both fail under overload", Count{200, 90}, Count{40, 20}, false},
+		{"worse than an overloaded one", Count{200, 60}, Count{60, 45}, true},
+		{"nothing to compare with", Count{0, 0}, Count{9, 7}, false},
+	} {
+		assert.Equal(t, Worse(c.old, c.fresh), c.want, c.name)
+	}
+}
+
+func TestAGoodVersionEndsDone(t *testing.T) {
+	r := newRollout()
+	count(r, false, 500, 2)
+	count(r, true, 50, 0)
+	assert.Equal(t, r.Next(at(1), settle), Canary)
+	assert.Equal(t, r.Next(at(5.6), settle), Promoting)
+	assert.Assert(t, r.Adopt(at(5.7), Promoting))
+	assert.Equal(t, r.Next(at(6), settle), Promoting)
+	assert.Equal(t, r.Next(at(7.8), settle), Done)
+	assert.Assert(t, r.Adopt(at(7.9), Done))
+	assert.Equal(t, r.Phase(), Done)
+}
+
+func TestAVersionWithFewAnswersIsPromotedLater(t *testing.T) {
+	r := newRollout()
+	count(r, true, 3, 0)
+	assert.Equal(t, r.Next(at(6), settle), Canary)
+	assert.Equal(t, r.Next(at(7.1), settle), Promoting)
+}
+
+func TestABadVersionIsStoppedByWhatAllInstancesSaw(t *testing.T) {
+	r := newRollout()
+	count(r, false, 30, 0)
+	count(r, true, 2, 1)
+	assert.Assert(t, r.Judge() == nil)
+	r.Hear("other", map[Key]Count{{Route: "a", New: true}: {8, 5}, {Route: "a"}: {70, 0}})
+	finding := r.Judge()
+	assert.Equal(t, finding.New, Count{10, 6})
+	assert.Equal(t, finding.Old, Count{100, 0})
+	assert.Assert(t, r.Stop())
+	assert.Equal(t, r.Phase(), Reverted)
+	assert.Equal(t, r.Next(at(1), settle), Reverted)
+}
+
+// TestTheFirstRecordedEndStays is the case of an instance that judges a version
+// after another one has recorded its end. On recallhub-south trouble-3 "reverted" was
+// written over "done", and both versions were without upstreams.
+func TestTheFirstRecordedEndStays(t *testing.T) {
+	r := newRollout()
+	count(r, false, 100, 0)
+	count(r, true, 20, 10)
+	assert.Assert(t, r.Stop())
+	assert.Assert(t, r.Adopt(at(8), Done))
+	assert.Equal(t, r.Phase(), Done)
+	assert.Equal(t, r.Next(at(8), settle), Done)
+	assert.Assert(t, !r.Adopt(at(9), Reverted))
+	assert.Equal(t, r.Phase(), Done)
+}
+
+// TestNothingIsJudgedWhilePromoting is the case of a good version that was stopped
+// since all requests came to it at once, on upstreams that knew no object yet.
+func TestNothingIsJudgedWhilePromoting(t *testing.T) {
+	r := newRollout()
+	count(r, false, 100, 0)
+	r.Adopt(at(6), Promoting)
+	count(r, true, 100, 50)
+	assert.Assert(t, r.Judge() == nil)
+}
--- a/edge/rollout.go
+++ b/edge/rollout.go
@@ -155,18 +155,17 @@
 	if started := time.UnixMilli(status.StartedMillis); started.Before(run.Started) {
 		run.Started = started
 	}
-	if run.Enter(now, phaseOf(status)) {
-		r.logPhase(run, "recorded")
+	if run.Adopt(now, phaseOf(status)) {
+		r.logPhase(run)
 	}
 }
 
-func (r *rolloutControl) logPhase(run *rolloutRun, why string) {
+func (r *rolloutControl) logPhase(run *rolloutRun) {
 	r.c.parts.log.Info("roll-out phase",
 		zap.String("service", run.Order.Service),
 		zap.String("version", run.Order.Version),
-		zap.Stringer("phase", run.Phase),
+		zap.Stringer("phase", run.Phase()),
 		zap.Int64("order", run.Order.Revision),
-		zap.String("reason", why),
 	)
 }
 
@@ -203,10 +202,8 @@
 // tick judges the roll-outs and writes the phases that are due.
 func (r *rolloutControl) tick(now time.Time) {
 	for service, run := range r.runs {
+		r.judge(run)
 		next := run.Next(now, promoteSettle)
-		if next == canary.Reverted && run.Phase != canary.Reverted {
-			r.stop(now, run)
-		}
 		if next != run.wanted {
 			run.wanted, run.wantedAt = next, now
 		}
@@ -220,10 +217,10 @@
 	}
 }
 
-// stop takes a bad version out of use at once, without waiting for the store.
-func (r *rolloutControl) stop(now time.Time, run *rolloutRun) {
+// judge takes a bad version out of use at once, without waiting for the store.
+func (r *rolloutControl) judge(run *rolloutRun) {
 	finding := run.Judge()
-	if finding == nil || !run.Enter(now, canary.Reverted) {
+	if finding == nil || !run.Stop() {
 		return
 	}
 	r.c.viewDirty = true
@@ -324,7 +321,7 @@
 func (r *rolloutControl) counts() []*entrypb.VersionCount {
 	var messages []*entrypb.VersionCount
 	for service, run := range r.runs {
-		if run.Phase == canary.Done || run.Phase == canary.Reverted {
+		if run.Phase().Final() {
 			continue
 		}
 		for key, count := range run.Counts() {
@@ -352,7 +349,7 @@
 		choices[service] = &versionChoice{
 			version:  run.Order.Version,
 			splitter: run.splitter,
-			phase:    run.Phase,
+			phase:    run.Phase(),
 			record: func(route string, isNew, failed bool) {
 				r.c.post(versionAnswered{service: service, order: order, key: canary.Key{Route: route, New: isNew}, failed: failed})
 			},
