Canary requests go to few upstreams; only failures that are answered count later

Requests for a version that is not judged go to the same upstreams. While promoting, failures that the upstream answers count, late answers do not.

--- a/canary/rollout.go
+++ b/canary/rollout.go
@@ -105,8 +105,27 @@
 	return r.Recorded
 }
 
-// Record counts one answer or failure.
-func (r *Rollout) Record(key Key, failed bool) {
+// Failure says what went wrong with a request at a version.
+type Failure uint8
+
+// The failures of a request.
+const (
+	// None is a good answer.
+	None Failure = iota
+	// Answered is a failure that the upstream itself answered with.
+	Answered
+	// Late is an answer that did not come in time, or not whole.
+	Late
+)
+
+// Record counts one answer or failure. A late answer counts against a version only
+// while it shares the requests with the other one: when all requests move to
+// upstreams that know no object yet, some are late whatever the version is.
+func (r *Rollout) Record(key Key, failure Failure) {
+	if failure == Late && r.Recorded != Canary {
+		return
+	}
+	failed := failure != None
 	c := r.counts[key]
 	c.Answers++
 	if failed {
@@ -143,10 +162,11 @@
 	New   Count
 }
 
-// Judge returns the route on which the new version is worse, or nil. It judges in
-// the first phase only: later the versions do not answer side by side.
+// Judge returns the route on which the new version is worse, or nil. While all
+// requests move to the new version its answers are compared with those that the old
+// one gave before.
 func (r *Rollout) Judge() *Finding {
-	if r.Recorded != Canary {
+	if r.Recorded.Final() {
 		return nil
 	}
 	total := r.totals()
--- a/edge/rollout.go
+++ b/edge/rollout.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
@@ -36,7 +37,7 @@
 	version  string
 	splitter *splitting.Splitter
 	phase    canary.Phase
-	record   func(route string, isNew, failed bool)
+	record   func(route string, isNew bool, failure canary.Failure)
 }
 
 // wantsNew says whether the next request goes to the new version.
@@ -53,6 +54,16 @@
 	return false
 }
 
+// object returns what the choice of the upstream goes by. The few requests for a
+// version that is not judged yet go to the same upstreams, so that these are as
+// loaded as they will be: some faults show only then.
+func (v *versionChoice) object(object uint64) uint64 {
+	if v.phase != canary.Canary {
+		return object
+	}
+	return xxhash.Sum64String(v.version)
+}
+
 // mayFallBack says whether a request that found no place at the new version may
 // go to the old one. The old one gets no work that it may not end.
 func (v *versionChoice) mayFallBack(refusal placement.Refusal) bool {
@@ -290,13 +301,13 @@
 	service string
 	order   int64
 	key     canary.Key
-	failed  bool
+	failure canary.Failure
 }
 
 func (e versionAnswered) apply(c *control, _ time.Time) {
 	run := c.rollouts.runs[e.service]
 	if run != nil && run.Order.Revision == e.order {
-		run.Record(e.key, e.failed)
+		run.Record(e.key, e.failure)
 	}
 }
 
@@ -350,8 +361,8 @@
 			version:  run.Order.Version,
 			splitter: run.splitter,
 			phase:    run.Phase(),
-			record: func(route string, isNew, failed bool) {
-				r.c.post(versionAnswered{service: service, order: order, key: canary.Key{Route: route, New: isNew}, failed: failed})
+			record: func(route string, isNew bool, failure canary.Failure) {
+				r.c.post(versionAnswered{service: service, order: order, key: canary.Key{Route: route, New: isNew}, failure: failure})
 			},
 		}
 	}
--- a/placement/regions.go
+++ b/placement/regions.go
@@ -12,7 +12,7 @@
 const (
 	// easyUse is the part of its slots up to which a region keeps all requests of
 	// its own, whatever room there is elsewhere.
-	easyUse = 0.4
+	easyUse = 0.3
 	// maxStep bounds the change of a share in one second, so that no region sees a
 	// sudden shift of traffic.
 	maxStep = 0.04
