--- /dev/null
+++ b/edge/instance_test.go
@@ -0,0 +1,493 @@
+package edge
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"samphireferry.example/ferry/config/static"
+	"samphireferry.example/ferry/internal/freeport"
+	"samphireferry.example/ferry/platform"
+	"samphireferry.example/ferry/platform/headers"
+	standin "samphireferry.example/ferry/standin/platform"
+)
+
+// backend is an upstream that speaks as the platform's upstreams do.
+type backend struct {
+	server *httptest.Server
+	id     string
+
+	mu   sync.Mutex
+	seen []*http.Request
+	// answer replaces the usual answer.
+	answer atomic.Pointer[http.HandlerFunc]
+}
+
+func newBackend(t *testing.T, id string) *backend {
+	t.Helper()
+	b := &backend{id: id}
+	b.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		b.mu.Lock()
+		b.seen = append(b.seen, r)
+		b.mu.Unlock()
+		w.Header().Set(headers.AttemptID, r.Header.Get(headers.AttemptID))
+		if custom := b.answer.Load(); custom != nil {
+			(*custom)(w, r)
+			return
+		}
+		w.Header().Set("X-Backend-Stamp", "stamp-"+id)
+		fmt.Fprint(w, "from "+id)
+	}))
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+// requests returns what the upstream got.
+func (b *backend) requests() []*http.Request {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.seen
+}
+
+// system is a store, upstreams and entry instances in one process.
+type system struct {
+	t     *testing.T
+	store *standin.Platform
+	url   string
+}
+
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	p := standin.New(standin.Options{Seed: 1})
+	server := httptest.NewServer(p.Handler())
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return &system{t: t, store: p, url: server.URL}
+}
+
+// put writes a record of the operator or of an upstream.
+func (s *system) put(key string, value string) {
+	s.t.Helper()
+	old, err := s.store.Get(s.t.Context(), key)
+	if err != nil {
+		assert.ErrorIs(s.t, err, platform.ErrNotFound)
+	}
+	_, err = s.store.CompareAndSwap(s.t.Context(), key, []byte(value), old.Revision, 0)
+	assert.NilError(s.t, err)
+}
+
+func (s *system) remove(key string) {
+	s.t.Helper()
+	old, err := s.store.Get(s.t.Context(), key)
+	assert.NilError(s.t, err)
+	assert.NilError(s.t, s.store.Delete(s.t.Context(), key, old.Revision))
+}
+
+// register lists the upstream as ready or draining.
+func (s *system) register(b *backend, version, state string) {
+	s.put("servers/"+b.id, fmt.Sprintf(
+		`{"addr":%q,"born":1,"info":{"service":"lookup","version":%q,"zone":"east-1","slots":4},"status":{"state":%q,"seq":1,"cold_left_ms":0}}`,
+		b.server.Listener.Addr(), version, state))
+}
+
+// configure publishes a version with a route that may be repeated and one that may
+// not, and the keys of one customer.
+func (s *system) configure(version int, keys ...string) {
+	list, err := json.Marshal(keys)
+	assert.NilError(s.t, err)
+	s.put("op/config", fmt.Sprintf(`{"version":"%08x","resources":[
+ {"of_kind":"routes","meta":{"name":"read"},"spec":{"host":"a.example","prefix":"/read/","kind":"idempotent","timeout_ms":2000,"service":"lookup","attempts":2}},
+ {"of_kind":"routes","meta":{"name":"file"},"spec":{"host":"a.example","prefix":"/file/","kind":"non_idempotent","timeout_ms":2000,"service":"lookup","attempts":2}},
+ {"of_kind":"services","meta":{"name":"lookup"},"spec":{"health_path":"/health","max_conns":360}},
+ {"of_kind":"tenants","meta":{"name":"acme"},"spec":{"api_keys":%s,"rate_per_s":100,"burst":100}}]}`, version, list))
+}
+
+// instance is one entry instance with its addresses.
+type instance struct {
+	*Instance
+	t *testing.T
+}
+
+func (s *system) start(name string) *instance {
+	s.t.Helper()
+	address := func() string {
+		free, err := freeport.Next()
+		assert.NilError(s.t, err)
+		return free
+	}
+	settings, err := static.ParseEdge("ferry-edge", []string{
+		"-name", name, "-region", "east", "-failure-domain", "east-1", "-domain", "east-1=east",
+		"-listen", address(), "-directory-listen", address(), "-ready-listen", address(), "-rpc-listen", address(),
+		"-platform", s.url, "-grace", "3s", "-heartbeat-interval", "100ms",
+	}, io.Discard)
+	assert.NilError(s.t, err)
+	i, err := New(settings, zap.NewNop())
+	assert.NilError(s.t, err)
+	assert.NilError(s.t, i.Start())
+	return &instance{Instance: i, t: s.t}
+}
+
+func (i *instance) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), i.parts.settings.Grace)
+	defer cancel()
+	i.Stop(ctx)
+}
+
+// eventually waits until the condition holds.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if condition() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+// ready waits until the instance has a configuration and n upstreams.
+func (i *instance) ready(n int) {
+	i.t.Helper()
+	eventually(i.t, "the instance knows the upstreams", func() bool {
+		return i.parts.views.load().table != nil && len(i.parts.pool.Upstreams()) == n
+	})
+}
+
+// answer is what a client got.
+type clientAnswer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// send makes one request.
+func (i *instance) send(method, path, key string) clientAnswer {
+	i.t.Helper()
+	var body io.Reader
+	if method == http.MethodPost {
+		body = strings.NewReader("filing")
+	}
+	r, err := http.NewRequest(method, "http://"+i.parts.settings.Listen+path, body)
+	assert.NilError(i.t, err)
+	r.Host = "a.example"
+	r.Header.Set(headers.AttemptID, "attempt-1")
+	r.Header.Set(headers.DeadlineMillis, "3000")
+	r.Header.Set(headers.Customer, "forged")
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(r)
+	if err != nil {
+		return clientAnswer{err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return clientAnswer{status: response.StatusCode, header: response.Header, body: string(data), err: err}
+}
+
+func TestARequestReachesAnUpstream(t *testing.T) {
+	s := newSystem(t)
+	b := newBackend(t, "i-1")
+	s.configure(1, "k1")
+	s.register(b, "v1", "ready")
+	i := s.start("e1")
+	defer i.stop()
+	i.ready(1)
+	got := i.send(http.MethodGet, "/read/7?x=1", "k1")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, "from i-1")
+	assert.Equal(t, got.header.Get("X-Backend-Stamp"), "stamp-i-1")
+	r := b.requests()[0]
+	assert.Equal(t, r.RequestURI, "/read/7?x=1")
+	assert.Equal(t, r.Header.Get(headers.Customer), "acme")
+	assert.Equal(t, r.Header.Get("Authorization"), "")
+	assert.Equal(t, r.Header.Get(headers.ExpectInstance), "i-1")
+	assert.Equal(t, r.Header.Get(headers.AttemptID), "attempt-1")
+}
+
+func TestRefusalsOfRequests(t *testing.T) {
+	s := newSystem(t)
+	i := s.start("e1")
+	defer i.stop()
+	got := i.send(http.MethodGet, "/read/7", "k1")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable, "there is no configuration yet")
+	s.configure(1, "k1")
+	i.ready(0)
+	assert.Equal(t, i.send(http.MethodGet, "/read/7", "").status, http.StatusUnauthorized)
+	assert.Equal(t, i.send(http.MethodGet, "/read/7", "k2").status, http.StatusUnauthorized)
+	assert.Equal(t, i.send(http.MethodGet, "/other/7", "k1").status, http.StatusNotFound)
+	got = i.send(http.MethodGet, "/read/7", "k1")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable, "there is no upstream")
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+}
+
+func TestAWithdrawnKeyStopsWorking(t *testing.T) {
+	s := newSystem(t)
+	s.configure(1, "k1", "k2")
+	s.register(newBackend(t, "i-1"), "v1", "ready")
+	i := s.start("e1")
+	defer i.stop()
+	i.ready(1)
+	assert.Equal(t, i.send(http.MethodGet, "/read/7", "k2").status, http.StatusOK)
+	s.configure(2, "k1")
+	eventually(t, "version 2 is in force", func() bool { return i.parts.views.load().table.Version == 2 })
+	assert.Equal(t, i.send(http.MethodGet, "/read/7", "k2").status, http.StatusUnauthorized)
+	s.configure(1, "k1", "k2")
+	s.register(newBackend(t, "i-2"), "v1", "ready")
+	i.ready(2)
+	assert.Equal(t, i.send(http.MethodGet, "/read/7", "k2").status, http.StatusUnauthorized, "versions never go back")
+}
+
+// hijack answers with raw bytes and closes the connection.
+func hijack(t *testing.T, raw string) *http.HandlerFunc {
+	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		assert.Check(t, err)
+		_, err = io.WriteString(c, raw)
+		assert.Check(t, err)
+		assert.Check(t, c.Close())
+	})
+	return &h
+}
+
+func TestABrokenAnswerIsRepeatedOnlyWhereThatIsAllowed(t *testing.T) {
+	for name, raw := range map[string]string{
+		"no answer": "",
+		"cut":       "HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt-1\r\nContent-Length: 100\r\n\r\nhalf",
+		"foreign":   "HTTP/1.1 200 OK\r\nX-Attempt-Id: another\r\nContent-Length: 2\r\n\r\nno",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t)
+			s.configure(1, "k1")
+			broken, sound := newBackend(t, "i-1"), newBackend(t, "i-2")
+			broken.answer.Store(hijack(t, raw))
+			s.register(broken, "v1", "ready")
+			i := s.start("e1")
+			defer i.stop()
+			i.ready(1)
+			got := i.send(http.MethodPost, "/file/7", "k1")
+			assert.Equal(t, got.status, http.StatusBadGateway)
+			assert.Equal(t, len(broken.requests()), 1, "it may have run")
+			s.register(sound, "v1", "ready")
+			i.ready(2)
+			for range 4 {
+				got = i.send(http.MethodGet, "/read/7", "k1")
+				assert.Equal(t, got.status, http.StatusOK)
+				assert.Equal(t, got.body, "from i-2")
+			}
+		})
+	}
+}
+
+func TestAPromiseOfAnUpstreamLetsAFilingGoElsewhere(t *testing.T) {
+	s := newSystem(t)
+	s.configure(1, "k1")
+	full, sound := newBackend(t, "i-1"), newBackend(t, "i-2")
+	shed := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headers.NotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	full.answer.Store(&shed)
+	s.register(full, "v1", "ready")
+	i := s.start("e1")
+	defer i.stop()
+	i.ready(1)
+	got := i.send(http.MethodPost, "/file/7", "k1")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	s.register(sound, "v1", "ready")
+	i.ready(2)
+	for range 4 {
+		got = i.send(http.MethodPost, "/file/7", "k1")
+		assert.Equal(t, got.body, "from i-2")
+	}
+}
+
+func TestAFailureOfAnUpstreamIsPassedOnUnchanged(t *testing.T) {
+	s := newSystem(t)
+	s.configure(1, "k1")
+	b := newBackend(t, "i-1")
+	failure := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Backend-Stamp", "failed")
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, "no")
+	})
+	b.answer.Store(&failure)
+	s.register(b, "v1", "ready")
+	i := s.start("e1")
+	defer i.stop()
+	i.ready(1)
+	got := i.send(http.MethodGet, "/read/7", "k1")
+	assert.Equal(t, got.status, http.StatusInternalServerError)
+	assert.Equal(t, got.header.Get("X-Backend-Stamp"), "failed")
+	assert.Equal(t, got.body, "no")
+}
+
+func TestADrainingUpstreamGetsNothing(t *testing.T) {
+	s := newSystem(t)
+	s.configure(1, "k1")
+	leaving, staying := newBackend(t, "i-1"), newBackend(t, "i-2")
+	s.register(leaving, "v1", "ready")
+	s.register(staying, "v1", "ready")
+	i := s.start("e1")
+	defer i.stop()
+	i.ready(2)
+	s.register(leaving, "v1", "draining")
+	s.put("op/evacuate/elsewhere", "{}")
+	eventually(t, "the evacuation, which came later, is known", func() bool {
+		found := make(chan bool, 1)
+		i.control.post(inspect(func(c *control) { found <- c.evacuated["elsewhere"] }))
+		return <-found
+	})
+	for range 8 {
+		assert.Equal(t, i.send(http.MethodGet, "/read/7", "k1").body, "from i-2")
+	}
+	s.remove("servers/i-1")
+	i.ready(1)
+}
+
+// inspect is an event that looks at the control state.
+type inspect func(c *control)
+
+func (f inspect) apply(c *control, _ time.Time) { f(c) }
+
+func TestAnInstanceThatTheStoreTurnsAwayPullsFromAnother(t *testing.T) {
+	s := newSystem(t)
+	s.configure(1, "k1")
+	s.register(newBackend(t, "i-1"), "v1", "ready")
+	first := s.start("e1")
+	defer first.stop()
+	proxy := newProxy(t, strings.TrimPrefix(s.url, "http://"))
+	direct := s.url
+	s.url = "http://" + proxy.listener.Addr().String()
+	second := s.start("e2")
+	defer second.stop()
+	s.url = direct
+	first.ready(1)
+	second.ready(1)
+	knows := func(i *instance, n int) func() bool {
+		return func() bool { return len(i.parts.views.load().peers.All) == n }
+	}
+	eventually(t, "they know each other", func() bool { return knows(first, 1)() && knows(second, 1)() })
+	proxy.close()
+	s.configure(2, "k9")
+	eventually(t, "version 2 is in force at the other one", func() bool { return second.parts.views.load().table.Version == 2 })
+	assert.Equal(t, second.send(http.MethodGet, "/read/7", "k1").status, http.StatusUnauthorized)
+}
+
+// proxy passes connections on until it is closed.
+type proxy struct {
+	listener net.Listener
+	mu       sync.Mutex
+	conns    []net.Conn
+}
+
+func newProxy(t *testing.T, target string) *proxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	p := &proxy{listener: listener}
+	t.Cleanup(p.close)
+	go func() {
+		for {
+			client, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			server, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = client.Close()
+				continue
+			}
+			p.mu.Lock()
+			p.conns = append(p.conns, client, server)
+			p.mu.Unlock()
+			go func() { _, _ = io.Copy(server, client) }()
+			go func() { _, _ = io.Copy(client, server) }()
+		}
+	}()
+	return p
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		_ = c.Close()
+	}
+}
+
+func TestAStopCutsNoRequest(t *testing.T) {
+	s := newSystem(t)
+	s.configure(1, "k1")
+	b := newBackend(t, "i-1")
+	release := make(chan struct{})
+	slow := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		_, _ = io.WriteString(w, "late")
+	})
+	b.answer.Store(&slow)
+	s.register(b, "v1", "ready")
+	i := s.start("e1")
+	i.ready(1)
+	done := make(chan clientAnswer, 1)
+	go func() { done <- i.send(http.MethodGet, "/read/7", "k1") }()
+	eventually(t, "the request is at the upstream", func() bool { return len(b.requests()) == 1 })
+	stopped := make(chan struct{})
+	go func() {
+		i.stop()
+		close(stopped)
+	}()
+	eventually(t, "the instance says that it leaves", func() bool { return i.parts.views.load().leaving })
+	response, err := http.Get("http://" + i.parts.settings.ReadyListen + headers.PathReady)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	close(release)
+	got := <-done
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, "late")
+	<-stopped
+}
+
+func TestTheDirectoryNamesLiveInstances(t *testing.T) {
+	s := newSystem(t)
+	s.configure(1, "k1")
+	first, second := s.start("e1"), s.start("e2")
+	defer first.stop()
+	first.ready(0)
+	addresses := func() []string {
+		response, err := http.Get("http://" + first.parts.settings.DirectoryListen + headers.PathDirectory + "?name=a.example&region=east&zone=east-1")
+		assert.NilError(t, err)
+		defer response.Body.Close()
+		var body struct {
+			Addresses []string `json:"addrs"`
+		}
+		assert.NilError(t, json.NewDecoder(bufio.NewReader(response.Body)).Decode(&body))
+		return body.Addresses
+	}
+	eventually(t, "both are named", func() bool { return len(addresses()) == 2 })
+	second.stop()
+	eventually(t, "one is named", func() bool { return len(addresses()) == 1 })
+	assert.DeepEqual(t, addresses(), []string{first.parts.settings.Listen})
+}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -23,6 +23,10 @@
 	timeReserve = 0.85
 )
 
+// ejectedPart is the part of the upstreams, as its inverse, that must stay in use
+// whatever they do: when more fail, the fault is not theirs alone.
+const ejectedPart = 2
+
 // Self says where the instance is.
 type Self struct {
 	FailureDomain string
@@ -224,12 +228,19 @@
 
 // candidates returns the upstreams that may serve the request.
 func (p *Pool) candidates(now time.Time, s *service, q Query) []*target {
-	var usable []*target
+	var ready, usable []*target
 	for _, t := range s.targets {
-		if t.usable(now) && p.allows(t, q) {
+		if t.upstream.State != registry.Ready || !p.allows(t, q) {
+			continue
+		}
+		ready = append(ready, t)
+		if t.usable(now) {
 			usable = append(usable, t)
 		}
 	}
+	if len(usable) < len(ready)/ejectedPart {
+		return ready
+	}
 	return usable
 }
 
--- /dev/null
+++ b/placement/pool_test.go
@@ -0,0 +1,186 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphireferry.example/ferry/registry"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// at returns a time in seconds after the start.
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+const slots = 4
+
+func upstreamIn(id, domain string) *registry.Upstream {
+	return &registry.Upstream{Entry: registry.Entry{
+		ID: id, Address: "10.0.0.1:80", Service: "lookup", Version: "v1", FailureDomain: domain, Slots: slots,
+	}}
+}
+
+// newPool returns a pool in the region east with n upstreams there.
+func newPool(n int, settings Settings) *Pool {
+	p := NewPool(Self{FailureDomain: "east-1", Region: "east"})
+	var all []*registry.Upstream
+	for i := range n {
+		all = append(all, upstreamIn(fmt.Sprintf("u%02d", i), "east-1"))
+	}
+	settings.Regions = map[string]string{"east-1": "east", "west-1": "west"}
+	p.Update(all, settings)
+	p.Balance(at(0), nil)
+	return p
+}
+
+func query(object uint64) Query { return Query{Service: "lookup", Object: mix(object)} }
+
+// acquire takes a place and returns the name of the upstream, empty when refused.
+func acquire(p *Pool, seconds float64, object uint64) (*Lease, string) {
+	lease, refusal := p.Acquire(at(seconds), query(object))
+	if refusal != Chosen {
+		return nil, ""
+	}
+	return lease, lease.Upstream.Name
+}
+
+func TestAnObjectKeepsItsUpstream(t *testing.T) {
+	p := newPool(6, Settings{})
+	before := map[uint64]string{}
+	for object := range uint64(200) {
+		lease, name := acquire(p, 1, object)
+		lease.Release(at(1), Answered, Load{})
+		before[object] = name
+		lease, again := acquire(p, 1, object)
+		lease.Release(at(1), Answered, Load{})
+		assert.Equal(t, again, name)
+	}
+	larger := newPool(7, Settings{})
+	moved := 0
+	for object, name := range before {
+		lease, now := acquire(larger, 1, object)
+		lease.Release(at(1), Answered, Load{})
+		if now != name {
+			moved++
+			assert.Equal(t, now, "u06", "an object moves to the new upstream only")
+		}
+	}
+	assert.Assert(t, moved > 0 && moved < 60, "%d of 200 objects moved", moved)
+}
+
+// TestAnObjectHasTwoUpstreams is the case of an overload in which every upstream got
+// every object and knew none: each answer took three times as long.
+func TestAnObjectHasTwoUpstreams(t *testing.T) {
+	p := newPool(6, Settings{})
+	used := map[string]int{}
+	refused := 0
+	for range 100 {
+		_, name := acquire(p, 1, 7)
+		if name == "" {
+			refused++
+			continue
+		}
+		used[name]++
+	}
+	assert.Equal(t, len(used), homes)
+	assert.Assert(t, refused > 0)
+	for name, n := range used {
+		assert.Assert(t, n <= slots*(1+longestQueue), "%s has %d", name, n)
+	}
+}
+
+// TestAFullUpstreamIsNotPassedOver is the case of SHIFT on drawn days: what a region
+// with two upstreams had no room for went to other regions in a burst.
+func TestAFullUpstreamIsNotPassedOver(t *testing.T) {
+	p := newPool(2, Settings{})
+	p.Update([]*registry.Upstream{upstreamIn("u00", "east-1"), upstreamIn("u01", "east-1"), upstreamIn("far", "west-1")}, p.settings)
+	p.services["lookup"].shares.parts = map[string]float64{"east": 1}
+	for range 2 {
+		lease, name := acquire(p, 1, 7)
+		assert.Assert(t, name != "far")
+		lease.Release(at(1), Shed, Load{})
+	}
+	_, name := acquire(p, 1, 7)
+	assert.Equal(t, name, "")
+}
+
+func TestFailuresEjectAndSuccessesDoNot(t *testing.T) {
+	p := newPool(4, Settings{})
+	_, home := acquire(p, 0, 7)
+	for range failuresToEject {
+		lease, name := acquire(p, 1, 7)
+		assert.Equal(t, name, home)
+		lease.Release(at(1), Failed, Load{})
+	}
+	_, name := acquire(p, 1, 7)
+	assert.Assert(t, name != home)
+	_, name = acquire(p, 1+minEjection.Seconds(), 7)
+	assert.Equal(t, name, home)
+}
+
+func TestHalfOfTheUpstreamsStayInUse(t *testing.T) {
+	p := newPool(2, Settings{})
+	for range 10 * failuresToEject {
+		lease, name := acquire(p, 1, 7)
+		assert.Assert(t, name != "")
+		lease.Release(at(1), Failed, Load{})
+	}
+}
+
+func TestALoadReportOfOthersCounts(t *testing.T) {
+	p := newPool(3, Settings{})
+	lease, home := acquire(p, 1, 7)
+	lease.Release(at(1), Answered, Load{Known: true, Requests: 3 * slots})
+	_, name := acquire(p, 1, 7)
+	assert.Assert(t, name != home)
+	_, name = acquire(p, 1+reportAge.Seconds()+0.1, 7)
+	assert.Equal(t, name, home)
+}
+
+func TestWhatCannotBeAnsweredInTimeIsRefused(t *testing.T) {
+	p := newPool(1, Settings{})
+	lease, _ := acquire(p, 0, 7)
+	lease.Release(at(1), Answered, Load{})
+	q := query(7)
+	q.TimeLeft = 500 * time.Millisecond
+	_, refusal := p.Acquire(at(2), q)
+	assert.Equal(t, refusal, Chosen, "an idle upstream is tried")
+	for range slots - 1 {
+		p.Acquire(at(2), q)
+	}
+	_, refusal = p.Acquire(at(2), q)
+	assert.Equal(t, refusal, AllBusy)
+}
+
+func TestEvacuatedAndDrainingUpstreamsGetNothing(t *testing.T) {
+	p := newPool(1, Settings{Evacuated: map[string]bool{"east-1": true}})
+	_, refusal := p.Acquire(at(0), query(7))
+	assert.Equal(t, refusal, NoneInReach)
+	p = newPool(0, Settings{})
+	leaving := upstreamIn("u00", "east-1")
+	leaving.State = registry.Draining
+	p.Update([]*registry.Upstream{leaving}, Settings{})
+	_, refusal = p.Acquire(at(0), query(7))
+	assert.Equal(t, refusal, NoneInReach)
+}
+
+func TestAColdUpstreamGetsItsRate(t *testing.T) {
+	limit := ColdLimit{Until: at(10), Rate: 2}
+	p := newPool(1, Settings{Cold: map[string]ColdLimit{"u00": limit}})
+	got := 0
+	for i := range 500 {
+		lease, name := acquire(p, float64(i)/100, 7)
+		if name != "" {
+			got++
+			lease.Release(at(float64(i)/100), Answered, Load{})
+		}
+	}
+	assert.Assert(t, got >= 8 && got <= 10, "%d requests in 5 s", got)
+	lease, _ := acquire(p, 10, 7)
+	assert.Assert(t, lease != nil, "it is warm")
+}
--- /dev/null
+++ b/placement/regions_test.go
@@ -0,0 +1,61 @@
+package placement
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestTargetShares(t *testing.T) {
+	slots := map[string]float64{"east": 10, "north": 20, "west": 30}
+	for _, c := range []struct {
+		name   string
+		demand Demand
+		want   map[string]float64
+	}{
+		{"little demand stays", Demand{"east": 5, "north": 5, "west": 5}, map[string]float64{"east": 1, "north": 0, "west": 0}},
+		{"even demand is spread by slots", Demand{"east": 60, "north": 60, "west": 60}, map[string]float64{"east": 0.5, "north": 0, "west": 0.5}},
+		{"demand where there is room stays", Demand{"east": 5, "north": 60, "west": 60}, map[string]float64{"east": 1, "north": 0, "west": 0}},
+		{"nothing is known", nil, map[string]float64{"east": 0.5, "north": 0, "west": 0.5}},
+	} {
+		got := targetShares("east", c.demand, slots, 1)
+		for region, want := range c.want {
+			assert.Assert(t, math.Abs(got[region]-want) < 1e-9, "%s: %v", c.name, got)
+		}
+	}
+	assert.DeepEqual(t, targetShares("east", nil, nil, 1), map[string]float64{"east": 1})
+}
+
+func TestSharesMoveBySmallSteps(t *testing.T) {
+	s := &shares{}
+	s.step(at(0), map[string]float64{"east": 1})
+	s.step(at(1), map[string]float64{"west": 1})
+	assert.Assert(t, math.Abs(s.parts["east"]-(1-maxStep)) < 1e-9)
+	assert.Assert(t, math.Abs(s.parts["west"]-maxStep) < 1e-9)
+	s.step(at(60), map[string]float64{"west": 1})
+	assert.Assert(t, math.Abs(s.parts["west"]-3*maxStep) < 1e-9, "a long pause is no large step")
+}
+
+func TestObjectsFollowTheSharesOfTheRegions(t *testing.T) {
+	const objects = 4000
+	regions := []string{"east", "north", "west"}
+	s := &shares{parts: map[string]float64{"east": 0.5, "west": 0.5}}
+	first := func() map[uint64]string {
+		chosen := map[uint64]string{}
+		for object := range uint64(objects) {
+			chosen[object] = s.orderRegions(mix(object), regions)[0]
+		}
+		return chosen
+	}
+	before := first()
+	s.parts = map[string]float64{"east": 0.6, "west": 0.4}
+	moved := 0
+	for object, region := range first() {
+		if region != before[object] {
+			moved++
+			assert.Equal(t, region, "east")
+		}
+	}
+	assert.Assert(t, math.Abs(float64(moved)/objects-0.1) < 0.02, "%d objects moved", moved)
+}
--- a/quota/divider.go
+++ b/quota/divider.go
@@ -174,6 +174,10 @@
 		if first {
 			continue
 		}
+		if len(c.announced.samples) == 0 {
+			// Until now the others know of no demand.
+			c.announced.add(now, 0)
+		}
 		c.demand += smoothing * (arrived/elapsed - c.demand)
 		c.announced.add(now, c.demand)
 		settled := c.announced.settledLow()
