--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -37,6 +37,8 @@
 	// whole says that read is the whole body.
 	whole bool
 	lease *placement.Lease
+	// took is the time of the attempt that got the answer.
+	took time.Duration
 }
 
 // attempts sends the request to one upstream after the other until one answers
@@ -70,12 +72,17 @@
 		return nil, err
 	}
 	x.tried = append(x.tried, lease.Upstream.Name)
+	sent := time.Now()
+	defer func() {
+		x.parts.metrics.Histogram("ferry_attempt_seconds", "service", x.service.Name).UpdateDuration(sent)
+	}()
 	response, err := x.parts.upstreams.Send(ctx, lease.Upstream, x.service, x.request)
 	if err == nil {
 		var got *answer
 		got, err = readAnswer(response, lease)
 		if err == nil {
 			x.ran++
+			got.took = time.Since(sent)
 			x.observe(got)
 			return got, nil
 		}
@@ -91,8 +98,10 @@
 	x.parts.log.Info("attempt failed",
 		zap.String("request_id", x.caller.AttemptID),
 		zap.String("upstream", lease.Upstream.Name),
+		zap.Float64("upstream_use", lease.Use),
+		zap.Duration("at_upstream", time.Since(sent)),
 		zap.Duration("age", time.Since(x.started)),
-		zap.Error(err),
+		zap.String("error", err.Error()),
 	)
 	return nil, err
 }
@@ -203,6 +212,11 @@
 	return true
 }
 
+// observeLatency takes in the time since the request came.
+func (x *exchange) observeLatency(outcome string) {
+	x.parts.metrics.Histogram("ferry_request_seconds", "service", x.service.Name, "outcome", outcome).UpdateDuration(x.started)
+}
+
 func (x *exchange) countRetry(reason telemetry.RetryReason) {
 	x.parts.metrics.Retried(reason, x.service.Name, x.customerName())
 }
@@ -236,15 +250,8 @@
 	if got.Status == http.StatusNoContent || got.Status == http.StatusNotModified {
 		out.Del("Content-Length")
 	}
-	x.parts.log.Debug("request served",
-		zap.String("request_id", x.caller.AttemptID),
-		zap.String("service", x.service.Name),
-		zap.String("customer", x.customerName()),
-		zap.String("object", x.caller.ObjectKey),
-		zap.Strings("tried", x.tried),
-		zap.Int("status", got.Status),
-		zap.Duration("age", time.Since(x.started)),
-	)
+	x.observeLatency("served")
+	x.logServed(got)
 	x.answered = true
 	x.w.WriteHeader(got.Status)
 	_, err := x.w.Write(got.read)
@@ -260,6 +267,34 @@
 	return nil
 }
 
+// logServed writes a line for an answer, at the level info when it is later than
+// the route aims at.
+func (x *exchange) logServed(got *answer) {
+	age := time.Since(x.started)
+	level, message := zap.DebugLevel, "request served"
+	if x.route.TargetLatency > 0 && age > x.route.TargetLatency {
+		level, message = zap.InfoLevel, "request served late"
+	}
+	line := x.parts.log.Check(level, message)
+	if line == nil {
+		return
+	}
+	line.Write(
+		zap.String("request_id", x.caller.AttemptID),
+		zap.String("route", x.route.Name),
+		zap.String("service", x.service.Name),
+		zap.String("customer", x.customerName()),
+		zap.String("object", x.caller.ObjectKey),
+		zap.Uint64("config_version", x.configVersion()),
+		zap.Strings("tried", x.tried),
+		zap.String("upstream_region", got.lease.Upstream.Region),
+		zap.Float64("upstream_use", got.lease.Use),
+		zap.Int("status", got.Status),
+		zap.Duration("age", age),
+		zap.Duration("at_upstream", got.took),
+	)
+}
+
 // resultOf returns what a failed attempt shows about its upstream.
 func resultOf(ctx context.Context, err error) placement.Result {
 	status, _ := upstream.RefusedAnswer(err)
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -60,11 +60,11 @@
 }
 
 // New wires an instance. It opens nothing yet.
-func New(settings *static.EdgeSettings, log *zap.Logger) (*Instance, error) {
+func New(settings *static.EdgeSettings, log *zap.Logger, metrics *telemetry.Metrics) (*Instance, error) {
 	injector := do.New()
 	do.ProvideValue(injector, settings)
 	do.ProvideValue(injector, log)
-	do.ProvideValue(injector, telemetry.New())
+	do.ProvideValue(injector, metrics)
 	do.Provide(injector, provideStore)
 	do.Provide(injector, providePeers)
 	do.Provide(injector, provideUpstreams)
--- a/edge/instance_test.go
+++ b/edge/instance_test.go
@@ -24,6 +24,7 @@
 	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/platform/headers"
 	standin "samphireferry.example/ferry/standin/platform"
+	"samphireferry.example/ferry/telemetry"
 )
 
 // backend is an upstream that speaks as the platform's upstreams do.
@@ -138,7 +139,7 @@
 		"-platform", s.url, "-grace", "3s", "-heartbeat-interval", "100ms",
 	}, io.Discard)
 	assert.NilError(s.t, err)
-	i, err := New(settings, zap.NewNop())
+	i, err := New(settings, zap.NewNop(), telemetry.New())
 	assert.NilError(s.t, err)
 	assert.NilError(s.t, i.Start())
 	return &instance{Instance: i, t: s.t}
--- a/edge/main.go
+++ b/edge/main.go
@@ -52,11 +52,13 @@
 }
 
 func run(settings *static.EdgeSettings, output io.Writer) error {
-	log, err := telemetry.NewLog(output, settings.LogLevel)
+	metrics := telemetry.New()
+	log, err := telemetry.NewBoundedLog(output, settings.LogLevel, metrics)
 	if err != nil {
 		return err
 	}
-	instance, err := New(settings, log)
+	defer log.Close()
+	instance, err := New(settings, log.Logger, metrics)
 	if err != nil {
 		return err
 	}
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -179,6 +179,14 @@
 	return xxhash.Sum64String(x.caller.ObjectKey)
 }
 
+// configVersion is 0 while there is no configuration.
+func (x *exchange) configVersion() uint64 {
+	if x.view.table == nil {
+		return 0
+	}
+	return x.view.table.Version
+}
+
 // customerName is empty on open routes.
 func (x *exchange) customerName() string {
 	if x.customer == nil {
@@ -207,13 +215,18 @@
 		service = x.service.Name
 	}
 	x.parts.metrics.Refused(kind, service, customer)
+	if x.service != nil {
+		x.observeLatency("refused")
+	}
 	x.parts.log.Info("request refused",
 		zap.String("request_id", x.caller.AttemptID),
 		zap.String("kind", kind.String()),
 		zap.String("service", service),
 		zap.String("customer", customer),
+		zap.Uint64("config_version", x.configVersion()),
 		zap.Strings("tried", x.tried),
 		zap.Int("ran", x.ran),
+		zap.Duration("caller_deadline", x.caller.Deadline),
 		zap.Duration("age", time.Since(x.started)),
 		zap.String("error", err.Error()),
 	)
--- a/placement/lease.go
+++ b/placement/lease.go
@@ -40,8 +40,9 @@
 	service  *service
 	target   *target
 	begun    time.Time
-	// use is the estimated number of requests for each slot, this one included.
-	use float64
+	// Use is the estimated number of requests for each slot of the upstream when the
+	// place was taken, this one included.
+	Use float64
 }
 
 // Release gives the place back with what the attempt has shown.
@@ -56,7 +57,7 @@
 	switch result {
 	case Answered:
 		t.succeed()
-		l.service.served(time.Duration(float64(now.Sub(l.begun)) / max(l.use, 1)))
+		l.service.served(time.Duration(float64(now.Sub(l.begun)) / max(l.Use, 1)))
 	case Failed, Unreachable:
 		t.fail(now)
 	case Shed:
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -223,7 +223,7 @@
 		chosen.cold.take()
 	}
 	chosen.inFlight++
-	return &Lease{pool: p, service: s, target: chosen, Upstream: chosen.route, begun: now, use: float64(chosen.load(now)) / float64(chosen.upstream.Slots)}, Chosen
+	return &Lease{pool: p, service: s, target: chosen, Upstream: chosen.route, begun: now, Use: float64(chosen.load(now)) / float64(chosen.upstream.Slots)}, Chosen
 }
 
 // candidates returns the upstreams that may serve the request.
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -14,8 +14,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "log level")
 	}
+	return zap.New(zapcore.NewCore(newEncoder(), zapcore.Lock(zapcore.AddSync(output)), parsed)), nil
+}
+
+func newEncoder() zapcore.Encoder {
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.Lock(zapcore.AddSync(output)), parsed)
-	return zap.New(core), nil
+	return zapcore.NewJSONEncoder(config)
 }
