--- a/quota/divider.go
+++ b/quota/divider.go
@@ -29,7 +29,7 @@
 
 // burstPart is the part of what a customer may have in one window that may come
 // at once. The rest is spread over the window.
-const burstPart = 0.1
+const burstPart = 0.02
 
 // Windowed returns the rate and burst of a token bucket that admits at most
 // rate x window + burst requests in any window, also in each one after the other.
