--- a/edge/demand.go
+++ b/edge/demand.go
@@ -5,7 +5,6 @@
 
 	"go.uber.org/zap"
 
-	"samphireferry.example/ferry/membership"
 	"samphireferry.example/ferry/placement"
 	"samphireferry.example/ferry/rpc/entrypb"
 )
@@ -62,7 +61,9 @@
 		add(service, c.parts.settings.Region, perSecond)
 	}
 	for _, p := range c.members.Snapshot(now).All {
-		if p.State == nil || p.Health == membership.Silent {
+		// The last word of a peer that is silent counts on: it may be cut off and
+		// serve.
+		if p.State == nil {
 			continue
 		}
 		for _, load := range p.State.GetLoads() {
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -48,6 +48,7 @@
 	targets []*target
 	regions []string
 	shares  shares
+	spill   spillGate
 	// arrivals counts requests, not attempts.
 	arrivals uint64
 	// work is a moving average of the time that an upstream works on a request,
@@ -104,7 +105,7 @@
 	if s == nil {
 		s = &service{}
 		if known := old[name]; known != nil {
-			s.shares, s.arrivals, s.work = known.shares, known.arrivals, known.work
+			s.shares, s.spill, s.arrivals, s.work = known.shares, known.spill, known.arrivals, known.work
 		}
 		p.services[name] = s
 	}
@@ -221,13 +222,14 @@
 	}
 	if len(q.Tried) == 0 {
 		s.arrivals++
+		s.spill.arrive(now)
 	}
 	candidates := p.candidates(now, s, q)
 	if len(candidates) == 0 {
 		return nil, NoneInReach
 	}
 	s.order(candidates, q.Object)
-	chosen := p.choose(now, candidates, s.longestUse(q.TimeLeft))
+	chosen := p.choose(now, s, candidates, s.longestUse(q.TimeLeft))
 	if chosen == nil {
 		return nil, AllBusy
 	}
@@ -285,8 +287,10 @@
 // choose returns the upstream that knows the object while its queue is short, or
 // the object's second one when that has a free slot, or the one of both with the
 // shorter queue; nil when both queues are long. A cold upstream that takes nothing
-// now is passed over, a full one is not: its requests would flood the others.
-func (p *Pool) choose(now time.Time, candidates []*target, longestUse float64) *target {
+// now is passed over, a full one is not: its requests would flood the others. The
+// second upstream is in another region where a region has only one; then the spill
+// gate decides.
+func (p *Pool) choose(now time.Time, s *service, candidates []*target, longestUse float64) *target {
 	var shortest *target
 	best := min(1+longestQueue, longestUse)
 	eligible := 0
@@ -302,10 +306,13 @@
 			continue
 		}
 		use := float64(t.load(now)+1) / float64(t.upstream.Slots)
+		far := t.region != candidates[0].region
 		switch {
-		case eligible == 1 && use <= min(1+homeQueue, longestUse), use <= 1:
+		case eligible == 1 && use <= min(1+homeQueue, longestUse), !far && use <= 1:
 			return t
-		case use <= best:
+		case far && use <= 1 && s.spill.take():
+			return t
+		case !far && use <= best:
 			best, shortest = use, t
 		}
 	}
--- a/placement/pool_test.go
+++ b/placement/pool_test.go
@@ -184,3 +184,29 @@
 	lease, _ := acquire(p, 10, 7)
 	assert.Assert(t, lease != nil, "it is warm")
 }
+
+// TestASpillGrowsBySmallSteps is the case of a region with one upstream left: when
+// its callers asked more, a third of their requests changed the region within 2 s
+// (SHIFT, cut-scale-in, seed 1).
+func TestASpillGrowsBySmallSteps(t *testing.T) {
+	p := newPool(1, Settings{})
+	p.Update([]*registry.Upstream{upstreamIn("u00", "east-1"), upstreamIn("far", "west-1")}, p.settings)
+	p.services["lookup"].shares.parts = map[string]float64{"east": 1}
+	for range 2 * slots {
+		acquire(p, 0, 7)
+	}
+	spilled := func(from, to float64) int {
+		n := 0
+		for s := from; s < to; s += 0.01 {
+			lease, name := acquire(p, s, 7)
+			if name == "far" {
+				n++
+				lease.Release(at(s), Answered, Load{})
+			}
+		}
+		return n
+	}
+	first, later := spilled(1, 3), spilled(3, 10)
+	assert.Assert(t, first <= 15, "%d of 200 in the first 2 s", first)
+	assert.Assert(t, later > first, "%d of 700 later", later)
+}
--- a/placement/regions.go
+++ b/placement/regions.go
@@ -15,7 +15,7 @@
 	easyUse = 0.3
 	// maxStep bounds the change of a share in one second, so that no region sees a
 	// sudden shift of traffic.
-	maxStep = 0.04
+	maxStep = 0.025
 	// leastService is taken for the service time while none has been measured.
 	leastService = 200 * time.Millisecond
 )
