--- a/docs/names_test.go
+++ b/docs/names_test.go
@@ -159,6 +159,26 @@
 	assert.Assert(t, checked > 20)
 }
 
+// logField matches the name of a field of a log line in the code.
+var logField = regexp.MustCompile(`zap\.[A-Z][A-Za-z0-9]*\("([a-z_]+)"`)
+
+// source returns the code of a package without its tests.
+func source(t *testing.T, folder string) string {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(folder, "*.go"))
+	assert.NilError(t, err)
+	var text strings.Builder
+	for _, file := range files {
+		if strings.HasSuffix(file, "_test.go") {
+			continue
+		}
+		data, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		text.Write(data)
+	}
+	return text.String()
+}
+
 // pages are those that name things of the code.
 var pages = []string{"OPERATIONS.md", "CALLERS.md", "SHIFTS.md", "../README.md"}
 
@@ -177,6 +197,7 @@
 		sorted([]operator.InstanceState{operator.StateInForce, operator.StateCutOff}),
 		sorted([]dynamic.RouteKind{dynamic.AtMostOnce}),
 		names(firstColumn, section(t, page(t, "OPERATIONS.md"), "## Counters")),
+		names(logField, source(t, "../edge")),
 		// Fields of a refusal, and values of labels.
 		{"request_id", "not_sent", "compare_and_swap"},
 	} {
--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -122,20 +123,25 @@
 	case placement.NoneInReach:
 		return nil, errkind.New(errkind.NoUpstream, "")
 	case placement.AllBusy:
-		return nil, errkind.New(errkind.Overloaded, "")
+		home, use := x.parts.pool.Home(time.Now(), x.query(x.object(), versions.allows(x.wantsNew)))
+		return nil, errkind.New(errkind.Overloaded, fmt.Sprintf("upstream %s has %.2f requests for each slot", home, use))
 	}
 	return lease, nil
 }
 
 func (x *exchange) acquireOf(object uint64, allows func(version string) bool) (*placement.Lease, placement.Refusal) {
-	return x.parts.pool.Acquire(time.Now(), placement.Query{
+	return x.parts.pool.Acquire(time.Now(), x.query(object, allows))
+}
+
+func (x *exchange) query(object uint64, allows func(version string) bool) placement.Query {
+	return placement.Query{
 		Service:       x.service.Name,
 		Object:        object,
 		AllowsVersion: allows,
 		AllowsRegion:  x.allowsRegion,
 		Tried:         x.tried,
 		TimeLeft:      time.Until(x.deadline()),
-	})
+	}
 }
 
 // recordVersion counts the answer of a version under a roll-out.
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -223,6 +223,7 @@
 		zap.String("kind", kind.String()),
 		zap.String("service", service),
 		zap.String("customer", customer),
+		zap.String("object", x.caller.ObjectKey),
 		zap.Uint64("config_version", x.configVersion()),
 		zap.Strings("tried", x.tried),
 		zap.Int("ran", x.ran),
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -240,6 +240,24 @@
 	return &Lease{pool: p, service: s, target: chosen, Upstream: chosen.route, begun: now, Use: float64(chosen.load(now)) / float64(chosen.upstream.Slots)}, Chosen
 }
 
+// Home returns the upstream that knows the object and its estimated requests for each
+// slot, for the explanation of a refusal. The name is empty when there is none.
+func (p *Pool) Home(now time.Time, q Query) (name string, use float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.services[q.Service]
+	if s == nil {
+		return "", 0
+	}
+	candidates := p.candidates(now, s, q)
+	if len(candidates) == 0 {
+		return "", 0
+	}
+	s.order(candidates, q.Object)
+	home := candidates[0]
+	return home.upstream.ID, float64(home.load(now)) / float64(home.upstream.Slots)
+}
+
 // candidates returns the upstreams that may serve the request.
 func (p *Pool) candidates(now time.Time, s *service, q Query) []*target {
 	var ready, usable []*target
