--- a/config/static/edge.go
+++ b/config/static/edge.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/peterbourgon/ff/v3"
 	"go.uber.org/zap/zapcore"
 
 	"samphireferry.example/ferry/units"
@@ -75,27 +74,22 @@
 // returns flag.ErrHelp after -help, and otherwise one error for each bad setting.
 func ParseEdge(program string, args []string, output io.Writer) (*EdgeSettings, error) {
 	settings := &EdgeSettings{Domains: map[string]string{}}
-	fs := flag.NewFlagSet(program, flag.ContinueOnError)
-	fs.SetOutput(output)
-	settings.flags(fs)
-	fs.String("config", "", "file of settings, JSON with comments")
-	err := ff.Parse(fs, args,
-		ff.WithEnvVarPrefix(EdgeEnvPrefix),
-		ff.WithConfigFileFlag("config"),
-		ff.WithConfigFileParser(ParseCommentedJSON),
-	)
+	err := parseInto(program, EdgeEnvPrefix, args, output, settings.flags)
 	if err != nil {
 		return nil, err
 	}
-	if fs.NArg() > 0 {
-		return nil, errors.Newf("unexpected argument %q", fs.Arg(0))
-	}
 	if settings.ShowVersion {
 		return settings, nil
 	}
 	return settings, settings.Validate()
 }
 
+// VersionOnly says that only the version is asked for.
+func (s *EdgeSettings) VersionOnly() bool { return s.ShowVersion }
+
+// CheckOnly says that only a check of the settings is asked for.
+func (s *EdgeSettings) CheckOnly() bool { return s.Check }
+
 func (s *EdgeSettings) flags(fs *flag.FlagSet) {
 	fs.StringVar(&s.Name, "name", "", "unique name of the instance (required)")
 	fs.StringVar(&s.Region, "region", "", "region of the instance (required)")
--- a/config/static/parse.go
+++ b/config/static/parse.go
@@ -15,26 +15,42 @@
 // flag.ErrHelp after -help, and otherwise one error for each bad setting.
 func Parse(program string, args []string, output io.Writer) (*Settings, error) {
 	settings := &Settings{}
+	err := parseInto(program, EnvPrefix, args, output, settings.flags)
+	if err != nil {
+		return nil, err
+	}
+	if settings.ShowVersion {
+		return settings, nil
+	}
+	settings.fillDefaults()
+	return settings, settings.Validate()
+}
+
+// VersionOnly says that only the version is asked for.
+func (s *Settings) VersionOnly() bool { return s.ShowVersion }
+
+// CheckOnly says that only a check of the settings is asked for.
+func (s *Settings) CheckOnly() bool { return s.Check }
+
+// parseInto reads the registered settings from the arguments, the environment and
+// the file that the flag -config names.
+func parseInto(program, envPrefix string, args []string, output io.Writer, register func(*flag.FlagSet)) error {
 	fs := flag.NewFlagSet(program, flag.ContinueOnError)
 	fs.SetOutput(output)
-	settings.flags(fs)
+	register(fs)
 	fs.String("config", "", "file of settings, JSON with comments")
 	err := ff.Parse(fs, args,
-		ff.WithEnvVarPrefix(EnvPrefix),
+		ff.WithEnvVarPrefix(envPrefix),
 		ff.WithConfigFileFlag("config"),
 		ff.WithConfigFileParser(ParseCommentedJSON),
 	)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if fs.NArg() > 0 {
-		return nil, errors.Newf("unexpected argument %q", fs.Arg(0))
+		return errors.Newf("unexpected argument %q", fs.Arg(0))
 	}
-	if settings.ShowVersion {
-		return settings, nil
-	}
-	settings.fillDefaults()
-	return settings, settings.Validate()
+	return nil
 }
 
 // ParseCommentedJSON is an ff.ConfigFileParser for JSON with comments.
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -2,51 +2,20 @@
 
 import (
 	"context"
-	"flag"
-	"fmt"
 	"io"
 	"os/signal"
 	"syscall"
 
-	"github.com/cockroachdb/errors"
-
-	"samphireferry.example/ferry/buildinfo"
 	"samphireferry.example/ferry/config/static"
+	"samphireferry.example/ferry/internal/program"
 	"samphireferry.example/ferry/telemetry"
 )
 
-// The exit codes of Main.
-const (
-	exitDone     = 0
-	exitFailed   = 1
-	exitBadUsage = 2
-)
-
 // Main runs one entry instance until SIGTERM or SIGINT and returns the exit
 // code. Logs go to output as JSON lines, and errors in the settings to errOutput.
-func Main(program string, args []string, output, errOutput io.Writer) int {
-	settings, err := static.Parse(program, args, errOutput)
-	if errors.Is(err, flag.ErrHelp) {
-		return exitDone
-	}
-	if err != nil {
-		fmt.Fprintf(errOutput, "%s: %v\n", program, err)
-		return exitBadUsage
-	}
-	if settings.ShowVersion {
-		fmt.Fprintln(output, buildinfo.Version())
-		return exitDone
-	}
-	if settings.Check {
-		fmt.Fprintln(output, "the settings are valid")
-		return exitDone
-	}
-	err = run(settings, output)
-	if err != nil {
-		fmt.Fprintf(errOutput, "%s: %v\n", program, err)
-		return exitFailed
-	}
-	return exitDone
+func Main(name string, args []string, output, errOutput io.Writer) int {
+	parse := func() (*static.Settings, error) { return static.Parse(name, args, errOutput) }
+	return program.Run(name, output, errOutput, parse, func(s *static.Settings) error { return run(s, output) })
 }
 
 func run(settings *static.Settings, output io.Writer) error {
