--- a/placement/lease.go
+++ b/placement/lease.go
@@ -15,6 +15,8 @@
 	Answered Result = iota
 	// Failed is a failure, a foreign or a broken answer.
 	Failed
+	// Late is an answer that did not come in time.
+	Late
 	// Shed is a promise that the upstream has not run the request.
 	Shed
 	// Unreachable is a connection that could not be opened.
@@ -25,6 +27,11 @@
 	Unclear
 )
 
+// String returns the name of the result in logs.
+func (r Result) String() string {
+	return [...]string{"answered", "failed", "late", "shed", "unreachable", "replaced", "unclear"}[r]
+}
+
 // Load is the load that an upstream reported with an answer: the requests that
 // run and wait there.
 type Load struct {
@@ -45,27 +52,39 @@
 	Use float64
 }
 
-// Release gives the place back with what the attempt has shown.
-func (l *Lease) Release(now time.Time, result Result, load Load) {
+// Release gives the place back with what the attempt has shown. It returns for how
+// long the upstream is ejected by it, 0 when it is not.
+func (l *Lease) Release(now time.Time, result Result, load Load) time.Duration {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
 	t := l.target
 	t.inFlight--
+	before := latest(t.ejectedUntil, now)
 	if load.Known {
 		t.report(now, load.Requests)
 	}
 	switch result {
+	case Answered, Shed:
+		t.answeredAt = now
+	}
+	switch result {
 	case Answered:
 		t.succeed()
 		l.service.served(time.Duration(float64(now.Sub(l.begun)) / max(l.Use, 1)))
 	case Failed, Unreachable:
 		t.fail(now)
+	case Late:
+		// An upstream that has answered others meanwhile is busy, not broken.
+		if !t.answeredAt.After(l.begun) {
+			t.fail(now)
+		}
 	case Shed:
 		t.shedUntil = now.Add(shedPause)
 	case Replaced:
 		t.ejectedUntil = now.Add(maxEjection)
 	case Unclear:
 	}
+	return max(t.ejectedUntil.Sub(before), 0)
 }
 
 // served takes in the time that an upstream has worked.
@@ -76,3 +95,10 @@
 	}
 	s.work += time.Duration(workSmoothing * float64(took-s.work))
 }
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/placement/pool_test.go
+++ b/placement/pool_test.go
@@ -123,6 +123,39 @@
 	assert.Equal(t, name, home)
 }
 
+// TestABusyUpstreamIsNotEjected is the case of a region whose two upstreams were busy
+// with objects that they did not know yet: late answers ejected both, and all requests
+// went to other regions (SHIFT at 2.0 s, recallhub-south, mix, seed 1029170054293).
+func TestABusyUpstreamIsNotEjected(t *testing.T) {
+	p := newPool(4, Settings{})
+	_, home := acquire(p, 0, 7)
+	var late []*Lease
+	for range failuresToEject {
+		lease, name := acquire(p, 1, 7)
+		assert.Equal(t, name, home)
+		late = append(late, lease)
+	}
+	answered, _ := acquire(p, 1, 7)
+	answered.Release(at(1.5), Answered, Load{})
+	for _, lease := range late {
+		lease.Release(at(2), Late, Load{})
+	}
+	_, name := acquire(p, 2, 7)
+	assert.Equal(t, name, home)
+}
+
+func TestASilentUpstreamIsEjected(t *testing.T) {
+	p := newPool(4, Settings{})
+	_, home := acquire(p, 0, 7)
+	for range failuresToEject {
+		lease, name := acquire(p, 1, 7)
+		assert.Equal(t, name, home)
+		lease.Release(at(2), Late, Load{})
+	}
+	_, name := acquire(p, 2, 7)
+	assert.Assert(t, name != home)
+}
+
 func TestHalfOfTheUpstreamsStayInUse(t *testing.T) {
 	p := newPool(2, Settings{})
 	for range 10 * failuresToEject {
--- a/placement/target.go
+++ b/placement/target.go
@@ -40,6 +40,8 @@
 	inFlightThen int
 	reportedAt   time.Time
 
+	// answeredAt is when the last answer came.
+	answeredAt   time.Time
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
