--- a/placement/pool.go
+++ b/placement/pool.go
@@ -16,8 +16,11 @@
 	// request waits at the upstream that knows its object: that costs less than
 	// the work of another one that does not.
 	homeQueue = 0.6
-	// longestQueue is the same for requests that find no free slot anywhere.
+	// longestQueue is the same where the second upstream has no room either.
 	longestQueue = 1.0
+	// secondUse is the part of its slots up to which the second upstream of an object
+	// helps out. Where all are busy, a second one would only forget its own objects.
+	secondUse = 0.7
 	// timeReserve is the part of the time left that the predicted time to an answer
 	// may take; the rest covers the spread of the work.
 	timeReserve = 0.85
@@ -303,13 +306,13 @@
 const homes = 2
 
 // choose returns the upstream that knows the object while its queue is short, or
-// the object's second one when that has a free slot, or the one of both with the
-// shorter queue; nil when both queues are long. A cold upstream that takes nothing
+// the object's second one when that has much room, or the first one while its queue
+// is not too long; nil otherwise. A cold upstream that takes nothing
 // now is passed over, a full one is not: its requests would flood the others. The
 // second upstream is in another region where a region has only one; then the spill
 // gate decides.
 func (p *Pool) choose(now time.Time, s *service, candidates []*target, longestUse float64) *target {
-	var shortest *target
+	var waits *target
 	best := min(1+longestQueue, longestUse)
 	eligible := 0
 	for _, t := range candidates {
@@ -326,15 +329,15 @@
 		use := float64(t.load(now)+1) / float64(t.upstream.Slots)
 		far := t.region != candidates[0].region
 		switch {
-		case eligible == 1 && use <= min(1+homeQueue, longestUse), !far && use <= 1:
+		case eligible == 1 && use <= min(1+homeQueue, longestUse), !far && use <= secondUse:
 			return t
-		case far && use <= 1 && s.spill.take():
+		case far && use <= secondUse && s.spill.take():
 			return t
-		case !far && use <= best:
-			best, shortest = use, t
+		case eligible == 1 && use <= best:
+			waits = t
 		}
 	}
-	return shortest
+	return waits
 }
 
 // longestUse returns the requests for each slot beyond which a request would not
