Unused connections are closed before descriptors run out; watches differ more

Ruled out: processor time (0.05 of 0.32 cores at most), loans (bounded to 15 messages a second: no change; the bound was a setting that had no effect).

--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -64,7 +64,7 @@
 	s.MaxWait = orDefault(s.MaxWait, DefaultMaxWait)
 	s.MinTimeLeft = orDefault(s.MinTimeLeft, DefaultMinTimeLeft)
 	s.MaxWaiting = orDefault(s.MaxWaiting, DefaultMaxWaiting)
-	s.MessagesPerSecond = 100
+	s.MessagesPerSecond = orDefault(s.MessagesPerSecond, DefaultMessagesPerSecond)
 	s.MessageBurst = orDefault(s.MessageBurst, DefaultMessageBurst)
 	return s
 }
--- a/config/static/edge.go
+++ b/config/static/edge.go
@@ -38,6 +38,8 @@
 	Platform string
 	// MaxHeader bounds the header of a request. Default "32KiB".
 	MaxHeader units.Size
+	// MaxConnections bounds the connections of callers. Default 2000.
+	MaxConnections int
 	// HeaderTimeout bounds the time to send a request header. Default "5s".
 	HeaderTimeout time.Duration
 	// IdleTimeout bounds how long an unused connection stays open. Default "60s".
@@ -110,6 +112,7 @@
 func (s *EdgeSettings) limitFlags(fs *flag.FlagSet) {
 	s.MaxHeader = 32 << 10
 	fs.TextVar(&s.MaxHeader, "max-header", s.MaxHeader, "largest request header, with unit")
+	fs.IntVar(&s.MaxConnections, "max-connections", 2000, "largest number of connections of callers")
 	fs.DurationVar(&s.HeaderTimeout, "header-timeout", 5*time.Second, "longest time to send a request header")
 	fs.DurationVar(&s.IdleTimeout, "idle-timeout", time.Minute, "longest time that an unused connection stays open")
 	fs.DurationVar(&s.HeartbeatInterval, "heartbeat-interval", time.Second, "time between two heartbeats to a peer")
@@ -142,6 +145,7 @@
 		checkAddress("rpc-listen", s.RPCListen),
 		checkPlatformURL(s.Platform),
 		checkRange("max-header", int64(s.MaxHeader), 1<<10, 1<<20),
+		checkRange("max-connections", int64(s.MaxConnections), 1, 1_000_000),
 		checkDuration("header-timeout", s.HeaderTimeout, 100*time.Millisecond, time.Minute),
 		checkDuration("idle-timeout", s.IdleTimeout, time.Second, time.Hour),
 		checkDuration("heartbeat-interval", s.HeartbeatInterval, 20*time.Millisecond, 5*time.Second),
--- /dev/null
+++ b/edge/connections_test.go
@@ -0,0 +1,46 @@
+package edge
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// fakeConn remembers whether it was closed.
+type fakeConn struct {
+	net.Conn
+	closed bool
+}
+
+func (f *fakeConn) Close() error {
+	f.closed = true
+	return nil
+}
+
+// TestUnusedConnectionsAreClosedBeforeTheyRunOut is the case of callers that repeat
+// refused requests on a new connection each: the process had no descriptor left, could
+// not accept, and requests waited for seconds (CONFIG, recallhub-south, scale-1).
+func TestUnusedConnectionsAreClosedBeforeTheyRunOut(t *testing.T) {
+	const most = 100
+	c := newConnections(most)
+	var conns []*fakeConn
+	for range most {
+		conn := &fakeConn{}
+		c.observe(conn, http.StateNew)
+		c.observe(conn, http.StateActive)
+		c.observe(conn, http.StateIdle)
+		conns = append(conns, conn)
+		if len(conns) == int(busyPart*most) {
+			assert.Assert(t, !c.busy())
+		}
+	}
+	assert.Assert(t, c.busy())
+	assert.Assert(t, conns[0].closed, "the longest unused one is closed first")
+	assert.Assert(t, !conns[most-1].closed)
+	for _, conn := range conns {
+		c.observe(conn, http.StateClosed)
+	}
+	assert.Assert(t, !c.busy())
+}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -18,7 +18,7 @@
 	// others.
 	watchPerInstance = 400 * time.Millisecond
 	// watchSpread is the part of the wait by which watches differ at random.
-	watchSpread = 0.3
+	watchSpread = 0.75
 	// watchBatch is the pause after a watch that brought changes, so that changes
 	// in a row cost one call. It is small beside the bound on drains.
 	watchBatch = 250 * time.Millisecond
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -38,6 +38,12 @@
 	// dialTimeout bounds the opening of a connection to an upstream. A round trip
 	// between regions takes a few tens of milliseconds.
 	dialTimeout = 400 * time.Millisecond
+	// loanWait is the longest wait of a request for a loan: two round trips between
+	// regions.
+	loanWait = 120 * time.Millisecond
+	// loanMessages bounds the requests for loans in a second. A customer far over its
+	// rate would ask without end, and each costs processor time at both sides.
+	loanMessages = 15
 	// storeBackoff bounds the pause after failed calls on the store.
 	storeBackoff = 400 * time.Millisecond
 	// storeTimeout bounds a call on the store, which is slow at times.
@@ -146,7 +152,8 @@
 		upstreams: do.MustInvoke[*upstream.Client](i),
 		pool:      placement.NewPool(placement.Self{FailureDomain: settings.FailureDomain, Region: settings.Region}),
 		retries:   newRetryBudgets(settings),
-		limiter:   admission.NewLimiter(admission.Settings{}, time.Now()),
+		callers:   newConnections(settings.MaxConnections),
+		limiter:   admission.NewLimiter(admission.Settings{MaxWait: loanWait, MessagesPerSecond: loanMessages}, time.Now()),
 		started:   time.Now(),
 	}, nil
 }
@@ -155,6 +162,7 @@
 func (i *Instance) Start() error {
 	s := i.parts.settings
 	i.callers = i.server(&traffic{parts: i.parts})
+	i.callers.ConnState = i.parts.callers.observe
 	err := i.serve(s.Listen, i.callers)
 	if err != nil {
 		return err
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -28,5 +28,6 @@
 	pool      *placement.Pool
 	retries   *retryBudgets
 	limiter   *admission.Limiter
+	callers   *connections
 	started   time.Time
 }
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -206,6 +206,9 @@
 	if x.answered {
 		panic(http.ErrAbortHandler)
 	}
+	if x.parts.callers.busy() {
+		x.w.Header().Set("Connection", "close")
+	}
 	writeRefusal(x.w, err)
 }
 
