--- a/edge/control.go
+++ b/edge/control.go
@@ -149,7 +149,6 @@
 		table:    c.table,
 		peers:    peers,
 		leaving:  c.leaving,
-		regions:  c.parts.settings.Domains,
 		versions: c.rollouts.choices(),
 		splits:   c.splits,
 	})
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -11,17 +10,12 @@
 	"github.com/samber/do/v2"
 	"go.uber.org/zap"
 
-	"samphireferry.example/ferry/admission"
 	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/entryinstance"
 	"samphireferry.example/ferry/membership"
-	"samphireferry.example/ferry/placement"
-	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/platform/headers"
 	"samphireferry.example/ferry/platform/records"
-	"samphireferry.example/ferry/rpc/entrypb"
 	"samphireferry.example/ferry/telemetry"
-	"samphireferry.example/ferry/upstream"
 )
 
 const (
@@ -30,24 +24,6 @@
 	leaveDelay = 1500 * time.Millisecond
 	// stopReserve is kept back from the grace for the end of the process.
 	stopReserve = 300 * time.Millisecond
-	// keepAlive is the interval of keep-alive probes to upstreams and callers,
-	// which alone show a connection that has gone silent.
-	keepAlive = 1 * time.Second
-	// userTimeout closes a connection whose sent data are not acknowledged.
-	userTimeout = 2 * time.Second
-	// dialTimeout bounds the opening of a connection to an upstream. A round trip
-	// between regions takes a few tens of milliseconds.
-	dialTimeout = 400 * time.Millisecond
-	// loanWait is the longest wait of a request for a loan: two round trips between
-	// regions.
-	loanWait = 120 * time.Millisecond
-	// loanMessages bounds the requests for loans in a second. A customer far over its
-	// rate would ask without end, and each costs processor time at both sides.
-	loanMessages = 15
-	// storeBackoff bounds the pause after failed calls on the store.
-	storeBackoff = 400 * time.Millisecond
-	// storeTimeout bounds a call on the store, which is slow at times.
-	storeTimeout = 1500 * time.Millisecond
 )
 
 // Instance is one entry instance.
@@ -82,7 +58,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{parts: p, ctx: ctx, cancel: cancel, registered: make(chan struct{})}
 	i.control = newControl(ctx, p, time.Now())
-	p.views.store(&view{peers: &membership.Peers{}, regions: settings.Domains})
+	p.views.store(&view{peers: &membership.Peers{}})
 	i.registrar, err = newRegistrar(p.store, log, records.Instance{
 		Name:          settings.Name,
 		Incarnation:   p.identity.GetIncarnation(),
@@ -98,66 +74,6 @@
 	return i, err
 }
 
-// rpcConfig allows plain text, since the platform gives no certificates.
-func rpcConfig() entryinstance.Config { return entryinstance.Config{AllowPlaintext: true} }
-
-func provideStore(i do.Injector) (platform.Store, error) {
-	settings := do.MustInvoke[*static.EdgeSettings](i)
-	return platform.NewClient(platform.ClientOptions{
-		URL:        settings.Platform,
-		Timeout:    storeTimeout,
-		MaxBackoff: storeBackoff,
-		Seed:       rand.Uint64(),
-		Metrics:    do.MustInvoke[*telemetry.Metrics](i),
-	})
-}
-
-func providePeers(do.Injector) (*entryinstance.Pool, error) {
-	return entryinstance.NewPool(rpcConfig())
-}
-
-func provideUpstreams(do.Injector) (*upstream.Client, error) {
-	return upstream.New(upstream.Options{
-		DialTimeout:    dialTimeout,
-		KeepAlive:      keepAlive,
-		UserTimeout:    userTimeout,
-		Headers:        headers.Upstream(),
-		KeepRequestID:  true,
-		UntilClose:     true,
-		NoSilenceTimer: true,
-	}), nil
-}
-
-func provideParts(i do.Injector) (*parts, error) {
-	settings := do.MustInvoke[*static.EdgeSettings](i)
-	store, err := do.Invoke[platform.Store](i)
-	if err != nil {
-		return nil, err
-	}
-	return &parts{
-		settings: settings,
-		identity: &entrypb.Identity{
-			Name:          settings.Name,
-			Incarnation:   membership.NewIncarnation(settings.Name, rand.Uint64()),
-			Address:       settings.Listen,
-			RpcAddress:    settings.RPCListen,
-			FailureDomain: settings.FailureDomain,
-			Region:        settings.Region,
-		},
-		log:       do.MustInvoke[*zap.Logger](i),
-		metrics:   do.MustInvoke[*telemetry.Metrics](i),
-		views:     &views{},
-		store:     store,
-		peers:     do.MustInvoke[*entryinstance.Pool](i),
-		upstreams: do.MustInvoke[*upstream.Client](i),
-		pool:      placement.NewPool(placement.Self{FailureDomain: settings.FailureDomain, Region: settings.Region}),
-		retries:   newRetryBudgets(settings),
-		callers:   newConnections(settings.MaxConnections),
-		limiter:   admission.NewLimiter(admission.Settings{MaxWait: loanWait, MessagesPerSecond: loanMessages}, time.Now()),
-		started:   time.Now(),
-	}, nil
-}
-
 // Start opens the listeners and starts all goroutines.
 func (i *Instance) Start() error {
 	s := i.parts.settings
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -1,8 +1,6 @@
 package edge
 
 import (
-	"time"
-
 	"go.uber.org/zap"
 
 	"samphireferry.example/ferry/admission"
@@ -29,5 +27,4 @@
 	retries   *retryBudgets
 	limiter   *admission.Limiter
 	callers   *connections
-	started   time.Time
 }
--- a/edge/records.go
+++ b/edge/records.go
@@ -153,6 +153,12 @@
 		if route.Split == nil {
 			continue
 		}
+		old := c.splits[route.Name]
+		if old != nil && old.divides(route.Split) {
+			old.update(route.Split)
+			splits[route.Name] = old
+			continue
+		}
 		splits[route.Name] = newSplit(route.Split)
 	}
 	c.splits = splits
--- a/edge/split.go
+++ b/edge/split.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"sync"
 
 	"samphireferry.example/ferry/routing"
@@ -20,6 +21,20 @@
 	return &split{parts: parts, credits: make([]float64, len(parts))}
 }
 
+// divides says whether the parts have the same services and weights.
+func (s *split) divides(parts []routing.Part) bool {
+	return slices.EqualFunc(s.parts, parts, func(a, b routing.Part) bool {
+		return a.Service.Name == b.Service.Name && a.Weight == b.Weight
+	})
+}
+
+// update takes the services of another configuration with the same parts.
+func (s *split) update(parts []routing.Part) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.parts = parts
+}
+
 // next returns the service of the next request.
 func (s *split) next() *routing.Service {
 	s.mu.Lock()
--- a/edge/view.go
+++ b/edge/view.go
@@ -13,8 +13,6 @@
 	table   *routing.Table
 	peers   *membership.Peers
 	leaving bool
-	// regions maps a failure domain to its region.
-	regions map[string]string
 	// versions holds the roll-outs by service.
 	versions map[string]*versionChoice
 	splits   map[string]*split
--- a/placement/lease.go
+++ b/placement/lease.go
@@ -59,7 +59,10 @@
 	defer l.pool.mu.Unlock()
 	t := l.target
 	t.inFlight--
-	before := latest(t.ejectedUntil, now)
+	before := t.ejectedUntil
+	if before.Before(now) {
+		before = now
+	}
 	if load.Known {
 		t.report(now, load.Requests)
 	}
@@ -95,10 +98,3 @@
 	}
 	s.work += time.Duration(workSmoothing * float64(took-s.work))
 }
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/upstream/doc.go
+++ b/upstream/doc.go
@@ -13,10 +13,11 @@
 // A pooled connection is used for an at-most-once request only when the
 // upstream was heard on it within Options.TrustedFor. A read that stays without
 // an answer for the silence timeout ends, and with it the trust in every
-// connection that was opened before; the next attempt dials a new one.
+// connection that was opened before; the next attempt dials a new one. With
+// Options.NoSilenceTimer only keep-alive probes find a silent connection.
 //
 // An answer is whole only when its length or its last chunk says so. An answer
-// with neither is refused. Where the service echoes the request id, an answer
+// with neither is refused, unless Options.UntilClose takes it. Where the service echoes the request id, an answer
 // with another id or none is refused and its connection is closed.
 //
 // The package cannot tell whether an upstream that received a request ran it.
