--- a/edge/heartbeat.go
+++ b/edge/heartbeat.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/encoding/gzip"
@@ -114,7 +115,7 @@
 	c.background(pullTimeout, func(ctx context.Context) event {
 		client, err := c.parts.peers.Client(address)
 		if err != nil {
-			return pulled{err: err}
+			return pulled{peer: name, err: err}
 		}
 		request := &entrypb.GetConfigRequest{Revision: uint64(after)}
 		response, err := client.GetConfig(ctx, request, grpc.UseCompressor(gzip.Name))
@@ -144,7 +145,8 @@
 
 func (e pulled) apply(c *control, now time.Time) {
 	c.pulling = false
-	if e.err != nil || e.response == nil {
+	if e.err != nil {
+		c.parts.log.Warn("records were not pulled", zap.String("peer", e.peer), zap.Error(e.err))
 		return
 	}
 	read := recordsRead{
