A cut of the own path is not taken for an outage of the store

In its log: the store was lost during the cut and came back at 14.18 s, so an entry that was removed at 13.53 s was held to have lapsed, and kept for 2.5 s, although other instances had read changes of the store all the time.

News that came late: the instance had the revision of the removal 0.2 s after the store.

When a peer tells of a change that is made after the store was lost here, the store is not away, and a missing entry is gone. TestARemovalAfterTheOwnCutIsNoLapse failed before. Records for a peer that is behind have a test of their own.

--- a/edge/control.go
+++ b/edge/control.go
@@ -19,6 +19,9 @@
 	// awayFor is how long a failed call on the store is held against it by an
 	// instance that does not try again: more than the longest pause between two tries.
 	awayFor = 5 * time.Second
+	// newsAge is the age that a change may have when a peer tells of it: a change
+	// that is heard of later was made after the store was lost here.
+	newsAge = 1500 * time.Millisecond
 	// eventQueue is the number of events that may wait.
 	eventQueue = 1024
 )
@@ -39,7 +42,9 @@
 	records   map[string]platform.Entry
 	revision  platform.Revision
 	storeAway bool
-	// storeFailedAt is when a call on the store last failed.
+	// storeLostAt is when a call on the store first failed, storeFailedAt when one
+	// last did.
+	storeLostAt   time.Time
 	storeFailedAt time.Time
 	// completeSince is the revision from which on no change is missing.
 	completeSince platform.Revision
@@ -186,10 +191,11 @@
 func (e storeFailed) apply(c *control, now time.Time) {
 	if !c.storeAway {
 		c.parts.log.Warn("store lost", zap.Error(e.err), zap.Int64("revision", int64(c.revision)))
+		c.storeLostAt = now
+		c.upstreams.StoreAway()
 	}
 	c.storeAway = true
 	c.storeFailedAt = now
-	c.upstreams.StoreAway()
 	c.viewDirty = true
 }
 
--- a/edge/records.go
+++ b/edge/records.go
@@ -34,6 +34,9 @@
 	if e.full && e.revision < c.revision {
 		return
 	}
+	if e.fromPeer != "" && e.revision > c.revision {
+		c.heardOfStore(now)
+	}
 	changed := c.merge(e)
 	if e.full {
 		c.completeSince = max(c.completeSince, e.revision)
@@ -56,6 +59,14 @@
 	}
 }
 
+// heardOfStore notes that the store has made a change that a peer tells of. When it
+// was lost here before that, only the own path to it is cut, and no entries lapse.
+func (c *control) heardOfStore(now time.Time) {
+	if c.storeAway && now.Sub(c.storeLostAt) > newsAge {
+		c.upstreams.StoreElsewhere()
+	}
+}
+
 // merge takes in the entries and returns the keys that changed.
 func (c *control) merge(e recordsRead) []string {
 	var changed []string
--- /dev/null
+++ b/edge/records_test.go
@@ -0,0 +1,95 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"samphireferry.example/ferry/config/static"
+	"samphireferry.example/ferry/platform"
+	"samphireferry.example/ferry/rpc/entrypb"
+	"samphireferry.example/ferry/telemetry"
+)
+
+// newTestControl returns the control state of an instance that is not started.
+func newTestControl(t *testing.T) *control {
+	t.Helper()
+	settings, err := static.ParseEdge("ferry-edge", []string{
+		"-name", "e1", "-region", "east", "-failure-domain", "east-1", "-domain", "east-1=east",
+		"-listen", "127.0.0.1:1", "-directory-listen", "127.0.0.1:2", "-ready-listen", "127.0.0.1:3",
+		"-rpc-listen", "127.0.0.1:4", "-platform", "http://127.0.0.1:5",
+	}, io.Discard)
+	assert.NilError(t, err)
+	i, err := New(settings, zap.NewNop(), telemetry.New())
+	assert.NilError(t, err)
+	t.Cleanup(i.cancel)
+	return i.control
+}
+
+func upstreamEntry(id string, revision platform.Revision) platform.Entry {
+	return platform.Entry{Key: "servers/" + id, Revision: revision, Value: []byte(fmt.Sprintf(
+		`{"addr":"127.0.0.1:9","born":1,"info":{"service":"lookup","version":"1","zone":"east-1","slots":4},"status":{"state":"ready","seq":%d,"cold_left_ms":0}}`, revision))}
+}
+
+// TestARemovalAfterTheOwnCutIsNoLapse is the case of an instance that was cut off
+// from the store while the store went on: what is removed after its return was held
+// to have lapsed, and got requests for 2.5 s (DRAIN, recallhub-south scale-2, seed
+// 905567697749).
+func TestARemovalAfterTheOwnCutIsNoLapse(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// heardAfter is when a peer told of a newer revision; 0 for never.
+		heardAfter time.Duration
+		left       int
+	}{
+		{"the store answered others meanwhile", 2 * time.Second, 1},
+		{"no change was heard of", 0, 2},
+		{"the change was made before the store was lost", 500 * time.Millisecond, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newTestControl(t)
+			now := time.Now()
+			at := func(d time.Duration) time.Time { return now.Add(d) }
+			recordsRead{entries: []platform.Entry{upstreamEntry("u-1", 3), upstreamEntry("u-2", 4)}, revision: 10, full: true}.apply(c, now)
+			storeFailed{}.apply(c, at(time.Second))
+			if test.heardAfter > 0 {
+				changed := []platform.Entry{{Key: "op/evacuate/west-1", Revision: 11}}
+				recordsRead{entries: changed, revision: 11, settled: true, fromPeer: "e2"}.apply(c, at(time.Second+test.heardAfter))
+			}
+			recordsRead{revision: 11}.apply(c, at(4*time.Second))
+			removed := []platform.Entry{{Key: "servers/u-1", Revision: 12, Deleted: true}}
+			recordsRead{entries: removed, revision: 12}.apply(c, at(4500*time.Millisecond))
+			c.upstreams.Tick(at(4600 * time.Millisecond))
+			assert.Equal(t, len(c.upstreams.All()), test.left)
+		})
+	}
+}
+
+func TestRecordsForAPeerThatIsBehind(t *testing.T) {
+	c := newTestControl(t)
+	now := time.Now()
+	recordsRead{entries: []platform.Entry{upstreamEntry("u-1", 3), upstreamEntry("u-2", 4)}, revision: 10, full: true}.apply(c, now)
+	recordsRead{entries: []platform.Entry{{Key: "servers/u-1", Revision: 12, Deleted: true}, upstreamEntry("u-3", 13)}, revision: 13}.apply(c, now)
+	for _, test := range []struct {
+		after platform.Revision
+		full  bool
+		keys  int
+	}{
+		{0, true, 2},
+		{9, true, 2},
+		{10, false, 2},
+		{12, false, 1},
+		{13, false, 0},
+	} {
+		answer := make(chan *entrypb.GetConfigResponse, 1)
+		recordsAsked{after: test.after, answer: answer}.apply(c, now)
+		got := <-answer
+		assert.Equal(t, got.GetFull(), test.full, "after %d", test.after)
+		assert.Equal(t, len(got.GetEntries()), test.keys, "after %d", test.after)
+		assert.Equal(t, got.GetRevision(), uint64(13))
+	}
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -76,6 +76,9 @@
 // StoreAway notes that the store gives no answers.
 func (r *Registry) StoreAway() { r.away = true }
 
+// StoreElsewhere notes that the store answers other instances: it is not away.
+func (r *Registry) StoreElsewhere() { r.away = false }
+
 // StoreBack notes an answer of the store.
 func (r *Registry) StoreBack(now time.Time) {
 	if r.away {
