--- /dev/null
+++ b/soak/main.go
@@ -0,0 +1,65 @@
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3"
+)
+
+// Main runs soaks with seeds in a row and returns the exit code: 1 when a promise was
+// broken.
+func Main(name string, args []string, output, errOutput io.Writer) int {
+	o := Options{Log: io.Discard, Report: io.Discard}
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(errOutput)
+	fs.StringVar(&o.Program, "program", "bin/ferry-edge", "path of the entry instance's program")
+	fs.Uint64Var(&o.Seed, "seed", 1, "first seed")
+	seeds := fs.Uint64("seeds", 1, "number of seeds to run, one after the other")
+	fs.DurationVar(&o.Harm, "harm", 20*time.Second, "how long faults go on")
+	fs.IntVar(&o.Instances, "instances", 6, "number of entry instances")
+	fs.IntVar(&o.Callers, "callers", 12, "number of callers")
+	fs.StringVar(&o.LogLevel, "log-level", "info", "level of the instances' logs")
+	logs := fs.String("logs", "", "file that gets the logs of the instances")
+	err := ff.Parse(fs, args)
+	if errors.Is(err, flag.ErrHelp) {
+		return 0
+	}
+	if err != nil {
+		fmt.Fprintf(errOutput, "%s: %v\n", name, err)
+		return 2
+	}
+	if *logs != "" {
+		file, err := os.Create(*logs)
+		if err != nil {
+			fmt.Fprintf(errOutput, "%s: %v\n", name, err)
+			return 1
+		}
+		defer file.Close()
+		o.Log, o.Report = file, file
+	}
+	return runSeeds(o, *seeds, output, errOutput)
+}
+
+func runSeeds(o Options, seeds uint64, output, errOutput io.Writer) int {
+	code := 0
+	for range seeds {
+		result, err := Run(o)
+		if err != nil {
+			fmt.Fprintf(errOutput, "seed %d: %v\n", o.Seed, err)
+			return 1
+		}
+		fmt.Fprintf(output, "seed %d: %d faults, %d of %d requests served, %d promises broken\n",
+			o.Seed, result.Faults, result.Served, result.Sent, len(result.Broken))
+		for _, b := range result.Broken {
+			fmt.Fprintln(output, "  "+b)
+			code = 1
+		}
+		o.Seed++
+	}
+	return code
+}
