SIGHUP puts changed bounds in force; ferry-soak ends its processes on a signal

SIGHUP was only logged, although the platform may change the settings file at any time. ferry-soak left its instances behind when it was interrupted (seen once).

The bounds of the settings (list TTL, retries, rates, share of an unjudged version) are a struct of their own that a reload replaces; what else has changed is named in the log and waits for the next start; a file that is not valid is refused with a line and changes nothing. ferry-soak's runs end with their context.

--- a/cmd/ferry-soak/main.go
+++ b/cmd/ferry-soak/main.go
@@ -2,9 +2,16 @@
 package main
 
 import (
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"samphireferry.example/ferry/soak"
 )
 
-func main() { os.Exit(soak.Main("ferry-soak", os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	os.Exit(soak.Main(ctx, "ferry-soak", os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/config/static/edge.go
+++ b/config/static/edge.go
@@ -15,6 +15,29 @@
 // EdgeEnvPrefix precedes the names of edge settings in the environment.
 const EdgeEnvPrefix = "FERRY_EDGE"
 
+// EdgeBounds are the settings of an EdgeSettings that a reload puts in force.
+type EdgeBounds struct {
+	// ListTTL is the time for which callers may use a list of entry instances.
+	// Default "2s".
+	ListTTL time.Duration
+	// RetryRatio and RetrySlack bound the retries of a service over RetryWindow
+	// by all entry instances together: ratio x requests + slack. Defaults 0.1,
+	// 20 and "10s".
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// RateWindow is the window in which a customer's rate and burst are counted:
+	// it may have rate x window + burst requests in any such window. Default "5s".
+	RateWindow time.Duration
+	// RateExcess and RateSlack are what all entry instances together may admit
+	// beyond it: excess x as many, and slack requests. Defaults 0.05 and 10.
+	RateExcess float64
+	RateSlack  float64
+	// CanaryShare bounds the part of the requests of a service that go to a new
+	// version before it has been judged. Default 0.05.
+	CanaryShare float64
+}
+
 // EdgeSettings are the settings of one entry instance on the platform.
 type EdgeSettings struct {
 	// Name is unique in the deployment. Required.
@@ -46,27 +69,9 @@
 	IdleTimeout time.Duration
 	// HeartbeatInterval is the time between two heartbeats to a peer. Default "1s".
 	HeartbeatInterval time.Duration
-	// ListTTL is the time for which callers may use a list of entry instances.
-	// Default "2s".
-	ListTTL time.Duration
 	// Grace is the time between SIGTERM and the end of the process. Default "6s".
 	Grace time.Duration
-	// RetryRatio and RetrySlack bound the retries of a service over RetryWindow
-	// by all entry instances together: ratio x requests + slack. Defaults 0.1,
-	// 20 and "10s".
-	RetryRatio  float64
-	RetrySlack  float64
-	RetryWindow time.Duration
-	// RateWindow is the window in which a customer's rate and burst are counted:
-	// it may have rate x window + burst requests in any such window. Default "5s".
-	RateWindow time.Duration
-	// RateExcess and RateSlack are what all entry instances together may admit
-	// beyond it: excess x as many, and slack requests. Defaults 0.05 and 10.
-	RateExcess float64
-	RateSlack  float64
-	// CanaryShare bounds the part of the requests of a service that go to a new
-	// version before it has been judged. Default 0.05.
-	CanaryShare float64
+	EdgeBounds
 	// LogLevel is debug, info, warn or error. Default "info".
 	LogLevel string
 	// Check validates the settings and exits.
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -18,7 +18,7 @@
 func (d *directory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	region, domain := headers.DirectoryQuery(r)
 	addresses := nearest(d.parts.views.load(), region, domain)
-	err := headers.WriteDirectory(w, addresses, d.parts.settings.ListTTL)
+	err := headers.WriteDirectory(w, addresses, d.parts.bounds.Load().ListTTL)
 	if err != nil {
 		d.parts.log.Debug("directory answer was not delivered", zap.Error(err))
 	}
--- a/edge/main.go
+++ b/edge/main.go
@@ -18,10 +18,10 @@
 // code. Logs go to output as JSON lines, and errors in the settings to errOutput.
 func Main(name string, args []string, output, errOutput io.Writer) int {
 	parse := func() (*static.EdgeSettings, error) { return static.ParseEdge(name, args, errOutput) }
-	return program.Run(name, output, errOutput, parse, func(s *static.EdgeSettings) error { return run(s, output) })
+	return program.Run(name, output, errOutput, parse, func(s *static.EdgeSettings) error { return run(s, parse, output) })
 }
 
-func run(settings *static.EdgeSettings, output io.Writer) error {
+func run(settings *static.EdgeSettings, parse func() (*static.EdgeSettings, error), output io.Writer) error {
 	metrics := telemetry.New()
 	log, err := telemetry.NewBoundedLog(output, settings.LogLevel, metrics)
 	if err != nil {
@@ -42,7 +42,12 @@
 		if received != syscall.SIGHUP {
 			break
 		}
-		log.Info("SIGHUP; settings take force at the next start", zap.String("name", settings.Name))
+		next, err := parse()
+		if err != nil {
+			log.Error("changed settings are not valid and were not taken", zap.Error(err))
+			continue
+		}
+		instance.Reload(next)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), settings.Grace)
 	defer cancel()
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"sync/atomic"
+
 	"go.uber.org/zap"
 
 	"samphireferry.example/ferry/admission"
@@ -15,7 +17,10 @@
 
 // parts are what several pieces of an instance share.
 type parts struct {
-	settings  *static.EdgeSettings
+	// settings are those of the start.
+	settings *static.EdgeSettings
+	// bounds are the newest of the settings that a reload changes.
+	bounds    atomic.Pointer[static.EdgeBounds]
 	identity  *entrypb.Identity
 	log       *zap.Logger
 	metrics   *telemetry.Metrics
--- a/edge/rates.go
+++ b/edge/rates.go
@@ -17,11 +17,8 @@
 
 // configureRates takes in the customers of a configuration.
 func (c *control) configureRates(now time.Time, table *routing.Table) {
-	tolerance := quota.Tolerance{
-		Window: c.parts.settings.RateWindow,
-		Excess: c.parts.settings.RateExcess,
-		Slack:  c.parts.settings.RateSlack,
-	}
+	bounds := c.parts.bounds.Load()
+	tolerance := quota.Tolerance{Window: bounds.RateWindow, Excess: bounds.RateExcess, Slack: bounds.RateSlack}
 	limited := lo.Filter(table.Customers, func(customer *routing.Customer, _ int) bool { return customer.Rate > 0 })
 	c.rates.Configure(lo.Map(limited, func(customer *routing.Customer, _ int) quota.Customer {
 		whole := quota.Customer{Name: customer.Name, Rate: customer.Rate, Burst: float64(customer.Burst)}
--- a/edge/records_test.go
+++ b/edge/records_test.go
@@ -93,3 +93,18 @@
 		assert.Equal(t, got.GetRevision(), uint64(13))
 	}
 }
+
+func TestAReloadChangesTheBounds(t *testing.T) {
+	c := newTestControl(t)
+	now := time.Now()
+	next := *c.parts.bounds.Load()
+	next.ListTTL = 3 * time.Second
+	next.RetrySlack = 1000
+	before := c.parts.retries.of("lookup")
+	reload{bounds: next}.apply(c, now)
+	assert.Equal(t, c.parts.bounds.Load().ListTTL, 3*time.Second)
+	after := c.parts.retries.of("lookup")
+	assert.Assert(t, after != before, "the retry budgets follow the new bounds")
+	reload{bounds: next}.apply(c, now)
+	assert.Assert(t, c.parts.retries.of("lookup") == after, "an unchanged file changes nothing")
+}
--- a/edge/retries.go
+++ b/edge/retries.go
@@ -25,12 +25,19 @@
 	budgets   map[string]*balancing.RetryBudget
 }
 
-func newRetryBudgets(settings *static.EdgeSettings) *retryBudgets {
-	return &retryBudgets{
-		ratio:   settings.RetryRatio * retryReserve,
-		slack:   settings.RetrySlack * retryReserve,
-		budgets: map[string]*balancing.RetryBudget{},
-	}
+func newRetryBudgets(bounds static.EdgeBounds) *retryBudgets {
+	r := &retryBudgets{}
+	r.setBounds(bounds)
+	return r
+}
+
+// setBounds replaces the bounds and starts new budgets.
+func (r *retryBudgets) setBounds(bounds static.EdgeBounds) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ratio = bounds.RetryRatio * retryReserve
+	r.slack = bounds.RetrySlack * retryReserve
+	r.budgets = map[string]*balancing.RetryBudget{}
 }
 
 // setInstances tells the number of entry instances that share the slack. A
--- a/edge/rollout.go
+++ b/edge/rollout.go
@@ -82,7 +82,7 @@
 		return
 	}
 	run = &rolloutRun{Rollout: canary.New(order, now), splitter: splitting.NewSplitter(nil), wantedAt: now}
-	run.splitter.SetShare(r.c.parts.settings.CanaryShare * canaryReserve)
+	run.splitter.SetShare(r.c.parts.bounds.Load().CanaryShare * canaryReserve)
 	r.runs[order.Service] = run
 	r.c.parts.log.Info("roll-out ordered",
 		zap.String("service", order.Service),
@@ -92,6 +92,13 @@
 	)
 }
 
+// setShare gives roll-outs under way the share of the newest settings.
+func (r *rolloutControl) setShare() {
+	for _, run := range r.runs {
+		run.splitter.SetShare(r.c.parts.bounds.Load().CanaryShare * canaryReserve)
+	}
+}
+
 func (r *rolloutControl) readStatus(now time.Time, service string, run *rolloutRun) {
 	entry, ok := r.c.records[records.PrefixRolloutStatus+service]
 	if !ok || entry.Deleted || entry.Revision == run.revision {
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &parts{
+	p := &parts{
 		settings: settings,
 		identity: &entrypb.Identity{
 			Name:          settings.Name,
@@ -93,9 +93,11 @@
 		peers:     do.MustInvoke[*entryinstance.Pool](i),
 		upstreams: do.MustInvoke[*upstream.Client](i),
 		pool:      placement.NewPool(placement.Self{FailureDomain: settings.FailureDomain, Region: settings.Region}),
-		retries:   newRetryBudgets(settings),
+		retries:   newRetryBudgets(settings.EdgeBounds),
 		callers:   newConnections(settings.MaxConnections),
 		following: newFollowing(),
 		limiter:   admission.NewLimiter(admission.Settings{MaxWait: loanWait, MessagesPerSecond: loanMessages}, time.Now()),
-	}, nil
+	}
+	p.bounds.Store(&settings.EdgeBounds)
+	return p, nil
 }
--- a/soak/main.go
+++ b/soak/main.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"io"
@@ -12,8 +13,8 @@
 )
 
 // Main runs soaks with seeds in a row and returns the exit code: 1 when a promise was
-// broken.
-func Main(name string, args []string, output, errOutput io.Writer) int {
+// broken. The context ends a run early, with all processes that it has started.
+func Main(ctx context.Context, name string, args []string, output, errOutput io.Writer) int {
 	o := Options{Log: io.Discard, Report: io.Discard}
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
 	fs.SetOutput(errOutput)
@@ -42,13 +43,16 @@
 		defer file.Close()
 		o.Log, o.Report = file, file
 	}
-	return runSeeds(o, *seeds, output, errOutput)
+	return runSeeds(ctx, o, *seeds, output, errOutput)
 }
 
-func runSeeds(o Options, seeds uint64, output, errOutput io.Writer) int {
+func runSeeds(ctx context.Context, o Options, seeds uint64, output, errOutput io.Writer) int {
 	code := 0
 	for range seeds {
-		result, err := Run(o)
+		if ctx.Err() != nil {
+			return 1
+		}
+		result, err := Run(ctx, o)
 		if err != nil {
 			fmt.Fprintf(errOutput, "seed %d: %v\n", o.Seed, err)
 			return 1
--- a/soak/run.go
+++ b/soak/run.go
@@ -50,14 +50,16 @@
 	Broken []string
 }
 
-// Run runs one soak. An error says that the soak itself failed.
-func Run(o Options) (Result, error) {
+// Run runs one soak, until the context ends at the latest. An error says that the
+// soak itself failed.
+func Run(ctx context.Context, o Options) (Result, error) {
 	s, err := newSystem(o)
 	defer s.close()
 	if err != nil {
 		return Result{}, err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var callers sync.WaitGroup
 	addresses := make([]string, 0, len(s.instances))
 	for _, p := range s.instances {
@@ -67,9 +69,9 @@
 		c := newCaller(fmt.Sprintf("c%d", i), s.ledger, addresses)
 		callers.Go(func() { c.run(ctx) })
 	}
-	s.awaitService("at the start")
-	struck, err := s.strike()
-	s.awaitService("after the last fault")
+	s.awaitService(ctx, "at the start")
+	struck, err := s.strike(ctx)
+	s.awaitService(ctx, "after the last fault")
 	cancel()
 	callers.Wait()
 	sent, served := s.ledger.Counts()
@@ -77,7 +79,7 @@
 }
 
 // strike draws faults until the time is over and ends them all.
-func (s *system) strike() (int, error) {
+func (s *system) strike(ctx context.Context) (int, error) {
 	random := rand.New(rand.NewPCG(s.options.Seed, 0))
 	var pending sync.WaitGroup
 	var mu sync.Mutex
@@ -88,7 +90,7 @@
 		failed = errors.CombineErrors(failed, err)
 	}
 	struck := 0
-	for end := time.Now().Add(s.options.Harm); time.Now().Before(end); struck++ {
+	for end := time.Now().Add(s.options.Harm); ctx.Err() == nil && time.Now().Before(end); struck++ {
 		f := faults[random.IntN(len(faults))]
 		lasts := time.Duration(random.Int64N(int64(longestFault)))
 		fmt.Fprintf(s.options.Report, "fault %d: %s for %v\n", struck, f.name, lasts.Round(time.Millisecond))
@@ -111,9 +113,12 @@
 }
 
 // awaitService waits until nearly all requests of a phase are served.
-func (s *system) awaitService(when string) {
+func (s *system) awaitService(ctx context.Context, when string) {
 	share := 0.0
 	for end := time.Now().Add(settle); time.Now().Before(end); {
+		if ctx.Err() != nil {
+			return
+		}
 		sent, served := s.ledger.Counts()
 		time.Sleep(calmPhase)
 		nowSent, nowServed := s.ledger.Counts()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,7 +23,7 @@
 	build.Stderr = os.Stderr
 	assert.NilError(t, build.Run())
 	for _, seed := range []uint64{1, 2, 3} {
-		result, err := Run(Options{
+		result, err := Run(t.Context(), Options{
 			Program: program, Seed: seed, Harm: shortHarm, Instances: 4, Callers: 6,
 			Log: io.Discard, LogLevel: "error", Report: io.Discard,
 		})
