--- a/operator/ctl/ctl.go
+++ b/operator/ctl/ctl.go
@@ -114,7 +114,7 @@
 		Subcommands: []*ffcli.Command{
 			a.checkCommand(), a.publishCommand(), a.diffCommand(), a.getCommand(), a.statusCommand(),
 			a.drainCommand(), a.moveCommand(), a.rolloutCommand(), a.keyCommand(), a.entryInstancesCommand(),
-			a.certificateCommand(),
+			a.certificateCommand(), a.explainCommand(),
 		},
 		Exec: func(context.Context, []string) error {
 			if *version {
