A customer is pressed only well beyond its rate

Refused requests come again and count as demand, so that customers within their rate looked pressed.

Pressed from 2.5 times the rate on. Settings of bounds must not be negative.

--- a/config/static/edge.go
+++ b/config/static/edge.go
@@ -165,6 +165,10 @@
 		checkDuration("retry-window", s.RetryWindow, time.Second, time.Hour),
 		checkDuration("rate-window", s.RateWindow, time.Second, time.Minute),
 		checkShare("canary-share", s.CanaryShare),
+		checkNotNegative("retry-ratio", s.RetryRatio),
+		checkNotNegative("retry-slack", s.RetrySlack),
+		checkNotNegative("rate-excess", s.RateExcess),
+		checkNotNegative("rate-slack", s.RateSlack),
 	)
 }
 
@@ -185,3 +189,10 @@
 	}
 	return nil
 }
+
+func checkNotNegative(name string, value float64) error {
+	if value >= 0 {
+		return nil
+	}
+	return errors.Newf("%s: %v is negative or no number", name, value)
+}
--- a/quota/divider.go
+++ b/quota/divider.go
@@ -16,6 +16,9 @@
 	// calmPart is the part of a customer's rate up to which its demand is not bound
 	// by it; the rest covers what the demand grows by unheard.
 	calmPart = 0.8
+	// pressedPart is the part beyond which loans are in vain. Refused requests come
+	// again and count twice, so it lies well above the rate.
+	pressedPart = 2.5
 	// allowanceUsed is the part of the allowance that the buckets use; the rest
 	// covers what the divisions of two instances differ by.
 	allowanceUsed = 0.8
@@ -68,7 +71,7 @@
 	Customer Customer
 	Rate     float64
 	Burst    int
-	// Pressed says that all instances together are asked for more than the rate.
+	// Pressed says that all instances together are asked for much more than the rate.
 	Pressed bool
 }
 
@@ -89,7 +92,7 @@
 	// announced are the demands that the peers were told.
 	announced series
 	// calm says that all together are asked for clearly less than the rate, pressed
-	// that it is more.
+	// that it is much more.
 	calm    bool
 	pressed bool
 	// held is the own demand that counts; it grows only while all peers are heard.
@@ -224,7 +227,7 @@
 		c.announced.add(now, c.demand, d.others.Settle)
 		everywhere := d.everywhere(name, c)
 		c.calm = everywhere <= calmPart*c.Rate
-		c.pressed = everywhere > c.Rate
+		c.pressed = everywhere > pressedPart*c.Rate
 		c.held = d.hold(c.held, c.announced.settledLow(c.calm))
 		c.domain.add(now, c.demand+d.newest(name, d.others.Near), d.others.Settle)
 		c.domainHeld = d.hold(c.domainHeld, c.domain.settledLow(c.calm))
