--- a/edge/doc.go
+++ b/edge/doc.go
@@ -6,8 +6,9 @@
 // goroutines read the view, choose an upstream from the placement pool and send
 // the request there themselves. They never wait for the control goroutine.
 //
-// The store is watched by one goroutine, and the instance is registered there by
-// another. Heartbeats go to the other entry instances; they carry what has to be
-// known across instances, and an instance that the store turns away pulls the
-// records from them.
+// One goroutine reads the store: all records once, then their changes while the
+// instance leads its failure domain. Another one keeps the instance registered.
+// Heartbeats go to the other entry instances; they carry what has to be known across
+// instances, in a large fleet as sums of failure domains. An instance that sees a
+// newer revision than its own in a heartbeat pulls the records that it lacks.
 package edge
--- a/edge/heartbeat.go
+++ b/edge/heartbeat.go
@@ -4,10 +4,7 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/encoding/gzip"
 	"google.golang.org/grpc/status"
 
 	"samphireferry.example/ferry/lending"
@@ -16,15 +13,8 @@
 	"samphireferry.example/ferry/rpc/entrypb"
 )
 
-const (
-	// heartbeatTimeout bounds one exchange of heartbeats.
-	heartbeatTimeout = time.Second
-	// pullTimeout bounds the call to a peer for its records.
-	pullTimeout = 2 * time.Second
-	// behindFor is how long a lead waits for its own watch when a peer has newer
-	// records: the pause between two watches and a slow answer.
-	behindFor = 500 * time.Millisecond
-)
+// heartbeatTimeout bounds one exchange of heartbeats.
+const heartbeatTimeout = time.Second
 
 // sender describes this instance in a heartbeat.
 func (c *control) sender() *entrypb.State {
@@ -142,103 +132,6 @@
 
 func (e heartbeatFailed) apply(c *control, now time.Time) { c.members.Failed(e.address, now) }
 
-// pullIfBehind asks a peer for its records when it has newer ones. A lead first
-// gives its own watch some time.
-func (c *control) pullIfBehind(now time.Time) {
-	best := c.newestPeer(now)
-	if best == nil {
-		c.behindSince = time.Time{}
-		return
-	}
-	if c.behindSince.IsZero() {
-		c.behindSince = now
-	}
-	if c.pulling || c.follows && now.Sub(c.behindSince) < behindFor {
-		return
-	}
-	c.pulling = true
-	address, name, after := best.RPCAddress, best.Name, c.revision
-	c.background(pullTimeout, func(ctx context.Context) event {
-		client, err := c.parts.peers.Client(address)
-		if err != nil {
-			return pulled{peer: name, err: err}
-		}
-		request := &entrypb.GetConfigRequest{Revision: uint64(after)}
-		response, err := client.GetConfig(ctx, request, grpc.UseCompressor(gzip.Name))
-		return pulled{peer: name, response: response, err: err}
-	})
-}
-
-// newestPeer returns the usable peer with the newest records, if they are newer
-// than this instance's own.
-func (c *control) newestPeer(now time.Time) *membership.Peer {
-	var best *membership.Peer
-	newest := uint64(c.revision)
-	for _, p := range c.members.Snapshot(now).All {
-		if p.State != nil && p.Health == membership.Alive && p.State.GetStoreRevision() > newest {
-			best, newest = p, p.State.GetStoreRevision()
-		}
-	}
-	return best
-}
-
-// pulled are the records of a peer.
-type pulled struct {
-	peer     string
-	response *entrypb.GetConfigResponse
-	err      error
-}
-
-func (e pulled) apply(c *control, now time.Time) {
-	c.pulling = false
-	if e.err != nil {
-		c.parts.log.Warn("records were not pulled", zap.String("peer", e.peer), zap.Error(e.err))
-		return
-	}
-	read := recordsRead{
-		revision: platform.Revision(e.response.GetRevision()),
-		full:     e.response.GetFull(),
-		settled:  e.response.GetSettled(),
-		fromPeer: e.peer,
-	}
-	for _, entry := range e.response.GetEntries() {
-		read.entries = append(read.entries, platform.Entry{
-			Key:      entry.GetKey(),
-			Value:    entry.GetValue(),
-			Revision: platform.Revision(entry.GetRevision()),
-			Deleted:  entry.GetDeleted(),
-		})
-	}
-	read.apply(c, now)
-}
-
-// recordsAsked is the question of a peer for the records that are newer than the
-// revision.
-type recordsAsked struct {
-	after  platform.Revision
-	answer chan *entrypb.GetConfigResponse
-}
-
-func (e recordsAsked) apply(c *control, now time.Time) {
-	response := &entrypb.GetConfigResponse{
-		Revision: uint64(c.revision),
-		Full:     e.after < c.completeSince,
-		Settled:  c.upstreams.Settled(now),
-	}
-	for _, entry := range c.records {
-		if response.Full && entry.Deleted || !response.Full && entry.Revision <= e.after {
-			continue
-		}
-		response.Entries = append(response.Entries, &entrypb.StoreEntry{
-			Key:      entry.Key,
-			Value:    entry.Value,
-			Revision: uint64(entry.Revision),
-			Deleted:  entry.Deleted,
-		})
-	}
-	e.answer <- response
-}
-
 // entryServer serves the other entry instances.
 type entryServer struct {
 	entrypb.UnimplementedEntryServer
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -8,6 +8,10 @@
 // heartbeats. What an instance lacks in the meantime it borrows from others
 // (package admission), so the division only has to be near the demand.
 //
+// In a large fleet an instance hears the other failure domains only as sums. A rate
+// is then divided among the domains first, and the part of a domain among its
+// instances, both in the same way.
+//
 // # The bound
 //
 // The parts of all instances must not add up to more than the whole, although
@@ -15,7 +19,9 @@
 // that grows counts for the instance itself only after the time to settle, when all
 // others know it, while what others announce counts at once and what they take
 // back counts for that time more. While a peer cannot be heard, the demand of
-// the instance does not grow, and the last demand of the peer keeps its part.
+// the instance does not grow, and the last demand of the peer keeps its part. What
+// neither side counts yet is divided equally. While a customer asks clearly less
+// than its rate, the chance variation of few arrivals counts at once.
 //
 // # Limits
 //
