--- a/soak/faults.go
+++ b/soak/faults.go
@@ -11,70 +11,135 @@
 	standin "samphireferry.example/ferry/standin/platform"
 )
 
-// fault is one harm. It takes effect, lasts for the time and is taken back.
+// fault is one harm.
 type fault struct {
 	name string
-	// strike begins the harm and returns what ends it, or nil.
+	// strike begins the harm and returns what ends it; nil when nothing has to be ended.
 	strike func(s *system, random *rand.Rand) (end func() error, err error)
 }
 
 // faults are all harms that a soak draws from.
 var faults = []fault{
-	{"kill", func(s *system, r *rand.Rand) (func() error, error) {
-		p := s.instance(r)
-		p.end(syscall.SIGKILL)
-		return p.start, nil
-	}},
-	{"stop", func(s *system, r *rand.Rand) (func() error, error) {
-		p := s.instance(r)
-		go p.end(syscall.SIGTERM)
-		return func() error { p.end(syscall.SIGTERM); return p.start() }, nil
-	}},
-	{"pause", func(s *system, r *rand.Rand) (func() error, error) {
-		p := s.instance(r)
-		p.signal(syscall.SIGSTOP)
-		return func() error { p.signal(syscall.SIGCONT); return nil }, nil
-	}},
-	{"hang-up", func(s *system, r *rand.Rand) (func() error, error) {
-		s.instance(r).signal(syscall.SIGHUP)
-		return nil, nil
-	}},
-	{"store proxy", func(s *system, r *rand.Rand) (func() error, error) { return harm(s.instance(r).store, r), nil }},
-	{"upstream proxy", func(s *system, r *rand.Rand) (func() error, error) { return harm(s.upstream(r).proxy, r), nil }},
-	{"upstream fails", func(s *system, r *rand.Rand) (func() error, error) {
-		u := s.upstream(r)
-		u.fails.Store(500)
-		return func() error { u.fails.Store(0); return nil }, nil
-	}},
-	{"upstream loses answers", func(s *system, r *rand.Rand) (func() error, error) {
-		u := s.upstream(r)
-		u.loses.Store(300)
-		return func() error { u.loses.Store(0); return nil }, nil
-	}},
-	{"upstream replaced", func(s *system, r *rand.Rand) (func() error, error) { return nil, s.replace(s.upstream(r).ID) }},
-	{"configuration", func(s *system, _ *rand.Rand) (func() error, error) { s.configure(); return nil, nil }},
-	{"store", func(s *system, r *rand.Rand) (func() error, error) {
-		harms := []standin.Faults{
-			{Outage: standin.OutageRefuse}, {Outage: standin.OutageHang}, {SilentWatches: true},
-			{Delay: standin.Duration(300 * time.Millisecond)}, {LoseAnswers: 0.5},
-		}
-		s.store.SetFaults(harms[r.IntN(len(harms))])
-		return func() error { s.store.SetFaults(standin.Faults{}); return nil }, nil
-	}},
+	{"kill", kill},
+	{"stop", stop},
+	{"pause", pause},
+	{"hang-up", hangUp},
+	{"store proxy", storeProxy},
+	{"upstream proxy", upstreamProxy},
+	{"upstream fails", upstreamFails},
+	{"upstream loses answers", upstreamLoses},
+	{"upstream replaced", upstreamReplaced},
+	{"configuration", configuration},
+	{"store", storeAway},
 }
 
-// harm sets a drawn harm at a proxy and returns what ends it.
+// failing and losing are the parts of its requests, in thousandths, that a harmed
+// upstream fails, or runs without an answer.
+const (
+	failing = 500
+	losing  = 300
+)
+
+func kill(s *system, r *rand.Rand) (func() error, error) {
+	p := s.instance(r)
+	p.end(syscall.SIGKILL)
+	return p.start, nil
+}
+
+func stop(s *system, r *rand.Rand) (func() error, error) {
+	p := s.instance(r)
+	go p.end(syscall.SIGTERM)
+	return func() error {
+		p.end(syscall.SIGTERM)
+		return p.start()
+	}, nil
+}
+
+func pause(s *system, r *rand.Rand) (func() error, error) {
+	p := s.instance(r)
+	p.signal(syscall.SIGSTOP)
+	return func() error {
+		p.signal(syscall.SIGCONT)
+		return nil
+	}, nil
+}
+
+func hangUp(s *system, r *rand.Rand) (func() error, error) {
+	s.instance(r).signal(syscall.SIGHUP)
+	return nil, nil
+}
+
+func storeProxy(s *system, r *rand.Rand) (func() error, error) {
+	return harm(s.instance(r).store, r), nil
+}
+
+func upstreamProxy(s *system, r *rand.Rand) (func() error, error) {
+	return harm(s.upstream(r).proxy, r), nil
+}
+
+func upstreamFails(s *system, r *rand.Rand) (func() error, error) {
+	u := s.upstream(r)
+	u.fails.Store(failing)
+	return func() error {
+		u.fails.Store(0)
+		return nil
+	}, nil
+}
+
+func upstreamLoses(s *system, r *rand.Rand) (func() error, error) {
+	u := s.upstream(r)
+	u.loses.Store(losing)
+	return func() error {
+		u.loses.Store(0)
+		return nil
+	}, nil
+}
+
+func upstreamReplaced(s *system, r *rand.Rand) (func() error, error) {
+	return nil, s.replace(s.upstream(r).ID)
+}
+
+func configuration(s *system, _ *rand.Rand) (func() error, error) {
+	s.configure()
+	return nil, nil
+}
+
+// storeAway takes the store away or lets it misbehave for all instances.
+func storeAway(s *system, r *rand.Rand) (func() error, error) {
+	harms := []standin.Faults{
+		{Outage: standin.OutageRefuse},
+		{Outage: standin.OutageHang},
+		{SilentWatches: true},
+		{Delay: standin.Duration(300 * time.Millisecond)},
+		{LoseAnswers: 0.5},
+	}
+	s.store.SetFaults(harms[r.IntN(len(harms))])
+	return func() error {
+		s.store.SetFaults(standin.Faults{})
+		return nil
+	}, nil
+}
+
+// harm sets a drawn harm at a proxy and returns what ends it. One of the harms is a
+// reset of the open connections, after which new ones work.
 func harm(p *Proxy, r *rand.Rand) func() error {
 	harms := []Harm{
-		{Refuse: true}, {Silent: [2]bool{true, true}}, {Silent: [2]bool{true, false}}, {Silent: [2]bool{false, true}},
-		{Delay: 50 * time.Millisecond}, {},
+		{Refuse: true},
+		{Silent: [2]bool{Out: true, In: true}},
+		{Silent: [2]bool{Out: true}},
+		{Silent: [2]bool{In: true}},
+		{Delay: 50 * time.Millisecond},
+		{},
 	}
 	chosen := harms[r.IntN(len(harms))]
 	p.Set(chosen)
 	if chosen.Refuse || chosen == (Harm{}) {
 		p.Reset()
 	}
-	return func() error { p.Set(Harm{}); return nil }
+	return func() error {
+		p.Set(Harm{})
+		return nil
+	}
 }
 
 func (s *system) instance(r *rand.Rand) *process { return s.instances[r.IntN(len(s.instances))] }
