A lead that still tries does not hold the store for back

Cause, found while reading. An instance ended its belief that the store is away 5 s after its last failed call. A watch of a lead hangs longer than that (wait plus time-out), so a lead could hold the store for back during an outage and take lapsed entries for gone.

Only an instance that does not read the store forgets. TestALeadThatStillTriesKeepsTheStoreAway failed before.

--- a/edge/control.go
+++ b/edge/control.go
@@ -17,7 +17,7 @@
 	// controlTick is the time between two ticks.
 	controlTick = 100 * time.Millisecond
 	// awayFor is how long a failed call on the store is held against it by an
-	// instance that does not try again: more than the longest pause between two tries.
+	// instance that does not read it: three calls that end by storeTimeout.
 	awayFor = 5 * time.Second
 	// newsAge is the age that a change may have when a peer tells of it: a change
 	// that is heard of later was made after the store was lost here.
@@ -209,10 +209,10 @@
 	c.parts.following.set(role{reads: c.follows, revision: c.revision, leads: peers.LeadCount()})
 }
 
-// forgetStore ends the belief that the store is away when this instance has not
-// tried for some time, so that it can lead again.
+// forgetStore ends the belief that the store is away when this instance does not
+// read it and has not tried for some time, so that it can lead again.
 func (c *control) forgetStore(now time.Time) {
-	if !c.storeAway || now.Sub(c.storeFailedAt) <= awayFor {
+	if !c.storeAway || c.follows || now.Sub(c.storeFailedAt) <= awayFor {
 		return
 	}
 	c.storeAway = false
--- a/edge/records_test.go
+++ b/edge/records_test.go
@@ -108,3 +108,18 @@
 	reload{bounds: next}.apply(c, now)
 	assert.Assert(t, c.parts.retries.of("lookup") == after, "an unchanged file changes nothing")
 }
+
+// TestALeadThatStillTriesKeepsTheStoreAway lets no time end the belief that the store
+// is away while a call on it may still hang: a watch waits longer than awayFor.
+func TestALeadThatStillTriesKeepsTheStoreAway(t *testing.T) {
+	for _, follows := range []bool{true, false} {
+		c := newTestControl(t)
+		now := time.Now()
+		recordsRead{entries: []platform.Entry{upstreamEntry("u-1", 3)}, revision: 10, full: true}.apply(c, now)
+		storeFailed{}.apply(c, now)
+		c.follows = follows
+		c.forgetStore(now.Add(awayFor + time.Second))
+		assert.Equal(t, c.storeAway, follows)
+		assert.Equal(t, c.upstreams.Settled(now.Add(2*awayFor)), !follows)
+	}
+}
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -32,7 +32,8 @@
 	// regions.
 	loanWait = 120 * time.Millisecond
 	// loanMessages bounds the requests for loans in a second, each of which costs
-	// processor time at both sides: 1% of a small instance's processor.
+	// processor time at both sides: one for each customer of a fleet of this size that
+	// lacks tokens, twice a second.
 	loanMessages = 40
 	// storeBackoff bounds the pause after failed calls on the store.
 	storeBackoff = 400 * time.Millisecond
