--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -32,8 +32,7 @@
 	// regions.
 	loanWait = 120 * time.Millisecond
 	// loanMessages bounds the requests for loans in a second, each of which costs
-	// processor time at both sides: one for each customer of a fleet of this size that
-	// lacks tokens, twice a second.
+	// processor time at both sides: four for each control tick, at which they are planned.
 	loanMessages = 40
 	// storeBackoff bounds the pause after failed calls on the store.
 	storeBackoff = 400 * time.Millisecond
--- a/quota/divider_test.go
+++ b/quota/divider_test.go
@@ -281,3 +281,25 @@
 	assert.Assert(t, total <= 1.1*rate, "the parts add up to %f", total)
 	assert.Assert(t, first >= 0.6*rate, "the domain with the demand has %f", first)
 }
+
+// TestIdleBucketsKeepTheBoundOfASmallCustomer lets the callers of a small customer
+// appear at all instances of a large fleet at once, where every bucket is full.
+func TestIdleBucketsKeepTheBoundOfASmallCustomer(t *testing.T) {
+	const (
+		instances = 59
+		window    = 5 * time.Second
+		excess    = 0.1
+	)
+	contract := Customer{Name: "acme", Rate: 9, Burst: 9}
+	random := rand.New(rand.NewPCG(1, 4))
+	f := newFleetOf(instances, Windowed(contract, Tolerance{Window: window, Excess: excess, Slack: testSlack}))
+	b := newBuckets(f)
+	demand := make([]float64, instances)
+	b.run(400, demand, random)
+	for i := range demand {
+		demand[i] = 8 * contract.Rate / instances
+	}
+	got := b.run(150, demand, random)
+	bound := (contract.Rate*window.Seconds()+contract.Burst)*(1+excess) + testSlack
+	assert.Assert(t, got <= bound, "%v requests in a window, bound %v", got, bound)
+}
