--- a/config/static/edge.go
+++ b/config/static/edge.go
@@ -20,12 +20,11 @@
 	// ListTTL is the time for which callers may use a list of entry instances.
 	// Default "2s".
 	ListTTL time.Duration
-	// RetryRatio and RetrySlack bound the retries of a service over RetryWindow
-	// by all entry instances together: ratio x requests + slack. Defaults 0.1,
-	// 20 and "10s".
-	RetryRatio  float64
-	RetrySlack  float64
-	RetryWindow time.Duration
+	// RetryRatio and RetrySlack bound the retries of a service by all entry
+	// instances together, in any window: ratio x requests + slack. Defaults 0.1
+	// and 20.
+	RetryRatio float64
+	RetrySlack float64
 	// RateWindow is the window in which a customer's rate and burst are counted:
 	// it may have rate x window + burst requests in any such window. Default "5s".
 	RateWindow time.Duration
@@ -128,8 +127,7 @@
 	fs.DurationVar(&s.ListTTL, "list-ttl", 2*time.Second, "time for which callers may use a list of entry instances")
 	fs.DurationVar(&s.Grace, "grace", 6*time.Second, "time between SIGTERM and the end of the process")
 	fs.Float64Var(&s.RetryRatio, "retry-ratio", 0.1, "retries for each request of a service, over all entry instances")
-	fs.Float64Var(&s.RetrySlack, "retry-slack", 20, "retries of a service beyond the ratio in one window")
-	fs.DurationVar(&s.RetryWindow, "retry-window", 10*time.Second, "window of the bound on retries")
+	fs.Float64Var(&s.RetrySlack, "retry-slack", 20, "retries of a service beyond the ratio in any window")
 	fs.DurationVar(&s.RateWindow, "rate-window", 5*time.Second, "window in which rate and burst of a customer are counted")
 	fs.Float64Var(&s.RateExcess, "rate-excess", 0.05, "part of rate and burst by which a window may exceed them, over all entry instances")
 	fs.Float64Var(&s.RateSlack, "rate-slack", 10, "requests by which a window may exceed rate and burst besides")
@@ -162,7 +160,6 @@
 		checkDuration("heartbeat-interval", s.HeartbeatInterval, 20*time.Millisecond, 5*time.Second),
 		checkDuration("list-ttl", s.ListTTL, time.Second, time.Minute),
 		checkDuration("grace", s.Grace, time.Second, time.Hour),
-		checkDuration("retry-window", s.RetryWindow, time.Second, time.Hour),
 		checkDuration("rate-window", s.RateWindow, time.Second, time.Minute),
 		checkShare("canary-share", s.CanaryShare),
 		checkNotNegative("retry-ratio", s.RetryRatio),
--- a/edge/heartbeat.go
+++ b/edge/heartbeat.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -78,11 +79,11 @@
 	c.background(heartbeatTimeout, func(ctx context.Context) event {
 		client, err := c.parts.peers.Client(address)
 		if err != nil {
-			return heartbeatFailed{address: address}
+			return heartbeatFailed{address: address, err: err}
 		}
 		answer, err := client.Heartbeat(ctx, state)
 		if err != nil {
-			return heartbeatFailed{address: address}
+			return heartbeatFailed{address: address, err: err}
 		}
 		return heartbeatAnswered{address: address, state: answer}
 	})
@@ -128,9 +129,15 @@
 }
 
 // heartbeatFailed is a heartbeat that got no answer.
-type heartbeatFailed struct{ address string }
+type heartbeatFailed struct {
+	address string
+	err     error
+}
 
-func (e heartbeatFailed) apply(c *control, now time.Time) { c.members.Failed(e.address, now) }
+func (e heartbeatFailed) apply(c *control, now time.Time) {
+	c.members.Failed(e.address, now)
+	c.parts.log.Debug("heartbeat failed", zap.String("peer", e.address), zap.Error(e.err))
+}
 
 // entryServer serves the other entry instances.
 type entryServer struct {
--- a/edge/instance_test.go
+++ b/edge/instance_test.go
@@ -24,6 +24,7 @@
 	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/platform/headers"
 	standin "samphireferry.example/ferry/standin/platform"
+	"samphireferry.example/ferry/standin/records"
 	"samphireferry.example/ferry/telemetry"
 )
 
@@ -103,21 +104,35 @@
 
 // register lists the upstream as ready or draining.
 func (s *system) register(b *backend, version, state string) {
-	s.put("servers/"+b.id, fmt.Sprintf(
-		`{"addr":%q,"born":1,"info":{"service":"lookup","version":%q,"zone":"east-1","slots":4},"status":{"state":%q,"seq":1,"cold_left_ms":0}}`,
-		b.server.Listener.Addr(), version, state))
+	s.write(records.Upstream{
+		ID: b.id, Address: b.server.Listener.Addr().String(), Service: "lookup", Version: version,
+		FailureDomain: "east-1", Slots: 4, Draining: state == "draining", Started: time.UnixMilli(1),
+	})
 }
 
 // configure publishes a version with a route that may be repeated and one that may
 // not, and the keys of one customer.
 func (s *system) configure(version int, keys ...string) {
-	list, err := json.Marshal(keys)
+	const timeout, attempts, rate = 2 * time.Second, 2, 100
+	s.write(records.Configuration{
+		Version: uint64(version),
+		Routes: []records.Route{
+			{Name: "read", Host: "a.example", Prefix: "/read/", Service: "lookup", Timeout: timeout, Attempts: attempts},
+			{Name: "file", Host: "a.example", Prefix: "/file/", Service: "lookup", Timeout: timeout, Attempts: attempts, AtMostOnce: true},
+		},
+		Services:  []string{"lookup"},
+		Customers: []records.Customer{{Name: "acme", Keys: keys, Rate: rate, Burst: rate}},
+	})
+}
+
+// write puts a record as the operator or an upstream does.
+func (s *system) write(record interface {
+	Key() string
+	Value() ([]byte, error)
+}) {
+	value, err := record.Value()
 	assert.NilError(s.t, err)
-	s.put("op/config", fmt.Sprintf(`{"version":"%08x","resources":[
- {"of_kind":"routes","meta":{"name":"read"},"spec":{"host":"a.example","prefix":"/read/","kind":"idempotent","timeout_ms":2000,"service":"lookup","attempts":2}},
- {"of_kind":"routes","meta":{"name":"file"},"spec":{"host":"a.example","prefix":"/file/","kind":"non_idempotent","timeout_ms":2000,"service":"lookup","attempts":2}},
- {"of_kind":"services","meta":{"name":"lookup"},"spec":{"health_path":"/health","max_conns":360}},
- {"of_kind":"tenants","meta":{"name":"acme"},"spec":{"api_keys":%s,"rate_per_s":100,"burst":100}}]}`, version, list))
+	s.put(record.Key(), string(value))
 }
 
 // instance is one entry instance with its addresses.
--- a/edge/records_test.go
+++ b/edge/records_test.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -12,6 +11,7 @@
 	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/rpc/entrypb"
+	"samphireferry.example/ferry/standin/records"
 	"samphireferry.example/ferry/telemetry"
 )
 
@@ -30,9 +30,12 @@
 	return i.control
 }
 
-func upstreamEntry(id string, revision platform.Revision) platform.Entry {
-	return platform.Entry{Key: "servers/" + id, Revision: revision, Value: []byte(fmt.Sprintf(
-		`{"addr":"127.0.0.1:9","born":1,"info":{"service":"lookup","version":"1","zone":"east-1","slots":4},"status":{"state":"ready","seq":%d,"cold_left_ms":0}}`, revision))}
+func upstreamEntry(t *testing.T, id string, revision platform.Revision) platform.Entry {
+	t.Helper()
+	u := records.Upstream{ID: id, Address: "127.0.0.1:9", Service: "lookup", Version: "1", FailureDomain: "east-1", Slots: 4}
+	value, err := u.Value()
+	assert.NilError(t, err)
+	return platform.Entry{Key: u.Key(), Revision: revision, Value: value}
 }
 
 // TestARemovalAfterTheOwnCutIsNoLapse is the case of an instance that was cut off
@@ -54,7 +57,7 @@
 			c := newTestControl(t)
 			now := time.Now()
 			at := func(d time.Duration) time.Time { return now.Add(d) }
-			recordsRead{entries: []platform.Entry{upstreamEntry("u-1", 3), upstreamEntry("u-2", 4)}, revision: 10, full: true}.apply(c, now)
+			recordsRead{entries: []platform.Entry{upstreamEntry(t, "u-1", 3), upstreamEntry(t, "u-2", 4)}, revision: 10, full: true}.apply(c, now)
 			storeFailed{}.apply(c, at(time.Second))
 			if test.heardAfter > 0 {
 				changed := []platform.Entry{{Key: "op/evacuate/west-1", Revision: 11}}
@@ -72,8 +75,8 @@
 func TestRecordsForAPeerThatIsBehind(t *testing.T) {
 	c := newTestControl(t)
 	now := time.Now()
-	recordsRead{entries: []platform.Entry{upstreamEntry("u-1", 3), upstreamEntry("u-2", 4)}, revision: 10, full: true}.apply(c, now)
-	recordsRead{entries: []platform.Entry{{Key: "servers/u-1", Revision: 12, Deleted: true}, upstreamEntry("u-3", 13)}, revision: 13}.apply(c, now)
+	recordsRead{entries: []platform.Entry{upstreamEntry(t, "u-1", 3), upstreamEntry(t, "u-2", 4)}, revision: 10, full: true}.apply(c, now)
+	recordsRead{entries: []platform.Entry{{Key: "servers/u-1", Revision: 12, Deleted: true}, upstreamEntry(t, "u-3", 13)}, revision: 13}.apply(c, now)
 	for _, test := range []struct {
 		after platform.Revision
 		full  bool
@@ -115,7 +118,7 @@
 	for _, follows := range []bool{true, false} {
 		c := newTestControl(t)
 		now := time.Now()
-		recordsRead{entries: []platform.Entry{upstreamEntry("u-1", 3)}, revision: 10, full: true}.apply(c, now)
+		recordsRead{entries: []platform.Entry{upstreamEntry(t, "u-1", 3)}, revision: 10, full: true}.apply(c, now)
 		storeFailed{}.apply(c, now)
 		c.follows = follows
 		c.forgetStore(now.Add(awayFor + time.Second))
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -33,11 +33,18 @@
 	{"store", storeAway},
 }
 
-// failing and losing are the parts of its requests, in thousandths, that a harmed
-// upstream fails, or runs without an answer.
+// The size of the harms.
 const (
+	// failing and losing are the parts of its requests, in thousandths, that a harmed
+	// upstream fails, or runs without an answer.
 	failing = 500
 	losing  = 300
+	// slowCall and slowPiece delay calls on the store and pieces at a proxy: many
+	// times a round trip on the loopback interface, within the time-outs.
+	slowCall  = 300 * time.Millisecond
+	slowPiece = 50 * time.Millisecond
+	// lostAnswers is the part of the writes on the store whose answer is lost.
+	lostAnswers = 0.5
 )
 
 func kill(s *system, r *rand.Rand) (func() error, error) {
@@ -110,8 +117,8 @@
 		{Outage: standin.OutageRefuse},
 		{Outage: standin.OutageHang},
 		{SilentWatches: true},
-		{Delay: standin.Duration(300 * time.Millisecond)},
-		{LoseAnswers: 0.5},
+		{Delay: standin.Duration(slowCall)},
+		{LoseAnswers: lostAnswers},
 	}
 	s.store.SetFaults(harms[r.IntN(len(harms))])
 	return func() error {
@@ -128,7 +135,7 @@
 		{Silent: [2]bool{Out: true, In: true}},
 		{Silent: [2]bool{Out: true}},
 		{Silent: [2]bool{In: true}},
-		{Delay: 50 * time.Millisecond},
+		{Delay: slowPiece},
 		{},
 	}
 	chosen := harms[r.IntN(len(harms))]
--- a/soak/process.go
+++ b/soak/process.go
@@ -28,19 +28,19 @@
 	paused  bool
 }
 
-// newProcess prepares an instance of the failure domain.
-func newProcess(o Options, name, region, domain, store string, domains []string) (*process, error) {
+// newProcess prepares an instance in the failure domain.
+func newProcess(o Options, name string, at domain, store string) (*process, error) {
 	proxy, err := NewProxy(store)
 	if err != nil {
 		return nil, err
 	}
 	p := &process{program: o.Program, log: o.Log, store: proxy}
 	args := []string{
-		"-name", name, "-region", region, "-failure-domain", domain, "-platform", "http://" + proxy.Address(),
+		"-name", name, "-region", at.region, "-failure-domain", at.name, "-platform", "http://" + proxy.Address(),
 		"-grace", grace.String(), "-heartbeat-interval", "200ms", "-log-level", o.LogLevel,
 	}
 	for _, d := range domains {
-		args = append(args, "-domain", d)
+		args = append(args, "-domain", d.name+"="+d.region)
 	}
 	for _, flag := range []string{"-listen", "-directory-listen", "-ready-listen", "-rpc-listen"} {
 		address, err := freeport.Next()
@@ -92,6 +92,7 @@
 		return
 	}
 	p.paused = s == syscall.SIGSTOP || p.paused && s != syscall.SIGCONT
+	// A process that has just ended cannot be signalled any more, which is no fault.
 	_ = p.command.Process.Signal(s)
 }
 
@@ -107,7 +108,7 @@
 	p.signal(s)
 	select {
 	case <-done:
-	case <-time.After(grace + time.Second):
+	case <-time.After(grace):
 		p.signal(syscall.SIGKILL)
 		<-done
 	}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -5,8 +5,13 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
+// pieceBytes is the largest piece that is passed on at once.
+const pieceBytes = 16 << 10
+
 // Direction says which way bytes go.
 type Direction uint8
 
@@ -127,7 +132,7 @@
 
 // pass copies one direction until one of the connections ends.
 func (p *Proxy) pass(direction Direction, from, to net.Conn) {
-	buffer := make([]byte, 16<<10)
+	buffer := make([]byte, pieceBytes)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
@@ -139,7 +144,7 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
+			if !errors.Is(err, io.EOF) {
 				reset(to)
 			}
 			return
--- a/soak/system.go
+++ b/soak/system.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http/httptest"
 	"sync"
@@ -13,16 +12,41 @@
 
 	"samphireferry.example/ferry/platform"
 	standin "samphireferry.example/ferry/standin/platform"
+	"samphireferry.example/ferry/standin/records"
 )
 
 const (
 	host     = "soak.example"
 	key      = "soak-key"
 	customer = "acme"
-	// grace is the time between SIGTERM and SIGKILL.
+	// lookup may be repeated, filing may run once.
+	lookup = "lookup"
+	filing = "filing"
+)
+
+const (
+	// grace is the time between SIGTERM and SIGKILL: more than callerDeadline.
 	grace = 3 * time.Second
+	// upstreamsEach is the number of upstreams of each service, slots the requests
+	// that each runs at once: together more than the callers send.
+	upstreamsEach = 4
+	slots         = 8
+	// attempts is the number of upstreams that may get one request.
+	attempts = 2
+	// customerRate is in requests per second; rates bind no caller of the soak.
+	customerRate = 10_000
+	// writeTries, writePause and writeTimeout bound a write of the operator: together
+	// they outlast every fault of the store.
+	writeTries   = 200
+	writePause   = 100 * time.Millisecond
+	writeTimeout = time.Second
 )
 
+// domains are the failure domains with their regions.
+var domains = []domain{{"east-1", "east"}, {"east-2", "east"}, {"west-1", "west"}}
+
+type domain struct{ name, region string }
+
 // system is everything that a soak runs.
 type system struct {
 	options   Options
@@ -32,7 +56,7 @@
 	instances []*process
 
 	mu        sync.Mutex
-	version   int
+	version   uint64
 	upstreams map[string]*Upstream
 	gone      []*Upstream
 	started   int
@@ -44,19 +68,14 @@
 	s.storeHTTP = httptest.NewServer(s.store.Handler())
 	s.configure()
 	for i := range 2 * upstreamsEach {
-		err := s.addUpstream([]string{"lookup", "filing"}[i%2])
+		err := s.addUpstream([]string{lookup, filing}[i%2])
 		if err != nil {
 			return s, err
 		}
 	}
-	domains := []string{"east-1=east", "east-2=east", "west-1=west"}
 	for i := range o.Instances {
-		name := fmt.Sprintf("entry-%d", i)
-		region, domain := "east", fmt.Sprintf("east-%d", 1+i%3)
-		if i%3 == 2 {
-			region, domain = "west", "west-1"
-		}
-		p, err := newProcess(o, name, region, domain, s.storeHTTP.Listener.Addr().String(), domains)
+		at := domains[i%len(domains)]
+		p, err := newProcess(o, fmt.Sprintf("entry-%d", i), at, s.storeHTTP.Listener.Addr().String())
 		if err != nil {
 			return s, err
 		}
@@ -69,14 +88,20 @@
 	return s, nil
 }
 
-// put writes a record as the operator or an upstream does, past all faults.
-func (s *system) put(name string, value any) error {
-	data, err := json.Marshal(value)
+// record is what the operator or an upstream writes.
+type record interface {
+	Key() string
+	Value() ([]byte, error)
+}
+
+// put writes a record past all faults.
+func (s *system) put(r record) error {
+	value, err := r.Value()
 	if err != nil {
 		return err
 	}
-	return s.write(name, func(ctx context.Context, at platform.Revision) error {
-		_, err := s.store.CompareAndSwap(ctx, name, data, at, 0)
+	return s.write(r.Key(), func(ctx context.Context, at platform.Revision) error {
+		_, err := s.store.CompareAndSwap(ctx, r.Key(), value, at, 0)
 		return err
 	})
 }
@@ -89,50 +114,46 @@
 // the answer is tried again.
 func (s *system) write(name string, change func(ctx context.Context, at platform.Revision) error) error {
 	var last error
-	for range 200 {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		entry, err := s.store.Get(ctx, name)
-		if err == nil || errors.Is(err, platform.ErrNotFound) {
-			err = change(ctx, entry.Revision)
-		}
-		cancel()
-		if err == nil {
+	for range writeTries {
+		last = s.tryWrite(name, change)
+		if last == nil {
 			return nil
 		}
-		last = err
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(writePause)
 	}
 	return last
 }
 
+func (s *system) tryWrite(name string, change func(ctx context.Context, at platform.Revision) error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	entry, err := s.store.Get(ctx, name)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	return change(ctx, entry.Revision)
+}
+
 // configure publishes the next version.
 func (s *system) configure() {
 	s.mu.Lock()
 	s.version++
 	version := s.version
 	s.mu.Unlock()
-	type object = map[string]any
-	route := func(service, kind string) object {
-		return object{"of_kind": "routes", "meta": object{"name": service}, "spec": object{
-			"host": host, "prefix": "/" + service + "/", "kind": kind, "timeout_ms": callerDeadline.Milliseconds(),
-			"service": service, "attempts": 2, "priority": version % 3,
-		}}
-	}
-	service := func(name string) object {
-		return object{"of_kind": "services", "meta": object{"name": name}, "spec": object{"health_path": "/health", "max_conns": 360}}
-	}
-	err := s.put("op/config", object{"version": fmt.Sprintf("%08x", version), "resources": []object{
-		route("lookup", "idempotent"), route("filing", "non_idempotent"), service("lookup"), service("filing"),
-		{"of_kind": "tenants", "meta": object{"name": customer}, "spec": object{"api_keys": []string{key}, "rate_per_s": 10000, "burst": 1000}},
-	}})
+	err := s.put(records.Configuration{
+		Version: version,
+		Routes: []records.Route{
+			{Name: lookup, Host: host, Prefix: "/" + lookup + "/", Service: lookup, Timeout: callerDeadline, Attempts: attempts},
+			{Name: filing, Host: host, Prefix: "/" + filing + "/", Service: filing, Timeout: callerDeadline, Attempts: attempts, AtMostOnce: true},
+		},
+		Services:  []string{lookup, filing},
+		Customers: []records.Customer{{Name: customer, Keys: []string{key}, Rate: customerRate, Burst: customerRate}},
+	})
 	if err != nil {
 		s.ledger.Break("the soak could not publish version %d: %v", version, err)
 	}
 }
 
-// upstreamsEach is the number of upstreams of each service.
-const upstreamsEach = 4
-
 func (s *system) addUpstream(service string) error {
 	s.mu.Lock()
 	s.started++
@@ -145,13 +166,7 @@
 	s.mu.Lock()
 	s.upstreams[id] = u
 	s.mu.Unlock()
-	zone := []string{"east-1", "east-2", "west-1"}[s.started%3]
-	type object = map[string]any
-	return s.put("servers/"+id, object{
-		"addr": u.proxy.Address(), "born": time.Now().UnixMilli(),
-		"info":   object{"service": service, "version": "1", "zone": zone, "slots": 8},
-		"status": object{"state": "ready", "seq": 1, "cold_left_ms": 0},
-	})
+	return s.put(u.record(domains[s.started%len(domains)].name))
 }
 
 // replace starts another upstream of the service, takes the entry of this one away
@@ -166,7 +181,7 @@
 	if err != nil {
 		return err
 	}
-	return s.remove("servers/" + id)
+	return s.remove(u.record("").Key())
 }
 
 func (s *system) close() {
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"samphireferry.example/ferry/platform/headers"
+	"samphireferry.example/ferry/standin/records"
 )
 
 // The times of the soak's upstreams and callers. They are short, so that a run of
@@ -18,6 +19,10 @@
 const (
 	workTime       = 30 * time.Millisecond
 	callerDeadline = 2 * time.Second
+	// answerSlack is how much longer than its deadline a caller keeps a connection.
+	answerSlack = time.Second
+	// objects is the number of objects that the requests are about.
+	objects = 7
 )
 
 // Upstream is one server of a service.
@@ -27,6 +32,7 @@
 	proxy   *Proxy
 	server  *httptest.Server
 	ledger  *Ledger
+	started time.Time
 	// fails and loses are the parts of its requests, in thousandths, that it runs and
 	// then fails, or resets without an answer.
 	fails atomic.Int64
@@ -35,7 +41,7 @@
 }
 
 func newUpstream(id, service string, ledger *Ledger) (*Upstream, error) {
-	u := &Upstream{ID: id, service: service, ledger: ledger}
+	u := &Upstream{ID: id, service: service, ledger: ledger, started: time.Now()}
 	u.server = httptest.NewServer(u)
 	proxy, err := NewProxy(u.server.Listener.Addr().String())
 	if err != nil {
@@ -45,6 +51,14 @@
 	return u, nil
 }
 
+// record is the entry of the upstream in the failure domain.
+func (u *Upstream) record(failureDomain string) records.Upstream {
+	return records.Upstream{
+		ID: u.ID, Address: u.proxy.Address(), Service: u.service, Version: "1",
+		FailureDomain: failureDomain, Slots: slots, Started: u.started,
+	}
+}
+
 func (u *Upstream) close() {
 	u.proxy.Close()
 	u.server.CloseClientConnections()
@@ -61,6 +75,7 @@
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
+		// The sender broke off; the request does not run.
 		return
 	}
 	u.check(r, body)
@@ -128,12 +143,12 @@
 	c.sent++
 	id := fmt.Sprintf("%s-%d", c.name, c.sent)
 	once := c.sent%2 == 0
-	service, method := "lookup", http.MethodGet
+	service, method := lookup, http.MethodGet
 	if once {
-		service, method = "filing", http.MethodPost
+		service, method = filing, http.MethodPost
 	}
-	path := fmt.Sprintf("/%s/%d", service, c.sent%7)
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callerDeadline+time.Second)
+	path := fmt.Sprintf("/%s/%d", service, c.sent%objects)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callerDeadline+answerSlack)
 	defer cancel()
 	// With a body that cannot be read again the transport sends a request only once.
 	body := io.NopCloser(strings.NewReader(id))
@@ -145,7 +160,7 @@
 	request.ContentLength = int64(len(id))
 	request.Host = host
 	request.Header.Set(headers.AttemptID, id)
-	request.Header.Set(headers.ObjectKey, fmt.Sprint(c.sent%7))
+	request.Header.Set(headers.ObjectKey, fmt.Sprint(c.sent%objects))
 	request.Header.Set(headers.DeadlineMillis, fmt.Sprint(callerDeadline.Milliseconds()))
 	request.Header.Set("Authorization", "Bearer "+key)
 	c.ledger.Sent(id, once)
@@ -155,11 +170,13 @@
 func (c *caller) read(id, path string, request *http.Request) {
 	response, err := c.client.Do(request)
 	if err != nil {
+		// A connection that ends promises nothing of the request.
 		return
 	}
 	defer response.Body.Close()
 	got, err := io.ReadAll(response.Body)
 	if err != nil {
+		// An answer that ends early does not look complete, as it should.
 		return
 	}
 	want := fmt.Sprintf("%s %s %s", id, path, id)
--- /dev/null
+++ b/standin/records/records.go
@@ -0,0 +1,103 @@
+// Package records writes the records of the platform's store that the operator and
+// the upstreams write there, for stand-ins and tests.
+package records
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"samphireferry.example/ferry/platform/records"
+)
+
+// connectionsEach is the number of connections that an upstream accepts. It is far
+// more than any stand-in needs.
+const connectionsEach = 360
+
+// object is a JSON object.
+type object = map[string]any
+
+// Upstream is the entry of one upstream.
+type Upstream struct {
+	ID            string
+	Address       string
+	Service       string
+	Version       string
+	FailureDomain string
+	Slots         int
+	// Draining says that it takes no new requests.
+	Draining bool
+	Started  time.Time
+}
+
+// Key is where the entry lies.
+func (u Upstream) Key() string { return records.PrefixUpstreams + u.ID }
+
+// Value is the entry.
+func (u Upstream) Value() ([]byte, error) {
+	state := "ready"
+	if u.Draining {
+		state = "draining"
+	}
+	return json.Marshal(object{
+		"addr": u.Address, "born": u.Started.UnixMilli(),
+		"info":   object{"service": u.Service, "version": u.Version, "zone": u.FailureDomain, "slots": u.Slots},
+		"status": object{"state": state, "seq": 1, "cold_left_ms": 0},
+	})
+}
+
+// Route is one route of a configuration.
+type Route struct {
+	Name       string
+	Host       string
+	Prefix     string
+	Service    string
+	AtMostOnce bool
+	Timeout    time.Duration
+	Attempts   int
+}
+
+// Customer is one customer of a configuration.
+type Customer struct {
+	Name string
+	Keys []string
+	// Rate is in requests per second.
+	Rate  float64
+	Burst int
+}
+
+// Configuration is one version of the configuration.
+type Configuration struct {
+	Version   uint64
+	Routes    []Route
+	Services  []string
+	Customers []Customer
+}
+
+// Key is where the configuration lies.
+func (c Configuration) Key() string { return records.KeyConfig }
+
+// Value is the configuration.
+func (c Configuration) Value() ([]byte, error) {
+	var resources []object
+	add := func(kind, name string, spec object) {
+		resources = append(resources, object{"of_kind": kind, "meta": object{"name": name}, "spec": spec})
+	}
+	for _, r := range c.Routes {
+		kind := "idempotent"
+		if r.AtMostOnce {
+			kind = "non_idempotent"
+		}
+		add("routes", r.Name, object{
+			"host": r.Host, "prefix": r.Prefix, "kind": kind, "service": r.Service,
+			"timeout_ms": r.Timeout.Milliseconds(), "attempts": r.Attempts,
+		})
+	}
+	for _, name := range c.Services {
+		add("services", name, object{"health_path": "/health", "max_conns": connectionsEach})
+	}
+	for _, customer := range c.Customers {
+		add("tenants", customer.Name, object{"api_keys": customer.Keys, "rate_per_s": customer.Rate, "burst": customer.Burst})
+	}
+	return json.Marshal(object{"version": fmt.Sprintf("%08x", c.Version), "resources": resources})
+}
