edge: log and count attempts outside home regions and directory scopes

Cause: four hypotheses of the HOME incident cannot be told apart: no line has the homes or the configuration version at the time of an attempt, and directory responses are not logged. Directory responses are counted by scope, and logged when they name instances of other regions. Failed attempts have the version and the region of the upstream. No decision changes.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -74,6 +74,7 @@
 		return nil, err
 	}
 	x.tried = append(x.tried, lease.Upstream.Name)
+	x.checkHomes(lease.Upstream)
 	sent := time.Now()
 	defer func() {
 		x.deps.metrics.Histogram("ferry_attempt_seconds", "service", x.service.Name).UpdateDuration(sent)
@@ -99,7 +100,9 @@
 	x.release(lease, result, refusedLoad(err))
 	x.deps.log.Info("attempt failed",
 		zap.String("request_id", x.caller.AttemptID),
+		zap.Uint64("config_version", x.configVersion()),
 		zap.String("upstream", lease.Upstream.Name),
+		zap.String("upstream_region", lease.Upstream.Region),
 		zap.Float64("upstream_use", lease.Utilization),
 		zap.Duration("at_upstream", time.Since(sent)),
 		zap.Duration("age", time.Since(x.started)),
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -17,17 +17,42 @@
 // ServeHTTP responds with the nearest instances that are alive and not leaving.
 func (d *directory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	region, domain := headers.DirectoryQuery(r)
-	addresses := nearest(d.deps.views.load(), region, domain)
+	v := d.deps.views.load()
+	addresses, scope := nearest(v, region, domain)
+	d.deps.metrics.Counter("ferry_directory_responses_total", "scope", scope.String()).Inc()
+	if scope == scopeAnywhere {
+		d.deps.log.Info("directory names instances of other regions",
+			zap.String("region", region),
+			zap.String("failure_domain", domain),
+			zap.Int("named", len(addresses)),
+			zap.Int("known", len(v.peers.All)),
+		)
+	}
 	err := headers.WriteDirectory(w, addresses, d.deps.bounds.Load().ListTTL)
 	if err != nil {
 		d.deps.log.Debug("directory response could not be written", zap.Error(err))
 	}
 }
 
+// directoryScope is the area from which a directory response names instances.
+type directoryScope uint8
+
+const (
+	// scopeDomain is the caller's failure domain.
+	scopeDomain directoryScope = iota
+	// scopeRegion is the caller's region.
+	scopeRegion
+	// scopeAnywhere is all regions.
+	scopeAnywhere
+)
+
+// String returns the name of the scope in metrics.
+func (s directoryScope) String() string { return [...]string{"domain", "region", "anywhere"}[s] }
+
 // nearest returns the addresses of the usable instances in the failure domain, or else
 // in the region, or else everywhere. The list is never empty: when no instance is
 // usable it holds this instance.
-func nearest(v *view, region, domain string) []string {
+func nearest(v *view, region, domain string) ([]string, directoryScope) {
 	var inDomain, inRegion, all []string
 	add := func(p *membership.Peer) {
 		all = append(all, p.Address)
@@ -46,12 +71,12 @@
 			add(p)
 		}
 	}
-	for _, list := range [][]string{inDomain, inRegion, all} {
+	for scope, list := range [][]string{scopeDomain: inDomain, scopeRegion: inRegion, scopeAnywhere: all} {
 		if len(list) > 0 {
-			return list
+			return list, directoryScope(scope)
 		}
 	}
-	return []string{v.peers.Self.Address}
+	return []string{v.peers.Self.Address}, scopeAnywhere
 }
 
 // ready serves the readiness check.
--- a/edge/records.go
+++ b/edge/records.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"samphireferry.example/ferry/membership"
@@ -164,6 +165,8 @@
 		zap.Uint64("version", config.Version),
 		zap.Int64("revision", int64(entry.Revision)),
 		zap.Int("routes", len(table.Routes)),
+		zap.Int("routes_with_homes", lo.CountBy(table.Routes, func(r *routing.Route) bool { return r.HomeRegions != nil })),
+		zap.Int("customers_with_homes", lo.CountBy(table.Customers, func(c *routing.Customer) bool { return c.HomeRegions != nil })),
 		zap.Time("at", now),
 	)
 }
--- a/routing/table.go
+++ b/routing/table.go
@@ -45,6 +45,14 @@
 	HomeRegions []string
 }
 
+// Homes returns HomeRegions; nil for a nil customer.
+func (c *Customer) Homes() []string {
+	if c == nil {
+		return nil
+	}
+	return c.HomeRegions
+}
+
 // Key is one key of a table.
 type Key struct {
 	Name      string
