--- /dev/null
+++ b/edge/homes_test.go
@@ -0,0 +1,68 @@
+package edge
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphireferry.example/ferry/standin/records"
+)
+
+// configureHomes publishes a configuration whose route and customer have the home
+// regions; nil allows all.
+func (s *system) configureHomes(version uint64, route, customer []string) {
+	s.write(records.Configuration{
+		Version: version,
+		Routes: []records.Route{{
+			Name: "read", Host: "a.example", Prefix: "/read/", Service: "lookup",
+			Timeout: 30 * time.Second, Attempts: 3, HomeRegions: route,
+		}},
+		Services:  []string{"lookup"},
+		Customers: []records.Customer{{Name: "acme", Keys: []string{"k1"}, Rate: 100, Burst: 100, HomeRegions: customer}},
+	})
+}
+
+// TestRetryIsDecidedByTheNewestConfiguration guards against a retry in the home region of
+// the configuration that was in force when the request arrived.
+func TestRetryIsDecidedByTheNewestConfiguration(t *testing.T) {
+	east, west := []string{"east"}, []string{"west"}
+	for name, homes := range map[string]struct {
+		oldRoute, oldCustomer []string
+		newRoute, newCustomer []string
+	}{
+		"homes of the route":    {oldRoute: east, newRoute: west},
+		"homes of the customer": {oldCustomer: east, newCustomer: west},
+		"homes of both":         {oldRoute: east, newRoute: []string{"east", "west"}, newCustomer: west},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t)
+			s.configureHomes(1, homes.oldRoute, homes.oldCustomer)
+			failing, stale, home := newFakeUpstream(t, "i-1"), newFakeUpstream(t, "i-2"), newFakeUpstream(t, "i-3")
+			fail := make(chan struct{})
+			handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				<-fail
+				w.WriteHeader(http.StatusInternalServerError)
+			})
+			failing.handler.Store(&handler)
+			s.register(failing, "v1", "ready")
+			i := s.start("e1")
+			defer i.stop()
+			i.waitReady(1)
+			done := make(chan clientResponse, 1)
+			go func() { done <- i.send(http.MethodGet, "/read/7", "k1") }()
+			eventually(t, "the request is at the upstream", func() bool { return len(failing.requests()) == 1 })
+			s.register(stale, "v1", "ready")
+			s.registerIn("west-1", home, "v1", "ready")
+			s.configureHomes(2, homes.newRoute, homes.newCustomer)
+			i.waitReady(3)
+			eventually(t, "version 2 is in force", func() bool { return i.deps.views.load().table.Version == 2 })
+			close(fail)
+			got := <-done
+			assert.NilError(t, got.err)
+			assert.Equal(t, len(stale.requests()), 0, "a retry outside the home regions")
+			assert.Equal(t, got.body, "from i-3")
+		})
+	}
+}
--- a/standin/records/records.go
+++ b/standin/records/records.go
@@ -55,6 +55,8 @@
 	AtMostOnce bool
 	Timeout    time.Duration
 	Attempts   int
+	// HomeRegions are the only regions that may serve the route; empty allows all.
+	HomeRegions []string
 }
 
 // Customer is one customer of a configuration.
@@ -64,6 +66,8 @@
 	// Rate is in requests per second.
 	Rate  float64
 	Burst int
+	// HomeRegions are the only regions that may serve the customer; empty allows all.
+	HomeRegions []string
 }
 
 // Configuration is one version of the configuration.
@@ -90,14 +94,16 @@
 		}
 		add("routes", r.Name, object{
 			"host": r.Host, "prefix": r.Prefix, "kind": kind, "service": r.Service,
-			"timeout_ms": r.Timeout.Milliseconds(), "attempts": r.Attempts,
+			"timeout_ms": r.Timeout.Milliseconds(), "attempts": r.Attempts, "home_regions": r.HomeRegions,
 		})
 	}
 	for _, name := range c.Services {
 		add("services", name, object{"health_path": "/health", "max_conns": maxConnections})
 	}
 	for _, customer := range c.Customers {
-		add("tenants", customer.Name, object{"api_keys": customer.Keys, "rate_per_s": customer.Rate, "burst": customer.Burst})
+		add("tenants", customer.Name, object{
+			"api_keys": customer.Keys, "rate_per_s": customer.Rate, "burst": customer.Burst, "home_regions": customer.HomeRegions,
+		})
 	}
 	return json.Marshal(object{"version": fmt.Sprintf("%08x", c.Version), "resources": resources})
 }
