edge: each attempt is decided by the newest configuration

Callers: a request that was sent again seconds after its arrival ran in a region that was no home of its route or customer any more, with a key that had been withdrawn, or at the version of a roll-out that had been reverted. Cause: an exchange took the view of the control state once, on arrival, and all attempts used it (check and use at different times). Change: resolve takes the newest view before the first attempt, after the body was read and a token was awaited, and before each retry: route, customer, service and version are decided again. Deadline and charged rate stay those of the arrival. A request that is not allowed any more is not sent again; its last response or failure is returned. Whether this is what the users saw is not shown.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -144,7 +144,7 @@
 		AllowsVersion: allows,
 		AllowsRegion:  x.allowsRegion,
 		Tried:         x.tried,
-		TimeLeft:      time.Until(x.deadline()),
+		TimeLeft:      time.Until(x.deadline),
 	}
 }
 
@@ -212,8 +212,11 @@
 // mayRetry reports whether the request may be sent to another upstream. If so, it has
 // counted the retry, and charged it to the retry budget unless the connection failed.
 func (x *exchange) mayRetry(ctx context.Context, err error) bool {
+	if ctx.Err() != nil || x.resolve() != nil {
+		return false
+	}
 	limit := x.route.MaxAttempts
-	if ctx.Err() != nil || len(x.tried) >= maxTriedUpstreams || limit > 0 && x.ran >= limit {
+	if len(x.tried) >= maxTriedUpstreams || limit > 0 && x.ran >= limit {
 		return false
 	}
 	if err == nil {
--- /dev/null
+++ b/edge/resolve.go
@@ -0,0 +1,99 @@
+package edge
+
+import (
+	"samphireferry.example/ferry/errkind"
+	"samphireferry.example/ferry/platform/headers"
+	"samphireferry.example/ferry/routing"
+)
+
+// match finds the route of the request.
+func (x *exchange) match() error {
+	if x.view.table == nil {
+		return errkind.New(errkind.NoConfiguration, "")
+	}
+	route, ok := x.view.table.Match(x.r.Host, x.r.URL.Path, x.r.Method)
+	if !ok {
+		return errkind.New(errkind.UnknownRoute, "")
+	}
+	x.route = route
+	return nil
+}
+
+// authenticate finds the customer by the API key of the request.
+func (x *exchange) authenticate() error {
+	x.customer = nil
+	if x.route.Open || len(x.view.table.Customers) == 0 {
+		return nil
+	}
+	if x.caller.Key == "" {
+		return errkind.New(errkind.KeyMissing, "")
+	}
+	key, ok := x.view.table.Key(routing.HashKey(x.caller.Key))
+	if !ok {
+		return errkind.New(errkind.KeyUnknown, "")
+	}
+	x.customer = key.Customer
+	return nil
+}
+
+// chooseService chooses the service of the route, or one of its split. The service
+// chosen before is kept if the split still has it.
+func (x *exchange) chooseService() {
+	split := x.view.splits[x.route.Name]
+	if split == nil {
+		x.service = x.route.Service
+		return
+	}
+	if x.service != nil {
+		if kept := split.service(x.service.Name); kept != nil {
+			x.service = kept
+			return
+		}
+	}
+	x.service = split.next()
+}
+
+// chooseVersion decides whether the request is for the new version of a roll-out.
+func (x *exchange) chooseVersion() {
+	x.prefersNew = x.view.versions[x.service.Name].chooseNew()
+}
+
+// setDeadline sets the deadline of the request from its arrival.
+func (x *exchange) setDeadline() {
+	limit := x.route.Timeout
+	if x.caller.Deadline > 0 {
+		limit = min(limit, x.caller.Deadline)
+	}
+	x.deadline = x.started.Add(limit)
+}
+
+// resolve decides the request anew by the newest configuration and roll-outs. It is
+// called before each attempt: seconds may have passed since the last decision. An error
+// means that the request is not allowed any more.
+func (x *exchange) resolve() error {
+	newest := x.deps.views.load()
+	changed := newest.table != x.view.table
+	x.view = newest
+	if !changed {
+		x.prefersNew = x.view.versions[x.service.Name].chooseAgain(x.prefersNew)
+		return nil
+	}
+	err := x.match()
+	if err != nil {
+		return err
+	}
+	err = x.authenticate()
+	if err != nil {
+		return err
+	}
+	before := x.service.Name
+	x.chooseService()
+	if x.service.Name == before {
+		x.prefersNew = x.view.versions[before].chooseAgain(x.prefersNew)
+	} else {
+		x.chooseVersion()
+	}
+	headers.PrepareForwarded(x.r.Header, x.customerName())
+	x.request.Route, x.request.Customer = x.route, x.customer
+	return nil
+}
--- a/edge/split.go
+++ b/edge/split.go
@@ -36,6 +36,18 @@
 	s.parts = parts
 }
 
+// service returns the service with the name, or nil when the split does not have it.
+func (s *split) service(name string) *routing.Service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, part := range s.parts {
+		if part.Service.Name == name {
+			return part.Service
+		}
+	}
+	return nil
+}
+
 // next returns the service for the next request.
 func (s *split) next() *routing.Service {
 	s.mu.Lock()
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -51,6 +51,9 @@
 	request  *dispatch.Request
 	// prefersNew is set when the request is chosen for the new version of a roll-out.
 	prefersNew bool
+	// deadline is the earlier of the caller's deadline and the timeout of the route that
+	// matched on arrival.
+	deadline time.Time
 	// responseStarted is set just before the header of the response is written.
 	responseStarted bool
 	// tried names the upstreams that the request was sent to.
@@ -68,7 +71,9 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline())
+	x.chooseService()
+	x.setDeadline()
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	err = x.prepare()
 	if err != nil {
@@ -78,7 +83,11 @@
 	if err != nil {
 		return err
 	}
-	x.prefersNew = x.view.versions[x.service.Name].chooseNew()
+	x.chooseVersion()
+	err = x.resolve()
+	if err != nil {
+		return err
+	}
 	return x.sendWithRetries(ctx)
 }
 
@@ -95,48 +104,6 @@
 	return x.deps.limiter.AdmitWait(ctx, bucket).Err()
 }
 
-// match finds the route of the request and its service.
-func (x *exchange) match() error {
-	if x.view.table == nil {
-		return errkind.New(errkind.NoConfiguration, "")
-	}
-	route, ok := x.view.table.Match(x.r.Host, x.r.URL.Path, x.r.Method)
-	if !ok {
-		return errkind.New(errkind.UnknownRoute, "")
-	}
-	x.route = route
-	x.service = route.Service
-	if s := x.view.splits[route.Name]; s != nil {
-		x.service = s.next()
-	}
-	return nil
-}
-
-// authenticate finds the customer by the API key of the request.
-func (x *exchange) authenticate() error {
-	if x.route.Open || len(x.view.table.Customers) == 0 {
-		return nil
-	}
-	if x.caller.Key == "" {
-		return errkind.New(errkind.KeyMissing, "")
-	}
-	key, ok := x.view.table.Key(routing.HashKey(x.caller.Key))
-	if !ok {
-		return errkind.New(errkind.KeyUnknown, "")
-	}
-	x.customer = key.Customer
-	return nil
-}
-
-// deadline returns the earlier of the caller's deadline and the route's timeout.
-func (x *exchange) deadline() time.Time {
-	limit := x.route.Timeout
-	if x.caller.Deadline > 0 {
-		limit = min(limit, x.caller.Deadline)
-	}
-	return x.started.Add(limit)
-}
-
 // prepare builds the request to upstreams. Bodies of known or unknown length up to
 // maxBufferedBody bytes are read whole.
 func (x *exchange) prepare() error {
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -31,6 +31,15 @@
 	return false
 }
 
+// chooseAgain is chooseNew for a request that has been decided before. While the phase is
+// canary, the decision stands.
+func (v *versionChoice) chooseAgain(prefersNew bool) bool {
+	if v != nil && v.phase == canary.Canary {
+		return prefersNew
+	}
+	return v.chooseNew()
+}
+
 // placementKey returns the hash by which an upstream of the new version is chosen. In
 // the canary phase all requests for the new version have the same hash: the few
 // requests go to the same upstreams, so that these are as loaded as they will be later,
