edge: a peer that does not respond delays no configuration

Callers: an instance served by a configuration that was more than 3 s old, with the homes of that version, although it was connected and its peers had the newer one. Cause: an instance that is behind asked one peer at a time for its records, always the one with the newest revision, and waited 2 s for it. All instances of a failure domain asked the same peer at once. While that peer was busy, they asked it again and again. Change: the leader of the domain is asked first, then the nearest at random; after 500 ms without a response another peer is asked as well; peers that failed come last.

--- a/edge/control.go
+++ b/edge/control.go
@@ -75,7 +75,7 @@
 	poolDirty bool
 	viewDirty bool
 	splits    map[string]*split
-	pulling   bool
+	pulls     *pulls
 }
 
 func newControl(ctx context.Context, deps *dependencies, now time.Time) *control {
@@ -95,6 +95,7 @@
 		sums:            newDomainSums(deps.settings.FailureDomain),
 		evacuationEnded: map[string]time.Time{},
 		viewDirty:       true,
+		pulls:           newPulls(),
 	}
 	c.rollouts = newRolloutControl(c)
 	c.members.SetRegions(deps.settings.Domains)
--- a/edge/pull.go
+++ b/edge/pull.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,27 +20,112 @@
 const (
 	// pullTimeout bounds a call to a peer for its records.
 	pullTimeout = 2 * time.Second
+	// pullHedgeDelay is how long a pull may take until another peer is asked as well.
+	pullHedgeDelay = 500 * time.Millisecond
+	// maxPulls bounds the concurrent pulls.
+	maxPulls = 3
+	// pullFailurePause is how long a peer is avoided after a pull from it failed.
+	pullFailurePause = 3 * time.Second
 	// pullDelay is how long a leader waits for its own watch before it pulls newer
 	// records from a peer. It covers the pause between two watches and a slow response.
 	pullDelay = 500 * time.Millisecond
 )
 
+// pulls holds the state of the requests for records of peers.
+type pulls struct {
+	// running holds the peers that were asked and have not responded, by name.
+	running map[string]bool
+	// startedAt is when the last one was asked.
+	startedAt time.Time
+	// failedAt is when the last pull from a peer failed, by name.
+	failedAt map[string]time.Time
+}
+
+func newPulls() *pulls {
+	return &pulls{running: map[string]bool{}, failedAt: map[string]time.Time{}}
+}
+
+// mayStart reports whether another pull may start.
+func (p *pulls) mayStart(now time.Time) bool {
+	return len(p.running) == 0 || len(p.running) < maxPulls && now.Sub(p.startedAt) >= pullHedgeDelay
+}
+
+// source returns the peer to pull from, or nil when there is none: one with records
+// newer than the revision, the leader of the own failure domain first, then any of the
+// nearest. They are chosen at random, so that the first peer to have new records does not
+// serve all others.
+func (p *pulls) source(now time.Time, peers *membership.Peers, revision platform.Revision) *membership.Peer {
+	var nearest []*membership.Peer
+	best := math.MaxInt
+	for _, peer := range peers.All {
+		if !hasNewer(peer, revision) || p.running[peer.Name] {
+			continue
+		}
+		preference := pullPreference(peers, peer)
+		if now.Sub(p.failedAt[peer.Name]) < pullFailurePause {
+			preference += pullFailurePenalty
+		}
+		if preference < best {
+			best, nearest = preference, nil
+		}
+		if preference == best {
+			nearest = append(nearest, peer)
+		}
+	}
+	if len(nearest) == 0 {
+		return nil
+	}
+	return nearest[rand.IntN(len(nearest))]
+}
+
+// recordFailure records a failed pull, and drops the records that no longer count.
+func (p *pulls) recordFailure(now time.Time, peer string) {
+	maps.DeleteFunc(p.failedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= pullFailurePause })
+	p.failedAt[peer] = now
+}
+
+// pullFailurePenalty ranks peers that failed recently after all others.
+const pullFailurePenalty = 10
+
+// pullPreference ranks the peers to pull from; the lowest is the best.
+func pullPreference(peers *membership.Peers, peer *membership.Peer) int {
+	switch {
+	case peers.Leader(peers.Self.FailureDomain) == peer:
+		return 0
+	case peer.FailureDomain == peers.Self.FailureDomain:
+		return 1
+	case peer.Region == peers.Self.Region:
+		return 2
+	}
+	return 3
+}
+
+// hasNewer reports whether the live peer has records newer than the revision.
+func hasNewer(p *membership.Peer, revision platform.Revision) bool {
+	return p.State != nil && p.Health == membership.Alive && p.State.GetStoreRevision() > uint64(revision)
+}
+
 // pullIfBehind requests records from a peer that has newer ones. A leader first waits
 // pullDelay for its own watch.
 func (c *control) pullIfBehind(now time.Time) {
-	best := c.newestPeer(now)
-	if best == nil {
+	peers := c.members.Snapshot(now)
+	if !slices.ContainsFunc(peers.All, func(p *membership.Peer) bool { return hasNewer(p, c.revision) }) {
 		c.behindSince = time.Time{}
 		return
 	}
 	if c.behindSince.IsZero() {
 		c.behindSince = now
 	}
-	if c.pulling || c.readsStore && now.Sub(c.behindSince) < pullDelay {
+	if !c.pulls.mayStart(now) || c.readsStore && now.Sub(c.behindSince) < pullDelay {
+		return
+	}
+	source := c.pulls.source(now, peers, c.revision)
+	if source == nil {
 		return
 	}
-	c.pulling = true
-	address, name, after := best.RPCAddress, best.Name, c.revision
+	c.pulls.running[source.Name] = true
+	c.pulls.startedAt = now
+	address, name, after := source.RPCAddress, source.Name, c.revision
 	c.background(pullTimeout, func(ctx context.Context) event {
 		client, err := c.deps.peers.Client(address)
 		if err != nil {
@@ -48,19 +137,6 @@
 	})
 }
 
-// newestPeer returns the live peer with the newest records, or nil if none has newer
-// records than this instance.
-func (c *control) newestPeer(now time.Time) *membership.Peer {
-	var best *membership.Peer
-	newest := uint64(c.revision)
-	for _, p := range c.members.Snapshot(now).All {
-		if p.State != nil && p.Health == membership.Alive && p.State.GetStoreRevision() > newest {
-			best, newest = p, p.State.GetStoreRevision()
-		}
-	}
-	return best
-}
-
 // pulled is the result of requesting records from a peer.
 type pulled struct {
 	peer     string
@@ -69,8 +145,9 @@
 }
 
 func (e pulled) apply(c *control, now time.Time) {
-	c.pulling = false
+	delete(c.pulls.running, e.peer)
 	if e.err != nil {
+		c.pulls.recordFailure(now, e.peer)
 		c.deps.log.Warn("records were not pulled", zap.String("peer", e.peer), zap.Error(e.err))
 		return
 	}
