upstream: classify a body cut at the deadline as a timeout

Cause: the context of an exchange has the deadline of its parent and a timer of its own, which may expire first. A body that was still arriving at the deadline was then reported as truncated instead of late.

Change: responseBodyError looks at the error as well as at the parent, as fail does for the header.

Result: TestBodyCutAtTheDeadlineIsATimeout failed before (answer_truncated in place of upstream_timeout) and passes now.

--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -1,11 +1,14 @@
 package upstream
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/textproto"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"samphireferry.example/ferry/dispatch"
 	"samphireferry.example/ferry/errkind"
 )
@@ -71,7 +74,7 @@
 
 // responseBodyError returns the error for a body that ended early.
 func (e *exchange) responseBodyError(err error) error {
-	if e.parent.Err() != nil {
+	if e.parent.Err() != nil || errors.Is(err, context.DeadlineExceeded) {
 		return e.wrap(err, contextErrorKind(e.parent, true), true)
 	}
 	return e.wrap(err, errkind.AnswerTruncated, true)
