upstream: test heads and bodies without end

Cause: an upstream may send bytes without end, in a head or a body, fast or slow, until the client closes. No test showed that this stays bounded.

Change: tests only. Heads: a status line, bytes that are no response, empty lines, header fields and informational responses without end. Bodies: chunks, a close-delimited body, a chunk size, a chunk extension and a trailer without end, read to the deadline, cancelled or closed early.

--- /dev/null
+++ b/upstream/endless_test.go
@@ -0,0 +1,263 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphireferry.example/ferry/balancing"
+	"samphireferry.example/ferry/errkind"
+	"samphireferry.example/ferry/routing"
+	"samphireferry.example/ferry/telemetry"
+	"samphireferry.example/ferry/upstream"
+)
+
+const (
+	// dripInterval is the pause between two pieces of a slow endless response.
+	dripInterval = 10 * time.Millisecond
+	// dripTimeout is the time that an attempt has when its upstream drips.
+	dripTimeout = 2 * time.Second
+	// floodTimeout is the time that an attempt has when its upstream sends at full
+	// speed; no test waits for it.
+	floodTimeout = 1 * time.Minute
+	// maxFloodBytes bounds what an upstream can write to a client that has stopped
+	// reading: the socket buffers, with a margin.
+	maxFloodBytes = 64 << 20
+)
+
+// endlessServer answers every request with start and then repeats a piece until the
+// connection is closed.
+type endlessServer struct {
+	listener net.Listener
+	// start may contain %s, which stands for the id of the request.
+	start    string
+	piece    string
+	interval time.Duration
+	// opened and closed count connections, requests counts those received.
+	opened, closed, requests atomic.Int32
+	written                  atomic.Int64
+	running                  sync.WaitGroup
+}
+
+func newEndlessServer(t *testing.T, start, piece string, interval time.Duration) *endlessServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &endlessServer{listener: listener, start: start, piece: piece, interval: interval}
+	s.running.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.opened.Add(1)
+			s.running.Go(func() { s.serve(conn) })
+		}
+	})
+	t.Cleanup(func() {
+		listener.Close()
+		s.running.Wait()
+	})
+	return s
+}
+
+func (s *endlessServer) target() *routing.Upstream {
+	return &routing.Upstream{Name: "u1", Address: s.listener.Addr().String(), Slots: 2, Connections: 8}
+}
+
+// serve answers one request and counts any that follows on the same connection.
+func (s *endlessServer) serve(conn net.Conn) {
+	defer conn.Close()
+	defer s.closed.Add(1)
+	reader := bufio.NewReader(conn)
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	s.requests.Add(1)
+	left := make(chan struct{})
+	s.running.Go(func() {
+		defer close(left)
+		if _, err := http.ReadRequest(reader); err == nil {
+			s.requests.Add(1)
+		}
+	})
+	_, err = io.WriteString(conn, strings.ReplaceAll(s.start, "%s", request.Header.Get("Ferry-Request-Id")))
+	piece := s.piece
+	if s.interval == 0 {
+		piece = strings.Repeat(piece, 4096/len(piece)+1)
+	}
+	for err == nil {
+		var n int
+		n, err = io.WriteString(conn, piece)
+		s.written.Add(int64(n))
+		select {
+		case <-left:
+		case <-time.After(s.interval):
+		}
+	}
+}
+
+// waitClosed waits until the client has closed all connections.
+func (s *endlessServer) waitClosed(t *testing.T) {
+	t.Helper()
+	eventually(t, "the connections are closed", func() bool { return s.closed.Load() == s.opened.Load() })
+}
+
+// eventually polls until the condition holds, for at most 10 s.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(10 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(limit), what)
+	}
+}
+
+// paces are the speeds of an endless response.
+var paces = []struct {
+	name     string
+	interval time.Duration
+	timeout  time.Duration
+}{
+	{"fast", 0, floodTimeout},
+	{"slow", dripInterval, dripTimeout},
+}
+
+// TestHeadWithoutEndFailsTheAttempt guards against an upstream that occupies an attempt
+// or memory with a response header that never ends.
+func TestHeadWithoutEndFailsTheAttempt(t *testing.T) {
+	heads := []struct{ name, start, piece string }{
+		{"status line", "HTTP/1.1 200 ", "x"},
+		{"no response", "", "\x00"},
+		{"empty lines", "", "\r\n"},
+		{"header field", "HTTP/1.1 200 OK\r\nX-Long: ", "x"},
+		{"header fields", "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
+		{"header of one name", "HTTP/1.1 200 OK\r\n", "A:\r\n"},
+		{"folded header field", "HTTP/1.1 200 OK\r\nX-Long: a\r\n", " b\r\n"},
+		{"informational", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{"continue", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"informational header fields", "HTTP/1.1 103 Early Hints\r\n", "Link: </a>\r\n"},
+	}
+	for _, head := range heads {
+		for _, pace := range paces {
+			for _, atMostOnce := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%s/at_most_once=%v", head.name, pace.name, atMostOnce), func(t *testing.T) {
+					t.Parallel()
+					s := newEndlessServer(t, head.start, head.piece, pace.interval)
+					client := upstream.New(upstream.Options{NoSilenceTimer: true})
+					defer client.Close()
+					ctx := withTimeout(t, pace.timeout)
+					_, err := client.Send(ctx, s.target(), nil, newRequest(atMostOnce, "/", "body"))
+					assert.Equal(t, upstream.ResultOf(0, err), balancing.ResultFailed, "%v", err)
+					assert.Assert(t, upstream.MayHaveRun(err))
+					if pace.interval == 0 {
+						assert.NilError(t, ctx.Err())
+						assert.Equal(t, errkind.Of(err), errkind.UpstreamFailed, "%v", err)
+					}
+					s.waitClosed(t)
+					assert.Assert(t, s.written.Load() < maxFloodBytes)
+					assert.Equal(t, s.requests.Load(), int32(1))
+				})
+			}
+		}
+	}
+}
+
+// TestSilenceTimeoutEndsASlowHead guards against a header that arrives a byte at a time
+// and thereby counts as contact.
+func TestSilenceTimeoutEndsASlowHead(t *testing.T) {
+	s := newEndlessServer(t, "HTTP/1.1 200 OK\r\n", "A: b\r\n", dripInterval)
+	client := upstream.New(upstream.Options{})
+	defer client.Close()
+	ctx := withTimeout(t, 4*time.Second)
+	_, err := client.Send(ctx, s.target(), nil, newRequest(false, "/", ""))
+	assert.NilError(t, ctx.Err())
+	reason, _ := upstream.RetryReason(err)
+	assert.Equal(t, reason, telemetry.RetrySilentConnection, "%v", err)
+	s.waitClosed(t)
+}
+
+// TestBodyWithoutEndIsNeverComplete guards against a response that is cut at the
+// deadline, or when the caller leaves, and taken for a complete one, and against a
+// connection that stays open afterwards.
+func TestBodyWithoutEndIsNeverComplete(t *testing.T) {
+	bodies := []struct {
+		name, start, piece string
+		// malformed is set where reading the body fails before the deadline when it
+		// comes fast.
+		malformed bool
+	}{
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", false},
+		{"close-delimited", "HTTP/1.1 200 OK\r\n\r\n", "x", false},
+		{"chunk size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0", true},
+		{"chunk extension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x", true},
+		{"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", "A: b\r\n", true},
+	}
+	for _, body := range bodies {
+		for _, pace := range paces {
+			for _, cancels := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%s/cancels=%v", body.name, pace.name, cancels), func(t *testing.T) {
+					t.Parallel()
+					s := newEndlessServer(t, body.start, body.piece, pace.interval)
+					client := upstream.New(upstream.Options{AcceptCloseDelimited: true, NoSilenceTimer: true})
+					defer client.Close()
+					ctx, cancel := context.WithTimeout(t.Context(), dripTimeout)
+					defer cancel()
+					response, err := client.Send(ctx, s.target(), nil, newRequest(false, "/", ""))
+					assert.NilError(t, err)
+					if cancels {
+						time.AfterFunc(10*dripInterval, cancel)
+					}
+					_, err = io.Copy(io.Discard, response.Body)
+					assert.Assert(t, err != nil, "the response was taken for a complete one")
+					switch kind := errkind.Of(err); {
+					case body.malformed && pace.interval == 0:
+						assert.Equal(t, kind, errkind.AnswerTruncated, "%v", err)
+					case cancels:
+						assert.Equal(t, kind, errkind.CallerGone, "%v", err)
+					default:
+						assert.Equal(t, kind, errkind.UpstreamTimeout, "%v", err)
+					}
+					assert.NilError(t, response.Body.Close())
+					s.waitClosed(t)
+				})
+			}
+		}
+	}
+}
+
+// TestClosingABodyWithoutEndClosesItsConnection guards against a close that reads the
+// rest of the body.
+func TestClosingABodyWithoutEndClosesItsConnection(t *testing.T) {
+	for _, pace := range paces {
+		for name, start := range map[string]string{
+			"chunks":          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+			"close-delimited": "HTTP/1.1 200 OK\r\n\r\n",
+		} {
+			t.Run(pace.name+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				s := newEndlessServer(t, start, "1\r\nx\r\n", pace.interval)
+				client := upstream.New(upstream.Options{AcceptCloseDelimited: true})
+				defer client.Close()
+				ctx := withTimeout(t, floodTimeout)
+				response, err := client.Send(ctx, s.target(), nil, newRequest(false, "/", ""))
+				assert.NilError(t, err)
+				_, err = response.Body.Read(make([]byte, 1))
+				assert.NilError(t, err)
+				assert.NilError(t, response.Body.Close())
+				s.waitClosed(t)
+				assert.NilError(t, ctx.Err())
+				assert.Assert(t, s.written.Load() < maxFloodBytes)
+			})
+		}
+	}
+}
