upstream: do not wait for the body of a shed response

Cause: shedError reads up to 4 KiB of the body, so that the connection can be reused, and blocked there until the deadline when the body came slowly or not at all. The request, which had not run, then had no time left for another upstream.

Change: reading that body is bounded by shedBodyTimeout, 20 ms, after which the connection is closed.

--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -30,6 +30,8 @@
 	// floodTimeout is the time that an attempt has when its upstream sends at full
 	// speed; no test waits for it.
 	floodTimeout = 1 * time.Minute
+	// shedTimeout is far more than a refusal takes and far less than floodTimeout.
+	shedTimeout = 10 * time.Second
 	// maxFloodBytes bounds what an upstream can write to a client that has stopped
 	// reading: the socket buffers, with a margin.
 	maxFloodBytes = 64 << 20
@@ -261,3 +263,32 @@
 		}
 	}
 }
+
+// TestShedResponseIsNotDelayedByItsBody guards against a refusal that waits for the body
+// of the response that reports it.
+func TestShedResponseIsNotDelayedByItsBody(t *testing.T) {
+	const head = "HTTP/1.1 503 Service Unavailable\r\nFerry-Shed: not-run\r\nFerry-Request-Id: %s\r\n"
+	for name, body := range map[string]struct{ framing, piece string }{
+		"length":          {"Content-Length: 1000000000\r\n\r\n", "x"},
+		"short length":    {"Content-Length: 2000\r\n\r\n", "x"},
+		"chunks":          {"Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		"close-delimited": {"\r\n", "x"},
+	} {
+		for _, interval := range []time.Duration{0, dripInterval, time.Minute} {
+			for _, atMostOnce := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%v/at_most_once=%v", name, interval, atMostOnce), func(t *testing.T) {
+					t.Parallel()
+					s := newEndlessServer(t, head+body.framing, body.piece, interval)
+					client := upstream.New(upstream.Options{AcceptCloseDelimited: true, NoSilenceTimer: true})
+					defer client.Close()
+					started := time.Now()
+					_, err := client.Send(withTimeout(t, floodTimeout), s.target(), echoService, newRequest(atMostOnce, "/", "body"))
+					assert.Assert(t, time.Since(started) < shedTimeout)
+					assert.Equal(t, errkind.Of(err), errkind.Overloaded, "%v", err)
+					assert.Assert(t, !upstream.MayHaveRun(err))
+					s.waitClosed(t)
+				})
+			}
+		}
+	}
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -195,14 +195,18 @@
 	return nil
 }
 
-// maxShedBodyBytes bounds the body of a shed response that is read to its end, so
-// that its connection can be reused.
-const maxShedBodyBytes = 4 << 10
+// The body of a shed response is read to its end, so that its connection can be
+// reused, if it has at most maxShedBodyBytes and arrives within shedBodyTimeout.
+const (
+	maxShedBodyBytes = 4 << 10
+	shedBodyTimeout  = 20 * time.Millisecond
+)
 
 // shedError returns the error for an upstream that shed the request without
 // running it.
 func (e *exchange) shedError(resp *http.Response) error {
 	// If this fails, the connection is closed instead of reused.
+	defer time.AfterFunc(shedBodyTimeout, e.cancel).Stop()
 	_, _ = io.CopyN(io.Discard, resp.Body, maxShedBodyBytes)
 	attempt := &AttemptError{
 		Upstream: e.target.Name,
