upstream: do not reuse a connection with bytes after its response

Cause: net/http returns a connection to its pool before it looks whether bytes follow the response. A request that got the connection in between was sent on it, and those bytes were read as its response: the attempt failed after it may have run, or, in a service without echo of the request id, a response that belongs to no request was accepted.

Change: a pooled connection carries a request only once net/http reads from it again, which it does as soon as its buffer is empty. If the buffer holds bytes, net/http closes the connection, and another one is used. Bytes that arrive after the request got the connection cannot be told from its response; there only the request id helps.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -22,10 +22,19 @@
 	// lastRead is the time of the last byte read, in nanoseconds since opened.
 	lastRead atomic.Int64
 	attempt  atomic.Pointer[attempt]
+
+	mu sync.Mutex
+	// reading is set while a Read is in progress.
+	reading bool
+	closed  bool
+	// changed is signalled when reading or closed becomes true.
+	changed sync.Cond
 }
 
 func newConn(inner net.Conn, now time.Time) *conn {
-	return &conn{Conn: inner, opened: now}
+	c := &conn{Conn: inner, opened: now}
+	c.changed.L = &c.mu
+	return c
 }
 
 // lastContact returns the time of the last byte read, or of the opening when
@@ -36,13 +45,43 @@
 
 // Read reads from the upstream and records the time of contact.
 func (c *conn) Read(p []byte) (int, error) {
+	c.setReading(true)
 	n, err := c.Conn.Read(p)
+	c.setReading(false)
 	if n > 0 {
 		c.lastRead.Store(int64(time.Since(c.opened)))
 	}
 	return n, err
 }
 
+func (c *conn) setReading(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading
+	c.changed.Broadcast()
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// awaitIdle reports whether an idle connection holds no bytes beyond the last response.
+// net/http reads from an idle connection as soon as its buffer is empty, and closes it if
+// the buffer holds bytes; awaitIdle waits for either.
+func (c *conn) awaitIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for !c.reading && !c.closed {
+		c.changed.Wait()
+	}
+	return !c.closed
+}
+
 // Write writes only while the attempt that the connection is bound to allows it.
 func (c *conn) Write(p []byte) (int, error) {
 	a := c.attempt.Load()
--- a/upstream/conn_test.go
+++ b/upstream/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -63,3 +64,33 @@
 		assert.Equal(t, inner.written > 0, tc.want == nil, tc.name)
 	}
 }
+
+// TestIdleConnectionIsUsedOnlyOnceItIsRead guards against a request on a connection whose
+// reader still holds bytes that followed the last response.
+func TestIdleConnectionIsUsedOnlyOnceItIsRead(t *testing.T) {
+	cases := []struct {
+		name string
+		// next is what net/http does with the connection after the response.
+		next func(c *conn)
+		want bool
+	}{
+		{"nothing is left", func(c *conn) { _, _ = c.Read(make([]byte, 1)) }, true},
+		{"bytes are left", func(c *conn) { _ = c.Close() }, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				inner, remote := net.Pipe()
+				c := newConn(inner, time.Now())
+				usable := make(chan bool, 1)
+				go func() { usable <- c.awaitIdle() }()
+				synctest.Wait()
+				assert.Equal(t, len(usable), 0)
+				go tc.next(c)
+				assert.Equal(t, <-usable, tc.want)
+				_ = remote.Close()
+				_ = c.Close()
+			})
+		})
+	}
+}
--- a/upstream/doc.go
+++ b/upstream/doc.go
@@ -17,6 +17,9 @@
 // that attempt is used again; the next attempt dials a new one. With
 // Options.NoSilenceTimer only keep-alive probes detect a silent connection.
 //
+// A connection on which bytes follow a complete response is closed. It carries no
+// further request, unless these bytes arrive only after that request got it.
+//
 // A response is complete only when its Content-Length or its last chunk shows
 // it. A response with neither is rejected unless Options.AcceptCloseDelimited is
 // set. If the service echoes the request id, a response with a different id or
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"samphireferry.example/ferry/balancing"
@@ -292,3 +293,49 @@
 		}
 	}
 }
+
+// TestBytesAfterAResponseBelongToNoRequest guards against a connection that is used again
+// although its upstream sent bytes after a complete response.
+func TestBytesAfterAResponseBelongToNoRequest(t *testing.T) {
+	const requests, senders = 200, 4
+	responses := map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nFerry-Request-Id: %s\r\nContent-Length: 2\r\n\r\nok",
+		"chunks":  "HTTP/1.1 200 OK\r\nFerry-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"no body": "HTTP/1.1 204 No Content\r\nFerry-Request-Id: %s\r\n\r\n",
+	}
+	pieces := map[string]string{
+		"bytes":    "x",
+		"response": "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno",
+	}
+	for name, response := range responses {
+		for kind, piece := range pieces {
+			t.Run(name+"/"+kind, func(t *testing.T) {
+				t.Parallel()
+				s := newEndlessServer(t, response+piece, piece, dripInterval)
+				client := upstream.New(upstream.Options{})
+				defer client.Close()
+				ctx := withTimeout(t, floodTimeout)
+				target := s.target()
+				// The senders wait for connections, which are handed over as soon as they
+				// are free.
+				target.Connections = senders / 2
+				var group errgroup.Group
+				for range senders {
+					group.Go(func() error {
+						for range requests / senders {
+							err := sendAndDiscard(ctx, client, target, newRequest(true, "/", "body"))
+							if err != nil {
+								return err
+							}
+						}
+						return nil
+					})
+				}
+				assert.NilError(t, group.Wait())
+				s.waitClosed(t)
+				assert.Equal(t, s.requests.Load(), int32(requests))
+				assert.Equal(t, s.opened.Load(), int32(requests))
+			})
+		}
+	}
+}
