edge: judge a streamed response by the end of its body

Cause: the lease of a response was released as answered, and the roll-out counted a success, as soon as 256 KiB of the body had been read. An upstream whose longer bodies broke off or never ended looked healthy for ever, and the slots that these responses held looked free.

Change: the attempt of a response that is not buffered whole goes on until its body ends. The end decides as for any attempt: complete, or failed, or late at the deadline, both counted as failures of the version, or inconclusive when the caller has left. A caller that does not read ends the stream half a second after the deadline and says nothing about the upstream. The load that came with the header is recorded when it arrives. A failure response that is not delivered, because the retry responded, is closed at once.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -28,6 +29,10 @@
 	refusalRetryAfter = 300 * time.Millisecond
 	// maxTriedUpstreams bounds the upstreams that one request is sent to.
 	maxTriedUpstreams = 4
+	// streamWriteGrace is the time after the deadline of a request at which writing a
+	// streamed response fails, so that a caller that does not read holds no slot. Until
+	// then the end of the body at the deadline decides.
+	streamWriteGrace = 500 * time.Millisecond
 )
 
 // upstreamResponse is a response of an upstream whose body has been read, completely or
@@ -35,7 +40,8 @@
 type upstreamResponse struct {
 	*dispatch.Response
 	buffered []byte
-	// complete reports whether buffered is the whole body.
+	// complete reports whether buffered is the whole body. If it is not, the attempt goes
+	// on, and holds its lease, until the body ends.
 	complete bool
 	lease    *placement.Lease
 	// took is the duration of the attempt that received the response.
@@ -49,21 +55,19 @@
 	for {
 		got, err := x.attempt(ctx)
 		if got != nil {
+			x.discard(last)
 			last = got
 		}
 		failed := err != nil || got.Status >= http.StatusInternalServerError
 		if failed && x.mayRetry(ctx, err) {
 			continue
 		}
-		if err != nil && last != nil {
-			// An earlier upstream has responded; its failure is more useful to the
-			// caller.
-			return x.deliver(last)
-		}
-		if err != nil {
+		if last == nil {
 			return x.finalError(err)
 		}
-		return x.deliver(got)
+		// If the last attempt failed, the failure with which an earlier upstream
+		// responded is more useful to the caller.
+		return x.deliver(ctx, last)
 	}
 }
 
@@ -85,18 +89,18 @@
 		if err == nil {
 			x.ran++
 			got.took = time.Since(sent)
-			x.completeAttempt(got)
+			if got.complete {
+				x.completeAttempt(got, loadOf(got.Header))
+			} else {
+				lease.RecordLoad(time.Now(), loadOf(got.Header))
+			}
 			return got, nil
 		}
 	}
 	if upstream.MayHaveRun(err) {
 		x.ran++
 	}
-	result := resultOf(ctx, err)
-	if result == placement.Failed || result == placement.Late {
-		x.recordVersion(lease.Upstream.Version, canary.LateResponse)
-	}
-	x.release(lease, result, refusedLoad(err))
+	x.failAttempt(ctx, lease, err)
 	x.deps.log.Info("attempt failed",
 		zap.String("request_id", x.caller.AttemptID),
 		zap.String("upstream", lease.Upstream.Name),
@@ -169,14 +173,34 @@
 	return got, nil
 }
 
-// completeAttempt records the outcome of a response and releases its slot.
-func (x *exchange) completeAttempt(got *upstreamResponse) {
+// completeAttempt records the outcome of a response whose body has ended, or whose status
+// shows a failure whatever its body, and releases its slot.
+func (x *exchange) completeAttempt(got *upstreamResponse, load placement.Load) {
 	result := placement.Answered
 	if got.Status >= http.StatusInternalServerError {
 		result = placement.Failed
 	}
 	x.recordVersion(got.lease.Upstream.Version, failureOf(got.Status))
-	x.release(got.lease, result, loadOf(got.Header))
+	x.release(got.lease, result, load)
+}
+
+// failAttempt records the outcome of an attempt without a complete response and releases
+// its slot.
+func (x *exchange) failAttempt(ctx context.Context, lease *placement.Lease, err error) {
+	result := resultOf(ctx, err)
+	if result == placement.Failed || result == placement.Late {
+		x.recordVersion(lease.Upstream.Version, canary.LateResponse)
+	}
+	x.release(lease, result, refusedLoad(err))
+}
+
+// discard ends a failure response that is not delivered; got may be nil.
+func (x *exchange) discard(got *upstreamResponse) {
+	if got == nil || got.complete {
+		return
+	}
+	_ = got.Body.Close()
+	x.completeAttempt(got, placement.Load{})
 }
 
 // release returns the slot and logs when the upstream is ejected.
@@ -265,7 +289,7 @@
 }
 
 // deliver writes the response to the caller.
-func (x *exchange) deliver(got *upstreamResponse) error {
+func (x *exchange) deliver(ctx context.Context, got *upstreamResponse) error {
 	x.deps.retries.forService(x.service.Name).Succeed()
 	out := x.w.Header()
 	for name, values := range got.Header {
@@ -281,19 +305,49 @@
 	x.logServed(got)
 	x.responseStarted = true
 	x.w.WriteHeader(got.Status)
-	_, err := x.w.Write(got.buffered)
-	if err != nil || got.complete {
+	if got.complete {
 		// A failed write means that the caller has disconnected.
+		_, _ = x.w.Write(got.buffered)
 		return nil
 	}
-	defer got.Body.Close()
-	_, err = io.Copy(x.w, got.Body)
+	return x.stream(ctx, got)
+}
+
+// stream writes a body that has not ended yet to the caller. The end of the body
+// completes the attempt.
+func (x *exchange) stream(ctx context.Context, got *upstreamResponse) error {
+	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline().Add(streamWriteGrace))
+	rest := &streamedBody{Reader: got.Body}
+	_, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(got.buffered), rest))
+	_ = got.Body.Close()
+	switch {
+	case rest.err == io.EOF, got.Status >= http.StatusInternalServerError:
+		x.completeAttempt(got, placement.Load{})
+	case rest.err != nil:
+		x.failAttempt(ctx, got.lease, rest.err)
+	default:
+		// The caller has disconnected or does not read.
+		x.release(got.lease, placement.Inconclusive, placement.Load{})
+	}
 	if err != nil {
 		return errkind.Wrap(err, errkind.AnswerTruncated, "")
 	}
 	return nil
 }
 
+// streamedBody records the error with which a body ended.
+type streamedBody struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (b *streamedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.err = err
+	return n, err
+}
+
 // logServed logs a response, at level info when it took longer than the route's target
 // latency.
 func (x *exchange) logServed(got *upstreamResponse) {
--- a/edge/instance_test.go
+++ b/edge/instance_test.go
@@ -142,6 +142,11 @@
 }
 
 func (s *system) start(name string) *instance {
+	s.t.Helper()
+	return s.startLogging(name, zap.NewNop())
+}
+
+func (s *system) startLogging(name string, log *zap.Logger) *instance {
 	s.t.Helper()
 	address := func() string {
 		free, err := freeport.Next()
@@ -154,7 +159,7 @@
 		"-platform", s.url, "-grace", "3s", "-heartbeat-interval", "100ms",
 	}, io.Discard)
 	assert.NilError(s.t, err)
-	i, err := New(settings, zap.NewNop(), telemetry.New())
+	i, err := New(settings, log, telemetry.New())
 	assert.NilError(s.t, err)
 	assert.NilError(s.t, i.Start())
 	return &instance{Instance: i, t: s.t}
--- a/placement/lease.go
+++ b/placement/lease.go
@@ -53,8 +53,9 @@
 	Utilization float64
 }
 
-// Release returns the lease and records the result of the attempt. It returns by how
-// much this result extends the ejection of the upstream, or 0 if it does not.
+// Release returns the lease and records the result of the attempt, whose response has
+// ended. It returns by how much this result extends the ejection of the upstream, or 0 if
+// it does not.
 func (l *Lease) Release(now time.Time, result Result, load Load) time.Duration {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
@@ -91,6 +92,16 @@
 	return max(t.ejectedUntil.Sub(before), 0)
 }
 
+// RecordLoad records a load that the upstream has reported while the request still holds
+// the lease.
+func (l *Lease) RecordLoad(now time.Time, load Load) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	if load.Known {
+		l.target.recordLoad(now, load.Requests)
+	}
+}
+
 // observeServiceTime adds a sample to the average service time.
 func (s *service) observeServiceTime(sample time.Duration) {
 	if s.serviceTime == 0 {
--- a/placement/pool_test.go
+++ b/placement/pool_test.go
@@ -244,3 +244,17 @@
 	assert.Assert(t, first <= 15, "%d of 200 in the first 2 s", first)
 	assert.Assert(t, later > first, "%d of 700 later", later)
 }
+
+// TestLoadCountsWhileTheRequestRuns guards against a load report that takes effect only
+// when a long response has ended.
+func TestLoadCountsWhileTheRequestRuns(t *testing.T) {
+	p := newPool(1, Settings{})
+	running, _ := acquire(p, 1, 7)
+	running.RecordLoad(at(1), Load{Known: true, Requests: 3})
+	next, _ := acquire(p, 1, 7)
+	assert.Equal(t, next.Utilization, 4.0/slots)
+	running.Release(at(1), Answered, Load{})
+	next.Release(at(1), Answered, Load{})
+	last, _ := acquire(p, 1, 7)
+	assert.Equal(t, last.Utilization, 3.0/slots, "the running request was one of the three")
+}
