edge: test retries after a response without end

Cause: no test showed at an entry instance that a header without end, or a shed response whose body has no end, leaves time for another upstream.

--- a/edge/stream_test.go
+++ b/edge/stream_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
@@ -240,3 +241,54 @@
 		assert.Equal(t, i.versionCount(), c.counted)
 	}
 }
+
+// TestResponseWithoutEndIsRetriedOnlyWhereAllowed guards against a response header that
+// never ends, and against a shed response whose body never ends, that use up the time in
+// which another upstream can serve the request.
+func TestResponseWithoutEndIsRetriedOnlyWhereAllowed(t *testing.T) {
+	shed := "HTTP/1.1 503 Service Unavailable\r\n" + headers.AttemptID + ": attempt-1\r\n" + headers.NotRun + ": 1\r\n"
+	for _, c := range []struct {
+		name, start, piece string
+		interval           time.Duration
+		// notRun is set when the response states that the request was not run.
+		notRun bool
+	}{
+		{name: "header fields", start: "HTTP/1.1 200 OK\r\n", piece: "X-Field: value\r\n"},
+		{name: "informational", piece: "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{name: "shed, chunks", start: shed + chunked + "\r\n", piece: aChunk, interval: 10 * time.Millisecond, notRun: true},
+		{name: "shed, length", start: shed + withLength + "\r\n", piece: "x", interval: 10 * time.Millisecond, notRun: true},
+	} {
+		for method, path := range map[string]string{http.MethodGet: "/read/7", http.MethodPost: "/file/7"} {
+			t.Run(c.name+"/"+method, func(t *testing.T) {
+				t.Parallel()
+				s := newSystem(t)
+				s.configure(1, "k1")
+				endless, healthy := newFakeUpstream(t, "i-1"), newFakeUpstream(t, "i-2")
+				s.register(endless, "v1", "ready")
+				s.register(healthy, "v1", "ready")
+				i := s.start("e1")
+				defer i.stop()
+				i.waitReady(2)
+				preferred, _ := i.deps.pool.PreferredUpstream(time.Now(), placement.Query{Service: "lookup", Object: xxhash.Sum64String("attempt-1"), TimeLeft: time.Second})
+				if preferred == healthy.id {
+					endless, healthy = healthy, endless
+				}
+				endless.handler.Store(hijack(func(conn net.Conn, _ *http.Request) {
+					_, err := io.WriteString(conn, c.start)
+					for err == nil {
+						_, err = io.WriteString(conn, c.piece)
+						time.Sleep(c.interval)
+					}
+				}))
+				got := i.send(method, path, "k1")
+				assert.Equal(t, len(endless.requests()), 1)
+				if method == http.MethodPost && !c.notRun {
+					assert.Equal(t, got.status, http.StatusBadGateway)
+					assert.Equal(t, len(healthy.requests()), 0, "it may have run")
+					return
+				}
+				assert.Equal(t, got.body, "from "+healthy.id)
+			})
+		}
+	}
+}
