upstream: reject a status below 200

Cause: net/http accepts status lines such as "HTTP/1.1 000" but panics when a status below 100 is sent to a caller. An entry instance would then keep the lease of a response that it streams.

Change: a response whose status is not final fails the attempt, as one that switches protocols already did.

The panic itself was not run.

--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -339,3 +339,16 @@
 		}
 	}
 }
+
+// TestStatusBelow200IsNoResponse guards against a status that net/http panics on when it is
+// sent to a caller.
+func TestStatusBelow200IsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "099", "101"} {
+		s := newEndlessServer(t, "HTTP/1.1 "+status+" Status\r\nContent-Length: 2\r\n\r\nok", "x", dripInterval)
+		client := upstream.New(upstream.Options{})
+		defer client.Close()
+		_, err := client.Send(withTimeout(t, floodTimeout), s.target(), nil, newRequest(false, "/", ""))
+		assert.Equal(t, errkind.Of(err), errkind.UpstreamFailed, "status %s: %v", status, err)
+		s.waitClosed(t)
+	}
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -186,8 +186,8 @@
 	if options.Headers.NotRun(resp.StatusCode, resp.Header) {
 		return e.shedError(resp)
 	}
-	if resp.StatusCode == http.StatusSwitchingProtocols {
-		return e.wrap(errors.New("upstream switched protocols"), errkind.UpstreamFailed, true)
+	if resp.StatusCode < http.StatusOK {
+		return e.wrap(errors.Newf("status %d is no final status", resp.StatusCode), errkind.UpstreamFailed, true)
 	}
 	if isCloseDelimited(resp) && !options.AcceptCloseDelimited {
 		return e.wrap(errors.New("response has neither a Content-Length nor chunked encoding"), errkind.AnswerTruncated, true)
