edge, placement: no request waits for a connection; choices of a retry stand

Callers: a request could wait seconds for a connection to its upstream and was then sent by the homes, key, evacuation or drain from before the wait. A request of an at-most-once route could run twice when its route became idempotent. A request that was for the version of a completed roll-out was for the canary of the next one. An upstream was chosen by its slots only, and net/http made the request wait for one of its connections. Change: an upstream whose connections are all in use is full; at-most-once stands once a route said so; a choice stands only within one roll-out. The write deadline of a streamed response is removed at its end.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -244,10 +244,10 @@
 		return false
 	}
 	if err == nil {
-		return !x.route.AtMostOnce && x.spendRetry(telemetry.RetryUpstreamFailed, nil)
+		return !x.atMostOnce && x.spendRetry(telemetry.RetryUpstreamFailed, nil)
 	}
 	reason, useful := upstream.RetryReason(err)
-	if !useful || x.route.AtMostOnce && errkind.Of(err).Row().Outcome != errkind.NotRun {
+	if !useful || x.atMostOnce && (x.ran > 0 || errkind.Of(err).Row().Outcome != errkind.NotRun) {
 		return false
 	}
 	if reason == telemetry.RetryConnectionFailed {
@@ -322,7 +322,10 @@
 // stream writes a body that has not ended yet to the caller. The end of the body
 // completes the attempt.
 func (x *exchange) stream(ctx context.Context, got *upstreamResponse) error {
-	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline().Add(streamWriteGrace))
+	writer := http.NewResponseController(x.w)
+	_ = writer.SetWriteDeadline(x.deadline.Add(streamWriteGrace))
+	// The deadline would also end later responses on the connection.
+	defer func() { _ = writer.SetWriteDeadline(time.Time{}) }()
 	rest := &streamedBody{Reader: got.Body}
 	_, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(got.buffered), rest))
 	_ = got.Body.Close()
--- a/edge/homes_test.go
+++ b/edge/homes_test.go
@@ -113,8 +113,8 @@
 		{canary.Reverted, true, false},
 	} {
 		choice := &versionChoice{version: "v2", phase: test.phase}
-		assert.Equal(t, choice.chooseAgain(test.wasNew), test.wantedAgain, "%v after %v", test.phase, test.wasNew)
+		assert.Equal(t, choice.chooseAgain(choice, test.wasNew), test.wantedAgain, "%v after %v", test.phase, test.wasNew)
 	}
 	var none *versionChoice
-	assert.Assert(t, !none.chooseAgain(true))
+	assert.Assert(t, !none.chooseAgain(nil, true))
 }
--- a/edge/resolve.go
+++ b/edge/resolve.go
@@ -16,6 +16,7 @@
 		return errkind.New(errkind.UnknownRoute, "")
 	}
 	x.route = route
+	x.atMostOnce = x.atMostOnce || route.AtMostOnce
 	return nil
 }
 
@@ -58,6 +59,12 @@
 	x.prefersNew = x.view.versions[x.service.Name].chooseNew()
 }
 
+// chooseVersionAgain decides anew after a choice that was made with the last view.
+func (x *exchange) chooseVersionAgain(last *view) {
+	name := x.service.Name
+	x.prefersNew = x.view.versions[name].chooseAgain(last.versions[name], x.prefersNew)
+}
+
 // setDeadline sets the deadline of the request from its arrival.
 func (x *exchange) setDeadline() {
 	limit := x.route.Timeout
@@ -71,11 +78,10 @@
 // called before each attempt: seconds may have passed since the last decision. An error
 // means that the request is not allowed any more.
 func (x *exchange) resolve() error {
-	newest := x.deps.views.load()
-	changed := newest.table != x.view.table
-	x.view = newest
-	if !changed {
-		x.prefersNew = x.view.versions[x.service.Name].chooseAgain(x.prefersNew)
+	last := x.view
+	x.view = x.deps.views.load()
+	if x.view.table == last.table {
+		x.chooseVersionAgain(last)
 		return nil
 	}
 	err := x.match()
@@ -89,7 +95,7 @@
 	before := x.service.Name
 	x.chooseService()
 	if x.service.Name == before {
-		x.prefersNew = x.view.versions[before].chooseAgain(x.prefersNew)
+		x.chooseVersionAgain(last)
 	} else {
 		x.chooseVersion()
 	}
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -49,6 +49,8 @@
 	service  *routing.Service
 	customer *routing.Customer
 	request  *dispatch.Request
+	// atMostOnce is set once a route that matched the request is at-most-once.
+	atMostOnce bool
 	// prefersNew is set when the request is chosen for the new version of a roll-out.
 	prefersNew bool
 	// deadline is the earlier of the caller's deadline and the timeout of the route that
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -31,11 +31,12 @@
 	return false
 }
 
-// chooseAgain is chooseNew for a request that has been decided before. While the phase is
-// canary, the decision stands.
-func (v *versionChoice) chooseAgain(prefersNew bool) bool {
+// chooseAgain is chooseNew for a request that was chosen, or not, for the new version of
+// the last roll-out. While the phase is canary, that choice stands; a request from before
+// the roll-out is not chosen.
+func (v *versionChoice) chooseAgain(last *versionChoice, prefersNew bool) bool {
 	if v != nil && v.phase == canary.Canary {
-		return prefersNew
+		return prefersNew && last != nil && last.version == v.version
 	}
 	return v.chooseNew()
 }
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -331,7 +331,7 @@
 		if eligible > upstreamsPerObject {
 			break
 		}
-		if now.Before(t.shedUntil) {
+		if now.Before(t.shedUntil) || t.withoutConnection() {
 			continue
 		}
 		utilization := float64(t.load(now)+1) / float64(t.upstream.Slots)
--- a/placement/target.go
+++ b/placement/target.go
@@ -66,6 +66,13 @@
 	return t.upstream.State == registry.Ready && !now.Before(t.ejectedUntil)
 }
 
+// withoutConnection reports whether the requests in flight use all connections to the
+// upstream: another request would be decided now and sent only after a wait.
+func (t *target) withoutConnection() bool {
+	limit := t.endpoint.Connections
+	return limit > 0 && t.inFlight >= limit
+}
+
 // recordFailure counts a failure and ejects the upstream after failuresToEject in a row.
 func (t *target) recordFailure(now time.Time) {
 	t.consecutiveFailures++
