--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -322,10 +322,7 @@
 // stream writes a body that has not ended yet to the caller. The end of the body
 // completes the attempt.
 func (x *exchange) stream(ctx context.Context, got *upstreamResponse) error {
-	writer := http.NewResponseController(x.w)
-	_ = writer.SetWriteDeadline(x.deadline.Add(streamWriteGrace))
-	// The deadline would also end later responses on the connection.
-	defer func() { _ = writer.SetWriteDeadline(time.Time{}) }()
+	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(streamWriteGrace))
 	rest := &streamedBody{Reader: got.Body}
 	_, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(got.buffered), rest))
 	_ = got.Body.Close()
--- a/edge/stream_test.go
+++ b/edge/stream_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -310,3 +312,41 @@
 		}
 	}
 }
+
+// TestStreamedResponseLeavesItsConnectionUsable guards against a write deadline that
+// outlives the streamed response for which it was set.
+func TestStreamedResponseLeavesItsConnectionUsable(t *testing.T) {
+	const deadline = time.Second
+	s := newSystem(t)
+	s.configure(1, "k1")
+	b := newFakeUpstream(t, "i-1")
+	long := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", 2*maxBufferedResponse))
+	})
+	b.handler.Store(&long)
+	s.register(b, "v1", "ready")
+	i := s.start("e1")
+	defer i.stop()
+	i.waitReady(1)
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	send := func() (reused bool) {
+		trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused }}
+		r, err := http.NewRequestWithContext(httptrace.WithClientTrace(t.Context(), trace), http.MethodGet, "http://"+i.deps.settings.Listen+"/read/7", nil)
+		assert.NilError(t, err)
+		r.Host = "a.example"
+		r.Header.Set(headers.AttemptID, "attempt-1")
+		r.Header.Set(headers.DeadlineMillis, strconv.FormatInt(deadline.Milliseconds(), 10))
+		r.Header.Set("Authorization", "Bearer k1")
+		response, err := transport.RoundTrip(r)
+		assert.NilError(t, err)
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, len(body), 2*maxBufferedResponse)
+		return reused
+	}
+	assert.Assert(t, !send())
+	time.Sleep(deadline + 2*streamWriteGrace)
+	assert.Assert(t, send(), "the connection was closed")
+}
