edge: the directory names the instance from its start

Callers: a list of entry instances with one empty address, from an instance that has just started; they had to ask another one. Cause: the listeners opened with an empty view; the control goroutine published the first complete one a moment later. Change: the first view is published before the listeners open. TestDirectoryNamesTheInstanceFromItsStart failed before and passes.

--- a/edge/instance.go
+++ b/edge/instance.go
@@ -12,7 +12,6 @@
 
 	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/entryinstance"
-	"samphireferry.example/ferry/membership"
 	"samphireferry.example/ferry/platform/headers"
 	"samphireferry.example/ferry/platform/records"
 	"samphireferry.example/ferry/telemetry"
@@ -59,7 +58,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{deps: deps, ctx: ctx, cancel: cancel, registrarDone: make(chan struct{})}
 	i.control = newControl(ctx, deps, time.Now())
-	deps.views.store(&view{peers: &membership.Peers{}})
+	i.control.publish(time.Now())
 	i.registrar, err = newRegistrar(deps.store, log, records.Instance{
 		Name:          settings.Name,
 		Incarnation:   deps.identity.GetIncarnation(),
--- a/edge/instance_test.go
+++ b/edge/instance_test.go
@@ -152,6 +152,15 @@
 }
 
 func (s *system) startLogging(name string, log *zap.Logger) *instance {
+	s.t.Helper()
+	i, err := New(s.settings(name), log, telemetry.New())
+	assert.NilError(s.t, err)
+	assert.NilError(s.t, i.Start())
+	return &instance{Instance: i, t: s.t}
+}
+
+// settings returns the settings of an instance in the failure domain east-1.
+func (s *system) settings(name string) *static.EdgeSettings {
 	s.t.Helper()
 	address := func() string {
 		free, err := freeport.Next()
@@ -164,10 +173,7 @@
 		"-platform", s.url, "-grace", "3s", "-heartbeat-interval", "100ms",
 	}, io.Discard)
 	assert.NilError(s.t, err)
-	i, err := New(settings, log, telemetry.New())
-	assert.NilError(s.t, err)
-	assert.NilError(s.t, i.Start())
-	return &instance{Instance: i, t: s.t}
+	return settings
 }
 
 func (i *instance) stop() {
@@ -518,6 +524,18 @@
 	assert.DeepEqual(t, addresses(), []string{first.deps.settings.Listen})
 }
 
+// TestDirectoryNamesTheInstanceFromItsStart guards against a list with an empty address, in
+// no region, between the opening of the listeners and the first work of the control goroutine.
+func TestDirectoryNamesTheInstanceFromItsStart(t *testing.T) {
+	s := newSystem(t)
+	settings := s.settings("e1")
+	i, err := New(settings, zap.NewNop(), telemetry.New())
+	assert.NilError(t, err)
+	addresses, scope := nearest(i.deps.views.load(), "east", "east-1")
+	assert.DeepEqual(t, addresses, []string{settings.Listen})
+	assert.Equal(t, scope, scopeDomain)
+}
+
 // TestOneInstanceOfADomainReadsTheStore checks that the instances of a failure domain
 // learn changes from their leader, and that another one takes over when the leader
 // stops.
