edge: log and count the limits that upstreams state

Each change of a stated rate is now logged, and attempts at such upstreams are counted, first ones and retries apart. Nothing is decided by it yet.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -83,8 +83,10 @@
 	defer func() {
 		x.deps.metrics.Histogram("ferry_attempt_seconds", "service", x.service.Name).UpdateDuration(sent)
 	}()
+	x.countLimited(lease.Upstream)
 	response, err := x.deps.upstreams.Send(ctx, lease.Upstream, x.service, x.request)
 	if err == nil {
+		x.observeLimit(lease.Upstream, sent, response.Header)
 		var got *upstreamResponse
 		got, err = readResponse(response, lease)
 		if err == nil {
@@ -101,6 +103,9 @@
 	if upstream.MayHaveRun(err) {
 		x.ran++
 	}
+	if _, header := upstream.ShedResponse(err); header != nil {
+		x.observeLimit(lease.Upstream, sent, header)
+	}
 	x.failAttempt(ctx, lease, err)
 	x.deps.log.Info("attempt failed",
 		zap.String("request_id", x.caller.AttemptID),
--- a/edge/control.go
+++ b/edge/control.go
@@ -154,6 +154,7 @@
 	c.balance(now)
 	c.poolDirty = c.poolDirty || c.cold
 	c.requestLoans(now)
+	c.deps.throttle.Tick(now, c.upstreams.Has)
 	c.viewDirty = true
 }
 
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -12,6 +12,7 @@
 	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/rpc/entrypb"
 	"samphireferry.example/ferry/telemetry"
+	"samphireferry.example/ferry/throttle"
 	"samphireferry.example/ferry/upstream"
 )
 
@@ -30,6 +31,7 @@
 	upstreams   *upstream.Client
 	pool        *placement.Pool
 	retries     *retryBudgets
+	throttle    *throttle.Throttle
 	limiter     *admission.Limiter
 	callerConns *connections
 	watchRole   *watchRoleState
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -16,6 +16,7 @@
 	"samphireferry.example/ferry/platform/headers"
 	"samphireferry.example/ferry/rpc/entrypb"
 	"samphireferry.example/ferry/telemetry"
+	"samphireferry.example/ferry/throttle"
 	"samphireferry.example/ferry/upstream"
 )
 
@@ -96,6 +97,7 @@
 		upstreams:   do.MustInvoke[*upstream.Client](i),
 		pool:        placement.NewPool(placement.Location{FailureDomain: settings.FailureDomain, Region: settings.Region}),
 		retries:     newRetryBudgets(settings.EdgeBounds),
+		throttle:    throttle.New(),
 		callerConns: newConnections(settings.MaxConnections),
 		watchRole:   newWatchRoleState(),
 		limiter:     admission.NewLimiter(admission.Settings{MaxWait: maxLoanWait, MessagesPerSecond: maxLoanMessagesPerSecond}, time.Now()),
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -161,6 +161,9 @@
 	return changed
 }
 
+// Has reports whether an upstream has the id.
+func (r *Registry) Has(id string) bool { return r.upstreams[id] != nil }
+
 // All returns the upstreams, sorted by id. They must not be modified.
 func (r *Registry) All() []*Upstream {
 	all := lo.Values(r.upstreams)
--- /dev/null
+++ b/throttle/limit_test.go
@@ -0,0 +1,59 @@
+package throttle
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// at returns the time that is the given number of seconds after start.
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func TestResponsesThatOvertakeEachOtherLiftNoLimit(t *testing.T) {
+	type response struct {
+		sent, arrived float64
+		limited       bool
+		rate          float64
+	}
+	for name, test := range map[string]struct {
+		responses []response
+		want      Limit
+	}{
+		"no statement":                    {[]response{{1, 2, false, 0}}, Limit{}},
+		"a statement":                     {[]response{{1, 2, true, 3}}, Limit{Limited: true, Rate: 3}},
+		"a lower rate":                    {[]response{{1, 2, true, 3}, {1, 2.1, true, 1}}, Limit{Limited: true, Rate: 1}},
+		"a higher rate":                   {[]response{{1, 2, true, 3}, {2.1, 3, true, 5}}, Limit{Limited: true, Rate: 5}},
+		"a higher rate that is overtaken": {[]response{{1, 2, true, 3}, {1.5, 3, true, 5}}, Limit{Limited: true, Rate: 3}},
+		"the end":                         {[]response{{1, 2, true, 3}, {2.1, 3, false, 0}}, Limit{}},
+		"an end that is overtaken":        {[]response{{1, 2, true, 3}, {1.5, 3, false, 0}}, Limit{Limited: true, Rate: 3}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			throttle := New()
+			for _, r := range test.responses {
+				throttle.Observe(at(r.arrived), at(r.sent), "u", r.limited, r.rate)
+			}
+			got := throttle.Limits()["u"]
+			got.StatedAt = time.Time{}
+			assert.DeepEqual(t, got, test.want)
+		})
+	}
+}
+
+func TestAStatementThatIsNotRepeatedIsDropped(t *testing.T) {
+	throttle := New()
+	all := func(string) bool { return true }
+	assert.Assert(t, throttle.Observe(at(0), at(0), "u", true, 3))
+	assert.Assert(t, !throttle.Observe(at(20), at(19), "u", true, 3))
+	throttle.Tick(at(45), all)
+	assert.Assert(t, throttle.Limited("u"))
+	throttle.Tick(at(51), all)
+	assert.Assert(t, !throttle.Limited("u"))
+	throttle.Observe(at(52), at(52), "u", true, 3)
+	throttle.Tick(at(52), func(string) bool { return false })
+	assert.Assert(t, !throttle.Limited("u"), "the upstream is gone")
+}
