--- a/edge/instance_test.go
+++ b/edge/instance_test.go
@@ -211,6 +211,12 @@
 
 // send makes one request to the instance and reads the response.
 func (i *instance) send(method, path, key string) clientResponse {
+	i.t.Helper()
+	return i.sendAbout(method, path, key, "")
+}
+
+// sendAbout is like send, for a request about the object.
+func (i *instance) sendAbout(method, path, key, object string) clientResponse {
 	i.t.Helper()
 	var body io.Reader
 	if method == http.MethodPost {
@@ -222,6 +228,9 @@
 	r.Header.Set(headers.AttemptID, "attempt-1")
 	r.Header.Set(headers.DeadlineMillis, "30000")
 	r.Header.Set(headers.Customer, "forged")
+	if object != "" {
+		r.Header.Set(headers.ObjectKey, object)
+	}
 	if key != "" {
 		r.Header.Set("Authorization", "Bearer "+key)
 	}
