throttle, edge: all instances together keep the rate that an upstream states

Callers saw nothing of it, but an upstream in need got 28 requests in 4 s from instances that it had told to send 3.4 a second. Class: a bound on a sum over instances that no place of the design decides.

One instance, the allocator of the upstream, now grants a permit for each request that any instance sends there, retries and the users' direct checks included, from one bucket. So the sum does not depend on the number of instances. A request without a permit goes to another upstream at once. Package throttle decides it; statements spread with permits and heartbeats. The shares of the regions count the slots that a stated rate can use.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -73,7 +73,7 @@
 
 // attempt sends the request to one upstream and reads the response.
 func (x *exchange) attempt(ctx context.Context) (*upstreamResponse, error) {
-	lease, err := x.acquire()
+	lease, err := x.acquire(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -122,15 +122,15 @@
 
 // acquire takes a slot at an upstream. A request chosen for the new version of a
 // roll-out may fall back to the old version when the new one has no capacity.
-func (x *exchange) acquire() (*placement.Lease, error) {
+func (x *exchange) acquire(ctx context.Context) (*placement.Lease, error) {
 	versions := x.view.versions[x.service.Name]
 	object := x.objectHash()
 	if x.prefersNew {
 		object = versions.placementKey(object)
 	}
-	lease, refusal := x.acquireObject(object, versions.allows(x.prefersNew))
+	lease, refusal := x.acquireObject(ctx, object, versions.allows(x.prefersNew))
 	if x.prefersNew && versions.mayFallBack(refusal) {
-		lease, refusal = x.acquireObject(x.objectHash(), versions.allows(false))
+		lease, refusal = x.acquireObject(ctx, x.objectHash(), versions.allows(false))
 	}
 	switch refusal {
 	case placement.NoCandidates:
@@ -142,8 +142,18 @@
 	return lease, nil
 }
 
-func (x *exchange) acquireObject(object uint64, allows func(version string) bool) (*placement.Lease, placement.Refusal) {
-	return x.deps.pool.Acquire(time.Now(), x.placementQuery(object, allows))
+// acquireObject takes a slot at an upstream for the object. It passes over upstreams
+// that limit their rate and have no permit for the request.
+func (x *exchange) acquireObject(ctx context.Context, object uint64, allows func(version string) bool) (*placement.Lease, placement.Refusal) {
+	q := x.placementQuery(object, allows)
+	for {
+		lease, refusal := x.deps.pool.Acquire(time.Now(), q)
+		if lease == nil || x.deps.permits.obtain(ctx, lease.Upstream.Name) {
+			return lease, refusal
+		}
+		lease.Cancel()
+		q.Denied = append(q.Denied, lease.Upstream.Name)
+	}
 }
 
 func (x *exchange) placementQuery(object uint64, allows func(version string) bool) placement.Query {
@@ -152,6 +162,7 @@
 		Object:        object,
 		AllowsVersion: allows,
 		AllowsRegion:  x.allowsRegion,
+		Admits:        func(id string) bool { return x.deps.throttle.Admits(time.Now(), id) },
 		Tried:         x.tried,
 		TimeLeft:      time.Until(x.deadline),
 	}
--- a/edge/control.go
+++ b/edge/control.go
@@ -71,6 +71,10 @@
 	// cold reports whether the pool has limits for cold upstreams.
 	cold    bool
 	leaving bool
+	// permitsSince is when this instance began to run without a pause, permitTickAt when
+	// it last assigned the allocators of upstreams.
+	permitsSince time.Time
+	permitTickAt time.Time
 	// poolDirty and viewDirty request an update of the pool or the view.
 	poolDirty bool
 	viewDirty bool
@@ -99,6 +103,13 @@
 	}
 	c.rollouts = newRolloutControl(c)
 	c.members.SetRegions(deps.settings.Domains)
+	deps.permits = &permits{
+		throttle: deps.throttle,
+		peers:    deps.peers,
+		metrics:  deps.metrics,
+		changed:  func() { c.post(limitChanged{}) },
+		failed:   func(address string, err error) { c.post(permitFailed{address: address, err: err}) },
+	}
 	return c
 }
 
@@ -152,9 +163,9 @@
 	c.rollouts.tick(now)
 	c.divideRates(now)
 	c.balance(now)
-	c.poolDirty = c.poolDirty || c.cold
+	c.poolDirty = c.poolDirty || c.cold || len(c.upstreamRates()) > 0
 	c.requestLoans(now)
-	c.deps.throttle.Tick(now, c.upstreams.Has)
+	c.assignAllocators(now)
 	c.viewDirty = true
 }
 
--- a/edge/heartbeat.go
+++ b/edge/heartbeat.go
@@ -37,6 +37,7 @@
 // sums of the other domains.
 func (c *control) stateFor(now time.Time, peers *membership.Peers, domain string, toLeader bool) *entrypb.State {
 	s := c.selfState()
+	s.UpstreamLimits = c.upstreamLimits(now)
 	if peers.FullMesh() || domain == peers.Self.FailureDomain {
 		s.Demands = c.customerDemands()
 		s.Loads = c.serviceLoads()
@@ -124,6 +125,7 @@
 		s, _ := c.sums.source(domain)
 		c.receiveSource(now, s)
 	}
+	c.receiveLimits(now, state.GetUpstreamLimits())
 	if state.GetStoreRevision() > uint64(c.revision) {
 		c.pullIfBehind(now)
 	}
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -32,6 +32,7 @@
 	pool        *placement.Pool
 	retries     *retryBudgets
 	throttle    *throttle.Throttle
+	permits     *permits
 	limiter     *admission.Limiter
 	callerConns *connections
 	watchRole   *watchRoleState
--- a/edge/records.go
+++ b/edge/records.go
@@ -258,6 +258,7 @@
 		Evacuated:   c.evacuated,
 		Connections: map[string]int{},
 		Cold:        c.coldLimits(now),
+		Rates:       c.upstreamRates(),
 	}
 	c.cold = len(settings.Cold) > 0
 	if c.table != nil {
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -30,3 +30,6 @@
 
 // take consumes the token of a request that allows has admitted.
 func (l *coldLimiter) take() { l.tokens-- }
+
+// putBack returns the token of a request that was not sent.
+func (l *coldLimiter) putBack() { l.tokens++ }
--- a/placement/lease.go
+++ b/placement/lease.go
@@ -48,6 +48,8 @@
 	service    *service
 	target     *target
 	acquiredAt time.Time
+	// cold is set when the lease has taken a token of a cold upstream.
+	cold bool
 	// Utilization is the estimated number of requests per slot of the upstream when
 	// the lease was acquired, this request included.
 	Utilization float64
@@ -92,6 +94,16 @@
 	return max(t.ejectedUntil.Sub(before), 0)
 }
 
+// Cancel returns the lease of a request that was not sent.
+func (l *Lease) Cancel() {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	l.target.inFlight--
+	if l.cold {
+		l.target.cold.putBack()
+	}
+}
+
 // RecordLoad records a load that the upstream has reported while the request still holds
 // the lease.
 func (l *Lease) RecordLoad(now time.Time, load Load) {
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -76,6 +76,9 @@
 	Connections map[string]int
 	// Cold maps the id of a cold upstream to its limit.
 	Cold map[string]ColdLimit
+	// Rates maps the id of an upstream that limits its rate to the requests per second
+	// that it takes from all instances together.
+	Rates map[string]float64
 }
 
 // Update replaces the upstreams. The state of an upstream is kept while its id, start
@@ -163,18 +166,29 @@
 	for name, s := range p.services {
 		usable := func(t *target) bool { return t.usable(now) }
 		perSlot := maxLocalUtilization / max(s.serviceTime, minServiceTime).Seconds()
-		s.shares.step(now, targetShares(p.self.Region, demand[name], p.slots(s, usable), perSlot))
+		s.shares.step(now, targetShares(p.self.Region, demand[name], p.slotsAtRate(s, usable, perSlot), perSlot))
 	}
 }
 
 // slots returns the number of slots by region, without evacuated failure domains. It
 // counts the upstreams for which usable returns true, or all when usable is nil.
 func (p *Pool) slots(s *service, usable func(t *target) bool) map[string]float64 {
+	return p.slotsAtRate(s, usable, 0)
+}
+
+// slotsAtRate is like slots, but counts at most as many slots of an upstream that limits
+// its rate as serve that rate, with perSlot requests per second at each slot.
+func (p *Pool) slotsAtRate(s *service, usable func(t *target) bool, perSlot float64) map[string]float64 {
 	slots := map[string]float64{}
 	for _, t := range s.targets {
-		if (usable == nil || usable(t)) && !p.settings.Evacuated[t.upstream.FailureDomain] {
-			slots[t.region] += float64(t.upstream.Slots)
+		if usable != nil && !usable(t) || p.settings.Evacuated[t.upstream.FailureDomain] {
+			continue
 		}
+		usableSlots := float64(t.upstream.Slots)
+		if rate, limited := p.settings.Rates[t.upstream.ID]; limited && perSlot > 0 {
+			usableSlots = min(usableSlots, rate/perSlot)
+		}
+		slots[t.region] += usableSlots
 	}
 	return slots
 }
@@ -201,12 +215,22 @@
 	// AllowsRegion reports whether an upstream of the region may serve the request; nil
 	// allows all.
 	AllowsRegion func(region string) bool
+	// Admits reports whether an upstream takes a request now, by its rate; nil admits all.
+	Admits func(id string) bool
 	// Tried holds the ids of the upstreams that earlier attempts used.
 	Tried []string
+	// Denied holds the ids of the upstreams that were chosen for this attempt and must
+	// not get it.
+	Denied []string
 	// TimeLeft is the time until the deadline of the request; 0 or less means unknown.
 	TimeLeft time.Duration
 }
 
+// admits reports whether the upstream takes a request now.
+func (q Query) admits(id string) bool {
+	return (q.Admits == nil || q.Admits(id)) && !slices.Contains(q.Denied, id)
+}
+
 // Refusal is the reason why no upstream was chosen.
 type Refusal uint8
 
@@ -229,7 +253,7 @@
 	if s == nil {
 		return nil, NoCandidates
 	}
-	if len(q.Tried) == 0 {
+	if len(q.Tried) == 0 && len(q.Denied) == 0 {
 		s.arrivals++
 		s.spill.recordArrival(now)
 	}
@@ -238,15 +262,16 @@
 		return nil, NoCandidates
 	}
 	s.order(candidates, q.Object)
-	chosen := p.choose(now, s, candidates, s.maxUtilization(q.TimeLeft))
+	chosen := p.choose(now, s, candidates, q)
 	if chosen == nil {
 		return nil, AllBusy
 	}
-	if _, cold := p.coldLimit(now, chosen); cold {
+	_, cold := p.coldLimit(now, chosen)
+	if cold {
 		chosen.cold.take()
 	}
 	chosen.inFlight++
-	return &Lease{pool: p, service: s, target: chosen, Upstream: chosen.endpoint, acquiredAt: now, Utilization: float64(chosen.load(now)) / float64(chosen.upstream.Slots)}, Chosen
+	return &Lease{pool: p, service: s, target: chosen, Upstream: chosen.endpoint, acquiredAt: now, cold: cold, Utilization: float64(chosen.load(now)) / float64(chosen.upstream.Slots)}, Chosen
 }
 
 // PreferredUpstream returns the name of the preferred upstream of the object and its
@@ -315,16 +340,17 @@
 
 // choose returns the preferred upstream of the object while its queue is short, the
 // second one if that has enough spare capacity, or the preferred one while its queue is
-// within the limits; otherwise nil. A cold upstream at its rate limit is skipped. A full
-// one still counts towards upstreamsPerObject: skipping it would flood the others with
+// within the limits; otherwise nil. A cold upstream at its rate limit, and one that takes
+// no request now by its own, is skipped. A full one still counts towards upstreamsPerObject: skipping it would flood the others with
 // its requests. Where a region has only one upstream, the second one is in another
 // region; then the spill limiter decides.
-func (p *Pool) choose(now time.Time, s *service, candidates []*target, maxUtilization float64) *target {
+func (p *Pool) choose(now time.Time, s *service, candidates []*target, q Query) *target {
 	var fallback *target
+	maxUtilization := s.maxUtilization(q.TimeLeft)
 	maxFallbackUtilization := min(1+maxQueuePerSlot, maxUtilization)
 	eligible := 0
 	for _, t := range candidates {
-		if !p.withinColdLimit(now, t) {
+		if !p.withinColdLimit(now, t) || !q.admits(t.upstream.ID) {
 			continue
 		}
 		eligible++
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -164,6 +164,16 @@
 // Has reports whether an upstream has the id.
 func (r *Registry) Has(id string) bool { return r.upstreams[id] != nil }
 
+// FailureDomain returns the failure domain of the upstream with the id; empty when there
+// is none.
+func (r *Registry) FailureDomain(id string) string {
+	u := r.upstreams[id]
+	if u == nil {
+		return ""
+	}
+	return u.FailureDomain
+}
+
 // All returns the upstreams, sorted by id. They must not be modified.
 func (r *Registry) All() []*Upstream {
 	all := lo.Values(r.upstreams)
--- a/throttle/limit.go
+++ b/throttle/limit.go
@@ -6,8 +6,15 @@
 )
 
 const (
-	// limitLifetime is how long a statement is in force without being repeated.
+	// limitLifetime is how long a statement is in force without being repeated. An
+	// upstream that gets minRate repeats it several times in that time.
 	limitLifetime = 30 * time.Second
+	// minRate is the least rate of an allocator in requests per second: the end of a
+	// limit shows only in a response.
+	minRate = 0.2
+	// minRefresh is by how much a statement from another instance must be newer than an
+	// equal one: the age of a statement grows less than its time on the way.
+	minRefresh = time.Second
 )
 
 // Limit is a statement of an upstream.
@@ -44,6 +51,21 @@
 	return t.adopt(upstream, stated)
 }
 
+// Merge records a statement that another instance has passed on, and reports whether the
+// limit in force has changed.
+func (t *Throttle) Merge(upstream string, stated Limit) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.upstreams[upstream]
+	if s == nil && !stated.Limited {
+		return false
+	}
+	if s != nil && stated.same(s.limit) && stated.StatedAt.Sub(s.limit.StatedAt) < minRefresh {
+		return false
+	}
+	return t.adopt(upstream, stated)
+}
+
 // adopt puts a statement in force if it is newer than the current one.
 func (t *Throttle) adopt(upstream string, stated Limit) bool {
 	s := t.upstreams[upstream]
@@ -55,6 +77,9 @@
 	}
 	changed := !stated.same(s.limit)
 	s.limit = stated
+	if changed {
+		s.deniedUntil = time.Time{}
+	}
 	return changed
 }
 
