soak, standin: upstreams that state a rate

A fault of the soak makes an upstream state a rate; after the last fault, one states a rate and the soak checks what all instances together send.

Measured: TestGuaranteesUnderFaults passes.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -29,6 +29,7 @@
 	{"upstream proxy", faultUpstreamProxy},
 	{"upstream fails", failUpstream},
 	{"upstream loses answers", abortUpstreamResponses},
+	{"upstream limits its rate", limitUpstream},
 	{"upstream replaced", replaceUpstream},
 	{"configuration", changeConfiguration},
 	{"store", faultStore},
--- a/soak/run.go
+++ b/soak/run.go
@@ -74,6 +74,7 @@
 	s.awaitService(ctx, "at the start")
 	injected, err := s.injectFaults(ctx)
 	s.awaitService(ctx, "after the last fault")
+	s.checkRate(ctx, rand.New(rand.NewPCG(o.Seed, 1)))
 	cancel()
 	callers.Wait()
 	sent, served := s.ledger.Counts()
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -41,6 +41,7 @@
 	failPermille  atomic.Int64
 	abortPermille atomic.Int64
 	requests      atomic.Int64
+	rate          rateCheck
 }
 
 func newUpstream(id, service string, ledger *Ledger) (*Upstream, error) {
@@ -76,6 +77,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	u.rate.recordArrival(w.Header(), time.Now())
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		// The body is incomplete; the request does not run.
--- a/standin/upstream/faults.go
+++ b/standin/upstream/faults.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
+	"samphireferry.example/ferry/platform/headers"
 	"samphireferry.example/ferry/units"
 )
 
@@ -74,6 +76,9 @@
 	Requests []Fault    `json:"requests,omitempty"`
 	Probes   ProbeFault `json:"probes"`
 	Draining bool       `json:"draining,omitempty"`
+	// RateLimit is the rate that the responses state, in requests per second from all
+	// entry instances together. 0 states none.
+	RateLimit float64 `json:"rate_limit,omitempty"`
 }
 
 // activeFaults holds the faults that apply to one request.
@@ -121,6 +126,15 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// stateRateLimit sets the header that states Faults.RateLimit.
+func (u *Upstream) stateRateLimit(h http.Header) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.faults.RateLimit > 0 {
+		h.Set(headers.RateLimit, strconv.FormatFloat(u.faults.RateLimit, 'f', -1, 64))
+	}
+}
+
 // faultsFor counts the request for each fault that it matches and returns the faults
 // that apply to it.
 func (u *Upstream) faultsFor(r *http.Request) activeFaults {
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -105,6 +105,7 @@
 
 func (u *Upstream) serveRequest(w http.ResponseWriter, r *http.Request) {
 	u.ledger.recordArrival(r)
+	u.stateRateLimit(w.Header())
 	faults := u.faultsFor(r)
 	if faults.has(FaultSilent) {
 		// The server detects a closed connection only after the body has been read.
