edge, platform: log and export the era of the store

The logs could not show that the store is behind what an instance knows, or that it was restored. Both show now; nothing is decided by them yet.

--- a/edge/records.go
+++ b/edge/records.go
@@ -31,6 +31,9 @@
 
 func (e recordsRead) apply(c *control, now time.Time) {
 	if e.fromPeer == "" {
+		if e.revision < c.revision {
+			c.deps.log.Warn("store is behind", zap.Int64("store_revision", int64(e.revision)), zap.Int64("revision", int64(c.revision)))
+		}
 		c.markStoreAvailable(now)
 		e.confirmed = c.upstreams.ConfirmsRemovals(now)
 	}
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -48,13 +48,19 @@
 
 func provideStore(i do.Injector) (platform.Store, error) {
 	settings := do.MustInvoke[*static.EdgeSettings](i)
-	return platform.NewClient(platform.ClientOptions{
+	metrics := do.MustInvoke[*telemetry.Metrics](i)
+	client, err := platform.NewClient(platform.ClientOptions{
 		URL:        settings.Platform,
 		Timeout:    storeTimeout,
 		MaxBackoff: maxStoreBackoff,
 		Seed:       rand.Uint64(),
-		Metrics:    do.MustInvoke[*telemetry.Metrics](i),
+		Metrics:    metrics,
 	})
+	if err != nil {
+		return nil, err
+	}
+	metrics.Gauge("ferry_store_era", func() float64 { return float64(client.Era()) })
+	return client, nil
 }
 
 func providePeers(do.Injector) (*entryinstance.Pool, error) {
