platform, edge, registry: revisions and leases end with the era of the store

Callers saw configurations that were acknowledged and never in force after the store had been restored from a copy. Class: an identifier that is taken to be unique for ever, and is unique only between two restores.

The client of the store now returns revisions that order first by era, then by the store's number. So a list after a restore is newer than everything before it, at each instance, in heartbeats and in the records that peers pass on, and also after a second restore. The configuration with the highest version is kept and passed on.

--- a/edge/control.go
+++ b/edge/control.go
@@ -24,6 +24,9 @@
 	// that is reported longer than this after the store was lost here was made after
 	// the loss.
 	maxChangeAge = 1500 * time.Millisecond
+	// restoreGrace is the time after a restore of the store within which the operator and
+	// the upstreams write again what the copy lacks.
+	restoreGrace = registry.DefaultReturnGrace
 	// eventQueueSize is the number of events that can be queued.
 	eventQueueSize = 1024
 )
@@ -51,6 +54,9 @@
 	// completeSince is the revision of the newest full read: all changes after it are
 	// known.
 	completeSince platform.Revision
+	// restoredAt is when the first records were read after a restore of the store from a
+	// copy; zero once restoreGrace is over.
+	restoredAt time.Time
 	// behindSince is when a peer was first seen to have newer records; zero while none
 	// has.
 	behindSince time.Time
@@ -157,6 +163,7 @@
 	if c.upstreams.Tick(now) {
 		c.poolDirty = true
 	}
+	c.endRestore(now)
 	c.sendHeartbeats(now)
 	c.pullIfBehind(now)
 	c.expireStoreFailure(now)
@@ -208,7 +215,7 @@
 
 func (e storeFailed) apply(c *control, now time.Time) {
 	if !c.storeUnavailable {
-		c.deps.log.Warn("store lost", zap.Error(e.err), zap.Int64("revision", int64(c.revision)))
+		c.deps.log.Warn("store lost", zap.Error(e.err), zap.Stringer("revision", c.revision))
 		c.storeLostAt = now
 		c.upstreams.StoreUnavailable()
 	}
@@ -222,7 +229,7 @@
 func (c *control) updateWatchRole(peers *membership.Peers) {
 	if leads := peers.IsLeader(); leads != c.readsStore {
 		c.readsStore = leads
-		c.deps.log.Info("reading the store for the failure domain", zap.Bool("reads", leads), zap.Int64("revision", int64(c.revision)))
+		c.deps.log.Info("reading the store for the failure domain", zap.Bool("reads", leads), zap.Stringer("revision", c.revision))
 	}
 	c.deps.watchRole.set(watchRole{reads: c.readsStore, revision: c.revision, leaderCount: peers.LeaderCount()})
 }
@@ -236,5 +243,5 @@
 	}
 	c.storeUnavailable = false
 	c.upstreams.StoreAvailable(now)
-	c.deps.log.Info("store not tried any more", zap.Int64("revision", int64(c.revision)))
+	c.deps.log.Info("store not tried any more", zap.Stringer("revision", c.revision))
 }
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -121,8 +121,8 @@
 func (w *storeWatcher) watch(ctx context.Context, after platform.Revision, leaderCount int) (platform.Revision, bool) {
 	entries, revision, err := w.store.Watch(ctx, "", after, watchWait(leaderCount))
 	w.log.Debug("watch returned",
-		zap.Int64("after", int64(after)),
-		zap.Int64("revision", int64(revision)),
+		zap.Stringer("after", after),
+		zap.Stringer("revision", revision),
 		zap.Int("changes", len(entries)),
 		zap.Error(err),
 	)
--- a/edge/records.go
+++ b/edge/records.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"maps"
 	"strings"
 	"time"
 
@@ -30,9 +31,12 @@
 }
 
 func (e recordsRead) apply(c *control, now time.Time) {
+	if c.revision != 0 && e.revision.Era() > c.revision.Era() {
+		c.storeRestored(now, e)
+	}
 	if e.fromPeer == "" {
 		if e.revision < c.revision {
-			c.deps.log.Warn("store is behind", zap.Int64("store_revision", int64(e.revision)), zap.Int64("revision", int64(c.revision)))
+			c.deps.log.Warn("store is behind", zap.Stringer("store_revision", e.revision), zap.Stringer("revision", c.revision))
 		}
 		c.markStoreAvailable(now)
 		e.confirmed = c.upstreams.ConfirmsRemovals(now)
@@ -57,12 +61,41 @@
 	c.applyRecords(now, changed, e.confirmed)
 }
 
+// storeRestored handles the first records that were read after the store was restored from
+// a copy. For restoreGrace, they may lack what was written since the copy was made.
+func (c *control) storeRestored(now time.Time, e recordsRead) {
+	c.deps.log.Warn("store restored from a copy",
+		zap.Stringer("store_revision", e.revision),
+		zap.Stringer("revision", c.revision),
+		zap.String("peer", e.fromPeer),
+	)
+	c.restoredAt = now
+	c.upstreams.StoreRestored(now)
+}
+
+// restoring reports whether the operator and the upstreams may not have written again yet
+// what a restored store lacks.
+func (c *control) restoring(now time.Time) bool {
+	return !c.restoredAt.IsZero() && now.Sub(c.restoredAt) < restoreGrace
+}
+
+// endRestore applies the records of a restored store that were held back, once
+// restoreGrace is over.
+func (c *control) endRestore(now time.Time) {
+	if c.restoredAt.IsZero() || c.restoring(now) {
+		return
+	}
+	c.restoredAt = time.Time{}
+	c.readEvacuations(now)
+	c.rollouts.readRecords(now)
+}
+
 // markStoreAvailable records that the store has responded to this instance.
 func (c *control) markStoreAvailable(now time.Time) {
 	c.upstreams.StoreAvailable(now)
 	if c.storeUnavailable {
 		c.storeUnavailable = false
-		c.deps.log.Info("store back", zap.Int64("revision", int64(c.revision)))
+		c.deps.log.Info("store back", zap.Stringer("revision", c.revision))
 	}
 }
 
@@ -82,9 +115,13 @@
 	present := make(map[string]bool, len(e.entries))
 	for _, entry := range e.entries {
 		present[entry.Key] = true
-		if c.records[entry.Key].Revision >= entry.Revision {
+		old := c.records[entry.Key]
+		if old.Revision >= entry.Revision {
 			continue
 		}
+		if entry.Key == records.KeyConfig && entry.Revision.Era() > old.Revision.Era() {
+			entry = newerConfig(old, entry)
+		}
 		c.records[entry.Key] = entry
 		changed = append(changed, entry.Key)
 	}
@@ -92,6 +129,10 @@
 		return changed
 	}
 	for key, entry := range c.records {
+		if key == records.KeyConfig {
+			// The operator never removes it; only a copy of the store can lack it.
+			continue
+		}
 		if !present[key] && !entry.Deleted && entry.Revision <= e.revision {
 			c.records[key] = platform.Entry{Key: key, Revision: e.revision, Deleted: true}
 			changed = append(changed, key)
@@ -100,6 +141,23 @@
 	return changed
 }
 
+// newerConfig returns the record of a restored store, with the configuration known before
+// if that has a higher version, so that no instance gets the older one from this instance.
+func newerConfig(known, restored platform.Entry) platform.Entry {
+	if known.Revision == 0 || known.Deleted {
+		return restored
+	}
+	last, err := records.DecodeConfig(known.Value)
+	if err != nil {
+		return restored
+	}
+	next, err := records.DecodeConfig(restored.Value)
+	if restored.Deleted || err != nil || next.Version < last.Version {
+		restored.Value, restored.Deleted = known.Value, false
+	}
+	return restored
+}
+
 // applyRecords puts changed records in force.
 func (c *control) applyRecords(now time.Time, changed []string, confirmed bool) {
 	var upstreams, instances, evacuations, rollouts bool
@@ -149,7 +207,7 @@
 	}
 	config, err := records.DecodeConfig(entry.Value)
 	if err != nil {
-		c.deps.log.Error("configuration cannot be read", zap.Int64("revision", int64(entry.Revision)), zap.Error(err))
+		c.deps.log.Error("configuration cannot be read", zap.Stringer("revision", entry.Revision), zap.Error(err))
 		return
 	}
 	if c.table != nil && config.Version <= c.table.Version {
@@ -166,7 +224,7 @@
 	c.poolDirty, c.viewDirty = true, true
 	c.deps.log.Info("configuration in force",
 		zap.Uint64("version", config.Version),
-		zap.Int64("revision", int64(entry.Revision)),
+		zap.Stringer("revision", entry.Revision),
 		zap.Int("routes", len(table.Routes)),
 		zap.Int("routes_with_homes", lo.CountBy(table.Routes, func(r *routing.Route) bool { return r.HomeRegions != nil })),
 		zap.Int("customers_with_homes", lo.CountBy(table.Customers, func(c *routing.Customer) bool { return c.HomeRegions != nil })),
@@ -206,7 +264,7 @@
 	})
 	if c.upstreams.Replace(now, entries, confirmed) {
 		c.poolDirty, c.viewDirty = true, true
-		c.deps.log.Info("upstreams changed", zap.Int64("revision", int64(c.revision)), zap.Int("entries", len(entries)))
+		c.deps.log.Info("upstreams changed", zap.Stringer("revision", c.revision), zap.Int("entries", len(entries)))
 	}
 }
 
@@ -238,15 +296,18 @@
 			evacuated[domain] = true
 		}
 	})
+	if c.restoring(now) {
+		maps.Copy(evacuated, c.evacuated)
+	}
 	for domain := range c.evacuated {
 		if !evacuated[domain] {
 			c.evacuationEnded[domain] = now
-			c.deps.log.Info("failure domain taken back", zap.String("failure_domain", domain), zap.Int64("revision", int64(c.revision)))
+			c.deps.log.Info("failure domain taken back", zap.String("failure_domain", domain), zap.Stringer("revision", c.revision))
 		}
 	}
 	for domain := range evacuated {
 		if !c.evacuated[domain] {
-			c.deps.log.Info("failure domain evacuated", zap.String("failure_domain", domain), zap.Int64("revision", int64(c.revision)))
+			c.deps.log.Info("failure domain evacuated", zap.String("failure_domain", domain), zap.Stringer("revision", c.revision))
 		}
 	}
 	c.evacuated = evacuated
--- a/edge/rollout.go
+++ b/edge/rollout.go
@@ -67,7 +67,7 @@
 		r.adoptOrder(now, canary.Order(order))
 	})
 	for service := range r.runs {
-		if !ordered[service] {
+		if !ordered[service] && !r.control.restoring(now) {
 			delete(r.runs, service)
 		}
 	}
@@ -80,7 +80,8 @@
 // adoptOrder starts a roll-out unless it has already started.
 func (r *rolloutControl) adoptOrder(now time.Time, order canary.Order) {
 	run := r.runs[order.Service]
-	if run != nil && run.Order.Revision == order.Revision {
+	if run != nil && (run.Order.Revision == order.Revision || r.rewritten(now, run, order)) {
+		run.Order.Revision = order.Revision
 		return
 	}
 	run = &rolloutRun{Rollout: canary.New(order, now), splitter: splitting.NewSplitter(nil), wantedAt: now}
@@ -89,11 +90,16 @@
 	r.control.deps.log.Info("roll-out ordered",
 		zap.String("service", order.Service),
 		zap.String("version", order.Version),
-		zap.Int64("order", order.Revision),
+		zap.Stringer("order", platform.Revision(order.Revision)),
 		zap.Duration("within", order.Within),
 	)
 }
 
+// rewritten reports whether a restored store has the order of the run at another revision.
+func (r *rolloutControl) rewritten(now time.Time, run *rolloutRun, order canary.Order) bool {
+	return r.control.restoring(now) && order.Version == run.Order.Version && order.Within == run.Order.Within
+}
+
 // updateShares applies the canary share of the latest settings to running roll-outs.
 func (r *rolloutControl) updateShares() {
 	for _, run := range r.runs {
@@ -104,7 +110,12 @@
 // readStatus adopts the phase of a changed status record.
 func (r *rolloutControl) readStatus(now time.Time, service string, run *rolloutRun) {
 	entry, ok := r.control.records[records.PrefixRolloutStatus+service]
-	if !ok || entry.Deleted || entry.Revision == run.revision {
+	if !ok || entry.Deleted {
+		// A restored store may have lost the status.
+		run.revision, run.status = 0, records.RolloutStatus{}
+		return
+	}
+	if entry.Revision == run.revision {
 		return
 	}
 	run.revision = entry.Revision
@@ -130,7 +141,7 @@
 		zap.String("service", run.Order.Service),
 		zap.String("version", run.Order.Version),
 		zap.Stringer("phase", run.Phase()),
-		zap.Int64("order", run.Order.Revision),
+		zap.Stringer("order", platform.Revision(run.Order.Revision)),
 	)
 }
 
@@ -224,6 +235,10 @@
 		revision, err := r.control.deps.store.CompareAndSwap(ctx, key, value, expected, 0)
 		if errors.Is(err, platform.ErrConflict) {
 			entry, getErr := r.control.deps.store.Get(ctx, key)
+			if errors.Is(getErr, platform.ErrNotFound) {
+				// Written again once the control goroutine knows that the record is gone.
+				return statusWritten{service: service, lost: true}
+			}
 			return statusWritten{service: service, entry: entry, err: getErr}
 		}
 		return statusWritten{service: service, entry: platform.Entry{Key: key, Value: value, Revision: revision}, err: err}
@@ -234,7 +249,9 @@
 type statusWritten struct {
 	service string
 	entry   platform.Entry
-	err     error
+	// lost is set when the store has no record.
+	lost bool
+	err  error
 }
 
 func (e statusWritten) apply(c *control, now time.Time) {
@@ -247,6 +264,10 @@
 		c.deps.log.Warn("roll-out status was not written", zap.String("service", e.service), zap.Error(e.err))
 		return
 	}
+	if e.lost {
+		run.revision, run.status = 0, records.RolloutStatus{}
+		return
+	}
 	if c.records[e.entry.Key].Revision < e.entry.Revision {
 		c.records[e.entry.Key] = e.entry
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -63,15 +64,32 @@
 type Registry struct {
 	grace     time.Duration
 	upstreams map[string]*Upstream
-	// availableSince is when the store last became available after an outage.
+	// availableSince is when the store last became available after an outage, or was
+	// restored.
 	availableSince time.Time
 	unavailable    bool
+	// restoredAt is when the store was last restored from a copy.
+	restoredAt time.Time
+	// removed holds the upstreams whose removal was confirmed, by id.
+	removed map[string]removal
+	// held holds entries of the copy that contradict what was known before the restore,
+	// by id. They count at the end of the grace period.
+	held map[string]Entry
 }
 
+// removal is the confirmed removal of one start of an upstream.
+type removal struct {
+	started int64
+	at      time.Time
+}
+
+// removalMemory is how long removals are remembered. A copy of the store is younger.
+const removalMemory = time.Minute
+
 // New returns an empty registry. grace is how long lapsed entries may take to
 // return once the store is available again; 0 means DefaultReturnGrace.
 func New(grace time.Duration) *Registry {
-	return &Registry{grace: cmp.Or(grace, DefaultReturnGrace), upstreams: map[string]*Upstream{}}
+	return &Registry{grace: cmp.Or(grace, DefaultReturnGrace), upstreams: map[string]*Upstream{}, removed: map[string]removal{}, held: map[string]Entry{}}
 }
 
 // StoreUnavailable records that the store does not respond.
@@ -89,6 +107,20 @@
 	r.unavailable = false
 }
 
+// StoreRestored records that the store was restored from a copy. Until the grace period
+// ends, upstreams that the copy lacks may return, and ones that were draining or removed
+// before stay so: their entries are written again.
+func (r *Registry) StoreRestored(now time.Time) {
+	r.unavailable = false
+	r.availableSince = now
+	r.restoredAt = now
+}
+
+// restoring reports whether entries of a copy may not have been written again yet.
+func (r *Registry) restoring(now time.Time) bool {
+	return !r.restoredAt.IsZero() && now.Sub(r.restoredAt) < r.grace
+}
+
 // ConfirmsRemovals reports whether the store has been available for so long that a
 // missing entry confirms that its upstream has left.
 func (r *Registry) ConfirmsRemovals(now time.Time) bool { return !r.mayReturn(now) }
@@ -100,6 +132,7 @@
 func (r *Registry) Replace(now time.Time, entries []Entry, confirmed bool) bool {
 	present := make(map[string]bool, len(entries))
 	changed := false
+	clear(r.held)
 	for _, entry := range entries {
 		present[entry.ID] = true
 		changed = r.put(now, entry) || changed
@@ -119,11 +152,37 @@
 	if old != nil && old.Revision >= entry.Revision && !old.lapsed {
 		return false
 	}
+	if r.restoring(now) && r.contradicts(old, entry) {
+		r.held[entry.ID] = entry
+		if old == nil {
+			return false
+		}
+		entry.State = old.State
+	}
 	u := &Upstream{Entry: entry, ColdUntil: now.Add(entry.ColdFor)}
+	if old != nil && r.restoring(now) && sameExceptRevision(old.Entry, entry) {
+		u.ColdUntil = old.ColdUntil
+	}
 	r.upstreams[entry.ID] = u
 	return true
 }
 
+// contradicts reports whether the entry of a copy shows as ready what was draining or
+// removed before.
+func (r *Registry) contradicts(old *Upstream, entry Entry) bool {
+	if old != nil {
+		return old.Started == entry.Started && old.State == Draining && entry.State == Ready
+	}
+	removed, ok := r.removed[entry.ID]
+	return ok && removed.started == entry.Started
+}
+
+// sameExceptRevision reports whether two entries differ in their revisions only.
+func sameExceptRevision(a, b Entry) bool {
+	a.Revision = b.Revision
+	return a == b
+}
+
 // remove deletes an upstream, or marks it as lapsed if the removal is not confirmed. A
 // draining upstream is always deleted, since its entry does not return. If only another
 // instance has seen the outage of the store, the grace period begins now.
@@ -137,7 +196,14 @@
 		r.upstreams[u.ID] = &kept
 		return
 	}
+	r.drop(now, u)
+}
+
+// drop deletes an upstream whose removal is confirmed and remembers the removal.
+func (r *Registry) drop(now time.Time, u *Upstream) {
 	delete(r.upstreams, u.ID)
+	maps.DeleteFunc(r.removed, func(_ string, m removal) bool { return now.Sub(m.at) > removalMemory })
+	r.removed[u.ID] = removal{started: u.Started, at: now}
 }
 
 // mayReturn reports whether lapsed entries may still return.
@@ -145,19 +211,24 @@
 	return r.unavailable || !r.availableSince.IsZero() && now.Sub(r.availableSince) < r.grace
 }
 
-// Tick removes the lapsed entries once the grace period is over and reports whether
-// there were any.
+// Tick removes the lapsed entries and applies the held ones once the grace period is over.
+// It reports whether there were any.
 func (r *Registry) Tick(now time.Time) bool {
 	if r.mayReturn(now) {
 		return false
 	}
 	changed := false
-	for id, u := range r.upstreams {
+	for _, u := range r.upstreams {
 		if u.lapsed {
-			delete(r.upstreams, id)
+			r.drop(now, u)
 			changed = true
 		}
 	}
+	for id, entry := range r.held {
+		r.upstreams[id] = &Upstream{Entry: entry, ColdUntil: now.Add(entry.ColdFor)}
+		changed = true
+	}
+	clear(r.held)
 	return changed
 }
 
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -95,3 +95,51 @@
 	assert.Assert(t, r.Tick(at(12.5)))
 	assert.DeepEqual(t, ids(r), []string{"a"})
 }
+
+func TestACopyOfTheStoreBringsNothingBack(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	ready := Entry{ID: "a", Started: 1, Address: "10.0.0.1:80", Revision: 1}
+	draining := Entry{ID: "b", Started: 1, State: Draining, Address: "10.0.0.2:80", Revision: 2}
+	for name, test := range map[string]struct {
+		// again reports whether a and b are written again: a as removed, b as draining.
+		again bool
+		want  int
+	}{"written again": {true, 0}, "not written again": {false, 2}} {
+		t.Run(name, func(t *testing.T) {
+			r := New(time.Second)
+			r.Replace(start, []Entry{ready, draining}, true)
+			r.Replace(start.Add(time.Second), []Entry{draining}, true)
+			restored := start.Add(10 * time.Second)
+			r.StoreRestored(restored)
+			copied := []Entry{ready, draining}
+			copied[0].Revision, copied[1].Revision, copied[1].State = 11, 12, Ready
+			r.Replace(restored, copied, false)
+			assert.Equal(t, len(r.All()), 1, "a is still removed")
+			assert.Equal(t, r.All()[0].State, Draining)
+			if test.again {
+				again := copied[1]
+				again.State, again.Revision = Draining, 13
+				r.Replace(restored.Add(500*time.Millisecond), []Entry{again}, false)
+			}
+			r.Tick(restored.Add(2 * time.Second))
+			count := 0
+			for _, u := range r.All() {
+				if u.State == Ready {
+					count++
+				}
+			}
+			assert.Equal(t, count, test.want)
+		})
+	}
+}
+
+func TestAnUpstreamThatTheCopyLacksMayReturn(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	r := New(time.Second)
+	r.Replace(start, []Entry{{ID: "a", Started: 1, Revision: 1}}, true)
+	r.StoreRestored(start.Add(time.Second))
+	r.Replace(start.Add(time.Second), nil, r.ConfirmsRemovals(start.Add(time.Second)))
+	assert.Equal(t, len(r.All()), 1)
+	r.Tick(start.Add(3 * time.Second))
+	assert.Equal(t, len(r.All()), 0)
+}
--- a/standin/platform/http.go
+++ b/standin/platform/http.go
@@ -39,7 +39,7 @@
 // serveRange responds with all keys in one page.
 func (p *Platform) serveRange(w http.ResponseWriter, r *http.Request) {
 	entries, revision, err := p.List(r.Context(), r.FormValue(platform.ParamPrefix))
-	respond(w, platform.RangeBody{Items: itemBodies(entries), CurrentRev: revision}, err)
+	respond(w, platform.RangeBody{Items: itemBodies(entries), CurrentRev: int64(revision)}, err)
 }
 
 // serveTransaction accepts the transactions that the client sends: one condition with a
@@ -59,11 +59,11 @@
 	var err error
 	if len(body.Writes) == 1 {
 		write := body.Writes[0]
-		revision, err = p.CompareAndSwap(r.Context(), condition.Key, write.Value, condition.Rev, write.Lease)
+		revision, err = p.CompareAndSwap(r.Context(), condition.Key, write.Value, platform.Revision(condition.Rev), write.Lease)
 	} else {
-		err = p.Delete(r.Context(), condition.Key, condition.Rev)
+		err = p.Delete(r.Context(), condition.Key, platform.Revision(condition.Rev))
 	}
-	respond(w, platform.TransactionResultBody{Rev: revision}, err)
+	respond(w, platform.TransactionResultBody{Rev: int64(revision)}, err)
 }
 
 func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request) {
@@ -79,7 +79,7 @@
 	}
 	wait := time.Duration(millis) * time.Millisecond
 	entries, revision, err := p.Watch(r.Context(), r.FormValue(platform.ParamPrefix), platform.Revision(after), wait)
-	respond(w, platform.WatchBody{Events: itemBodies(entries), CurrentRev: revision}, err)
+	respond(w, platform.WatchBody{Events: itemBodies(entries), CurrentRev: int64(revision)}, err)
 }
 
 func (p *Platform) serveGrant(w http.ResponseWriter, r *http.Request) {
@@ -160,7 +160,7 @@
 }
 
 func itemBody(entry platform.Entry) platform.ItemBody {
-	return platform.ItemBody{Key: entry.Key, Value: entry.Value, Rev: entry.Revision, Deleted: entry.Deleted}
+	return platform.ItemBody{Key: entry.Key, Value: entry.Value, Rev: int64(entry.Revision), Deleted: entry.Deleted}
 }
 
 func itemBodies(entries []platform.Entry) []platform.ItemBody {
