edge, soak: test instances that are cut off, registrations and roll-outs across a restore

An instance that is cut off from the store gets the records of the new era from a peer, also across a second restore; an instance registers again when the copy lacks its lease; a roll-out goes on and its status is written again.

--- a/edge/restored_test.go
+++ b/edge/restored_test.go
@@ -3,9 +3,19 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
+
+	"samphireferry.example/ferry/platform"
+	"samphireferry.example/ferry/platform/records"
+	"samphireferry.example/ferry/soak"
+	standin "samphireferry.example/ferry/standin/records"
+	"samphireferry.example/ferry/telemetry"
 )
 
 // writesSinceTheCopy is the number of revisions that a restore takes back.
@@ -63,3 +73,101 @@
 	}
 	assert.Equal(t, all[0].send(http.MethodGet, "/read/7", "k1").status, http.StatusOK)
 }
+
+func TestAnInstanceThatIsCutOffFollowsARestoredStore(t *testing.T) {
+	s := newSystem(t)
+	s.configure(1, "k1")
+	connected := s.start("e1")
+	defer connected.stop()
+	proxy, err := soak.NewProxy(strings.TrimPrefix(s.url, "http://"))
+	assert.NilError(t, err)
+	defer proxy.Close()
+	settings := s.settings("e2")
+	settings.Platform = "http://" + proxy.Address()
+	started, err := New(settings, zap.NewNop(), telemetry.New())
+	assert.NilError(t, err)
+	assert.NilError(t, started.Start())
+	cut := &instance{Instance: started, t: t}
+	defer cut.stop()
+	cut.waitVersion(1)
+	eventually(t, "the instances know each other", func() bool { return len(cut.deps.views.load().peers.All) == 1 })
+	restored := s.store.Copy()
+	s.passRevisions()
+	s.configure(2, "k1")
+	cut.waitVersion(2)
+	proxy.SetFault(soak.ProxyFault{Refuse: true})
+	proxy.Reset()
+	s.store.Restore(restored)
+	s.configure(3, "k1")
+	cut.waitVersion(3)
+	s.store.Restore(restored)
+	proxy.SetFault(soak.ProxyFault{})
+	s.configure(4, "k1")
+	cut.waitVersion(4)
+}
+
+func TestAnInstanceRegistersAgainAfterARestore(t *testing.T) {
+	s := newSystem(t)
+	s.configure(1, "k1")
+	restored := s.store.Copy()
+	i := s.start("e1")
+	defer i.stop()
+	registered := func() bool {
+		_, err := s.store.Get(t.Context(), records.PrefixInstances+"e1")
+		return err == nil
+	}
+	eventually(t, "the instance is registered", registered)
+	s.store.Restore(restored)
+	assert.Assert(t, !registered(), "the copy lacks the entry")
+	eventually(t, "the instance is registered again", registered)
+}
+
+// status returns the status of the roll-out in the store, or the zero value.
+func (s *system) status() records.RolloutStatus {
+	s.t.Helper()
+	entry, err := s.store.Get(s.t.Context(), records.PrefixRolloutStatus+"lookup")
+	if err != nil {
+		assert.ErrorIs(s.t, err, platform.ErrNotFound)
+		return records.RolloutStatus{}
+	}
+	status, err := records.DecodeRolloutStatus(entry.Value)
+	assert.NilError(s.t, err)
+	return status
+}
+
+func TestARolloutGoesOnAfterARestore(t *testing.T) {
+	s := newSystem(t)
+	s.configure(1, "k1")
+	s.register(newFakeUpstream(t, "i-1"), "v1", "ready")
+	s.register(newFakeUpstream(t, "i-2"), "v2", "ready")
+	core, logs := observer.New(zapcore.InfoLevel)
+	i := s.startLogging("e1", zap.New(core))
+	defer i.stop()
+	i.waitReady(2)
+	restored := s.store.Copy()
+	s.passRevisions()
+	s.put(records.PrefixRolloutOrders+"lookup", `{"to_version":"v2","over_s":600}`)
+	eventually(t, "the roll-out has a status", func() bool { return s.status().Version == "v2" })
+	before := s.status()
+	s.store.Restore(restored)
+	assert.Equal(t, s.status().Version, "", "the copy lacks the status")
+	eventually(t, "the status is written again", func() bool { return s.status().Version == "v2" })
+	assert.Equal(t, s.status().StartedMillis, before.StartedMillis)
+	assert.Equal(t, logs.FilterMessage("roll-out ordered").Len(), 1)
+}
+
+func TestACopyKeepsTheNewestConfiguration(t *testing.T) {
+	config := func(version uint64) []byte {
+		value, err := standin.Configuration{Version: version}.Value()
+		assert.NilError(t, err)
+		return value
+	}
+	known := platform.Entry{Key: records.KeyConfig, Value: config(7), Revision: platform.NewRevision(1, 50)}
+	older := platform.Entry{Key: records.KeyConfig, Value: config(5), Revision: platform.NewRevision(2, 20)}
+	got := newerConfig(known, older)
+	assert.Equal(t, string(got.Value), string(known.Value))
+	assert.Equal(t, got.Revision, older.Revision)
+	newer := platform.Entry{Key: records.KeyConfig, Value: config(8), Revision: platform.NewRevision(2, 20)}
+	assert.Equal(t, string(newerConfig(known, newer).Value), string(newer.Value))
+	assert.Equal(t, string(newerConfig(platform.Entry{}, older).Value), string(older.Value))
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -33,6 +33,7 @@
 	{"upstream replaced", replaceUpstream},
 	{"configuration", changeConfiguration},
 	{"store", faultStore},
+	{"store restored", restoreStore},
 }
 
 // Extents of the faults.
@@ -130,6 +131,15 @@
 	}, nil
 }
 
+// restoreStore restores the store from a copy at the end of the fault.
+func restoreStore(s *system, _ *rand.Rand) (func() error, error) {
+	taken := s.store.Copy()
+	return func() error {
+		s.store.Restore(taken)
+		return nil
+	}, nil
+}
+
 // faultProxy sets a randomly chosen fault at a proxy and returns the function that ends
 // it. One of the variants only resets the open connections; new ones work.
 func faultProxy(p *Proxy, r *rand.Rand) func() error {
