edge: a status belongs to its order also in a later era

An instance that starts after a restore found the final status of a roll-out with a revision of the era before, took it for that of another order, and would have begun the roll-out again.

Measured: TestAStatusBelongsToItsOrderInALaterEra passes; its second row fails with the old comparison.

--- a/edge/restored_test.go
+++ b/edge/restored_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
+	"samphireferry.example/ferry/canary"
 	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/platform/records"
 	"samphireferry.example/ferry/soak"
@@ -156,6 +157,25 @@
 	assert.Equal(t, logs.FilterMessage("roll-out ordered").Len(), 1)
 }
 
+func TestAStatusBelongsToItsOrderInALaterEra(t *testing.T) {
+	order := canary.Order{Service: "lookup", Version: "v2", Revision: int64(platform.NewRevision(2, 30))}
+	for name, test := range map[string]struct {
+		version string
+		order   platform.Revision
+		want    bool
+	}{
+		"same era":        {"v2", platform.NewRevision(2, 30), true},
+		"earlier era":     {"v2", platform.NewRevision(1, 30), true},
+		"another order":   {"v2", platform.NewRevision(2, 31), false},
+		"another version": {"v3", platform.NewRevision(1, 30), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			status := records.RolloutStatus{State: records.RolloutDone, Version: test.version, Order: int64(test.order)}
+			assert.Equal(t, isFor(status, order), test.want)
+		})
+	}
+}
+
 func TestACopyKeepsTheNewestConfiguration(t *testing.T) {
 	config := func(version uint64) []byte {
 		value, err := standin.Configuration{Version: version}.Value()
--- a/edge/rollout.go
+++ b/edge/rollout.go
@@ -124,7 +124,7 @@
 		r.control.deps.log.Warn("roll-out status cannot be read", zap.String("service", service), zap.Error(err))
 		return
 	}
-	if status.Order != run.Order.Revision {
+	if !isFor(status, run.Order) {
 		return
 	}
 	run.status = status
@@ -136,6 +136,13 @@
 	}
 }
 
+// isFor reports whether the status belongs to the order. In a restored store, the order has
+// a revision of the new era and the status one of the era in which it was written; their
+// numbers are equal unless the order was written again.
+func isFor(status records.RolloutStatus, order canary.Order) bool {
+	return status.Version == order.Version && platform.Revision(status.Order).Number() == platform.Revision(order.Revision).Number()
+}
+
 func (r *rolloutControl) logPhase(run *rolloutRun) {
 	r.control.deps.log.Info("roll-out phase",
 		zap.String("service", run.Order.Service),
