edge, throttle: bound the statements of upstreams in a heartbeat

Heartbeats carried the statement of every upstream that limits its rate. Where all are in need, that lengthens the heartbeat interval, which grows with the size of heartbeats. A heartbeat now has at most 20 of them, chosen at random.

--- a/edge/limits.go
+++ b/edge/limits.go
@@ -23,6 +23,9 @@
 	// settleTime is the time after the start, or a pause, of this instance after which
 	// the others know it: several heartbeats in its failure domain.
 	settleTime = 5 * time.Second
+	// maxLimitsPerHeartbeat bounds the statements of upstreams in one heartbeat. Each
+	// heartbeat has other ones when there are more.
+	maxLimitsPerHeartbeat = 20
 	// maxPermitTickGap is the longest gap between two ticks that is no pause.
 	maxPermitTickGap = time.Second
 )
@@ -79,7 +82,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return client.Permit(ctx, &entrypb.PermitRequest{Limit: limitMessage(time.Now(), upstream, p.throttle.Limits()[upstream])})
+	limit, _ := p.throttle.Limit(upstream)
+	return client.Permit(ctx, &entrypb.PermitRequest{Limit: limitMessage(time.Now(), upstream, limit)})
 }
 
 // Permit implements entrypb.EntryServer.
@@ -91,7 +95,7 @@
 	upstream := request.GetLimit().GetUpstream()
 	granted, retryAfter := t.Grant(now, upstream)
 	response := &entrypb.PermitResponse{Granted: granted, RetryAfterMs: uint64(retryAfter.Milliseconds())}
-	if limit, known := t.Limits()[upstream]; known {
+	if limit, known := t.Limit(upstream); known {
 		response.Limit = limitMessage(now, upstream, limit)
 	}
 	return response, nil
@@ -132,11 +136,17 @@
 	})
 }
 
-// upstreamLimits returns the statements of upstreams for heartbeats.
+// upstreamLimits returns the statements of upstreams for a heartbeat, a random selection
+// of maxLimitsPerHeartbeat if there are more.
 func (c *control) upstreamLimits(now time.Time) []*entrypb.UpstreamLimit {
-	return lo.MapToSlice(c.deps.throttle.Limits(), func(upstream string, limit throttle.Limit) *entrypb.UpstreamLimit {
-		return limitMessage(now, upstream, limit)
-	})
+	var messages []*entrypb.UpstreamLimit
+	for upstream, limit := range c.deps.throttle.Limits() {
+		if len(messages) == maxLimitsPerHeartbeat {
+			break
+		}
+		messages = append(messages, limitMessage(now, upstream, limit))
+	}
+	return messages
 }
 
 // receiveLimits merges the statements of upstreams in a heartbeat.
--- a/throttle/limit.go
+++ b/throttle/limit.go
@@ -83,6 +83,17 @@
 	return changed
 }
 
+// Limit returns the statement in force, and false when there is none.
+func (t *Throttle) Limit(upstream string) (Limit, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.upstreams[upstream]
+	if s == nil {
+		return Limit{}, false
+	}
+	return s.limit, true
+}
+
 // Limited reports whether the upstream limits its rate.
 func (t *Throttle) Limited(upstream string) bool {
 	t.mu.Lock()
