edge: an allocator that does not respond is passed over in a large fleet

Above 33 instances, an instance of another failure domain is not monitored. One that did not respond to requests for permits counted as failed after a single slow response; and an instance that only stops counting slow responses as failures would ask it until its entry expires, 12 s. Now a request for a permit without a response makes the allocator a contact: heartbeats find out whether it responds. A refused connection counts as a failure at once, as before.

--- a/edge/control.go
+++ b/edge/control.go
@@ -114,7 +114,7 @@
 		peers:    deps.peers,
 		metrics:  deps.metrics,
 		changed:  func() { c.post(limitChanged{}) },
-		failed:   func(address string, err error) { c.post(permitFailed{address: address, err: err}) },
+		failed:   func(e permitFailed) { c.post(e) },
 	}
 	return c
 }
--- a/edge/permits.go
+++ b/edge/permits.go
@@ -31,8 +31,8 @@
 	metrics  *telemetry.Metrics
 	// changed is called when a limit in force has changed.
 	changed func()
-	// failed is called with the address of an allocator to which a call has failed.
-	failed func(address string, err error)
+	// failed is called when a call to an allocator has failed.
+	failed func(permitFailed)
 }
 
 // obtain takes a permit for one request to the upstream and reports whether there is one.
@@ -58,7 +58,7 @@
 	if err != nil {
 		p.throttle.Deny(now, upstream, 0)
 		if ctx.Err() == nil {
-			p.failed(allocator, err)
+			p.failed(permitFailed{address: allocator, err: err, timedOut: callCtx.Err() != nil})
 		}
 		return false
 	}
@@ -104,11 +104,22 @@
 type permitFailed struct {
 	address string
 	err     error
+	// timedOut is set when there was no response within maxPermitWait.
+	timedOut bool
 }
 
 func (e permitFailed) apply(c *control, now time.Time) {
-	c.members.HandleFailure(e.address, now)
 	c.deps.log.Info("permit was not requested", zap.String("peer", e.address), zap.Error(e.err))
+	if !e.timedOut {
+		c.members.HandleFailure(e.address, now)
+		return
+	}
+	// One slow response shows no failure. Heartbeats to the allocator, which is not a contact
+	// of this instance in a large fleet, find out whether it responds.
+	allocator, known := lo.Find(c.members.Snapshot(now).All, func(p *membership.Peer) bool { return p.RPCAddress == e.address })
+	if known {
+		c.members.MarkUsed(allocator.Name, now)
+	}
 }
 
 // assignAllocators assigns an allocator to each upstream that limits its rate.
