throttle: a limit stays in force until the upstream ends it

A statement was dropped when it was not repeated for 30 s, as by an upstream that got no requests. When callers came back, every instance sent without permits until the first response, which takes as long as an upstream in need takes.

Now a limit ends by a response without one, or with the upstream; the allocator still sends 0.2 requests a second at least, so the end shows. Only the end of a limit is dropped, after 30 s.

--- a/throttle/doc.go
+++ b/throttle/doc.go
@@ -8,8 +8,8 @@
 // learns of a statement from a response or from another instance. The newest one is in
 // force. A response that states a lower rate than the one in force counts from its
 // arrival, one that states a higher rate or none from the time at which its request was
-// sent, so that responses that overtake each other never lift a limit. A statement that is
-// not repeated is dropped after limitLifetime.
+// sent, so that responses that overtake each other never lift a limit. A limit is in force
+// until the upstream states another one or none.
 //
 // # Permits
 //
--- a/throttle/limit.go
+++ b/throttle/limit.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// limitLifetime is how long a statement is in force without being repeated. An
-	// upstream that gets minRate repeats it several times in that time.
-	limitLifetime = 30 * time.Second
+	// endLifetime is how long the end of a limit is remembered, so that instances which
+	// have not learned of it do not bring the limit back.
+	endLifetime = 30 * time.Second
 	// minRate is the least rate of an allocator in requests per second: the end of a
 	// limit shows only in a response.
 	minRate = 0.2
@@ -114,12 +114,13 @@
 	return limits
 }
 
-// Tick drops the statements that were not repeated for limitLifetime and those of
-// upstreams for which exists returns false.
+// Tick drops the ends of limits after endLifetime, and the statements of upstreams for which
+// exists returns false. A limit stays in force until the upstream ends it, also when no
+// request is sent there.
 func (t *Throttle) Tick(now time.Time, exists func(upstream string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	maps.DeleteFunc(t.upstreams, func(upstream string, s *state) bool {
-		return now.Sub(s.limit.StatedAt) > limitLifetime || !exists(upstream)
+		return !s.limit.Limited && now.Sub(s.limit.StatedAt) > endLifetime || !exists(upstream)
 	})
 }
