throttle: an instance that is leaving grants no permits beside the next allocator

An allocator that was leaving considered itself the first to its end and granted permits to its own callers at the full rate, while the others had the next instance grant the full rate too.

Now it asks the next one, as the others do, and grants only if no other instance is usable.

--- a/throttle/allocator.go
+++ b/throttle/allocator.go
@@ -30,8 +30,8 @@
 }
 
 // ChooseAllocator returns the allocator of an upstream in the failure domain and the
-// region. The instance self is usable and not in others; settled reports whether it has
-// been running for long enough that the others know it.
+// region. The instance self is not in others; it is usable unless it is leaving. settled
+// reports whether it has been running for long enough that the others know it.
 func ChooseAllocator(upstream, failureDomain, region string, self Instance, settled bool, others []Instance) Allocator {
 	before := func(a, b *Instance) bool {
 		if x, y := distance(a, failureDomain, region), distance(b, failureDomain, region); x != y {
@@ -40,13 +40,16 @@
 		x, y := xxhash.Sum64String(a.Name+upstream), xxhash.Sum64String(b.Name+upstream)
 		return x < y || x == y && a.Name < b.Name
 	}
-	first := &self
+	var first *Instance
+	if self.Usable {
+		first = &self
+	}
 	for i := range others {
-		if others[i].Usable && before(&others[i], first) {
+		if others[i].Usable && (first == nil || before(&others[i], first)) {
 			first = &others[i]
 		}
 	}
-	if first != &self {
+	if first != nil && first != &self {
 		return Allocator{Address: first.Address}
 	}
 	fraction := 1.0
--- a/throttle/bench_test.go
+++ b/throttle/bench_test.go
@@ -15,7 +15,7 @@
 			FailureDomain: fmt.Sprint("d", n%domains), Region: fmt.Sprint("r", n%domains%regions),
 		})
 	}
-	self := Instance{Name: "self", FailureDomain: "d80", Region: "r2"}
+	self := Instance{Name: "self", FailureDomain: "d80", Region: "r2", Usable: true}
 	for b.Loop() {
 		ChooseAllocator("u", "d1", "r1", self, true, others)
 	}
--- a/throttle/doc.go
+++ b/throttle/doc.go
@@ -24,11 +24,12 @@
 //
 // All instances rank the instances for each upstream: those of its failure domain first,
 // then those of its region, then by the hash of both names. The first usable one is the
-// allocator. It grants only while it considers itself the first, so two instances grant at
-// once only if one of them does not see the other. Each that is ranked before an allocator
-// and may still be running, and a recent start or pause of the allocator itself, multiply
-// its rate by overlapFraction. One predecessor that goes on unseen thus adds to at most
-// 1+overlapFraction times the stated rate.
+// allocator; an instance that is leaving is so only if there is no other. It grants only
+// while it considers itself the first, so two instances grant at once only if one of them
+// does not see the other. Each that is ranked before an allocator and may still be running,
+// and a recent start or pause of the allocator itself, multiply its rate by overlapFraction.
+// One predecessor that goes on unseen thus adds to at most 1+overlapFraction times the stated
+// rate.
 //
 // # Limits
 //
--- a/throttle/fleet_test.go
+++ b/throttle/fleet_test.go
@@ -30,6 +30,9 @@
 	// instance reaches it; changedAt is when either last changed.
 	down, cut bool
 	changedAt time.Time
+	// leaving is set while the instance finishes the requests of its callers; the others
+	// know it.
+	leaving bool
 	// toldAt is when a response with a limit first arrived at this process.
 	toldAt time.Time
 }
@@ -96,8 +99,8 @@
 		}
 		i := n.instance
 		noticed := now.Sub(later(n.changedAt, self.changedAt)) > detection
-		i.Usable = reachable(self, n) == noticed
-		i.MayRun = !n.down || now.Sub(n.changedAt) < delisting
+		i.Usable = reachable(self, n) == noticed && !n.leaving
+		i.MayRun = (!n.down || now.Sub(n.changedAt) < delisting) && !n.leaving
 		others = append(others, i)
 	}
 	return others
@@ -112,8 +115,10 @@
 
 func (f *fleet) assign(now time.Time, n *simNode) {
 	settled := now.Sub(n.started) > 5*time.Second
+	self := n.instance
+	self.Usable = !n.leaving
 	n.throttle.Assign(now, func(upstream string) Allocator {
-		return ChooseAllocator(upstream, "d0", "r0", n.instance, settled, f.view(now, n))
+		return ChooseAllocator(upstream, "d0", "r0", self, settled, f.view(now, n))
 	})
 }
 
@@ -430,3 +435,27 @@
 		assert.Assert(t, worst(f.counted, limitStart+3, 90) <= allowed(rate), "seed %d: %d requests, %d allowed", seed, worst(f.counted, limitStart+3, 90), allowed(rate))
 	}
 }
+
+// Guards against two allocators at the full rate: one that was leaving went on granting
+// permits to its own callers beside the next one.
+func TestInstancesThatLeaveKeepTheRate(t *testing.T) {
+	for _, rate := range []float64{1.1, 3.4, 20} {
+		for seed := range uint64(3) {
+			f := newFleet(seed, 10)
+			f.limit = constant(rate)
+			f.run(60, 20*rate+20, func(now time.Time) {
+				elapsed := now.Sub(at(10))
+				if elapsed < 0 || elapsed%(6*time.Second) != 0 {
+					return
+				}
+				for _, n := range f.nodes {
+					if s := n.throttle.upstreams["u"]; s != nil && s.allocator.Self && !n.leaving {
+						n.leaving = true
+						f.after(now, 5*time.Second, func(now time.Time) { n.down, n.changedAt = true, now })
+					}
+				}
+			})
+			assert.Assert(t, worst(f.arrived, limitStart+3, 60) <= allowed(rate), "rate %v, seed %d: %d requests, %d allowed", rate, seed, worst(f.arrived, limitStart+3, 60), allowed(rate))
+		}
+	}
+}
