throttle: a larger bucket for a sole allocator

Requests below the stated rate were denied when they came in bursts. A bucket held two permits and a quarter second of the rate at any time, to leave room for a second allocator that goes on unseen. The room is needed only in one of the two: now the bucket of a sole allocator holds three, and that of one that may not be alone holds one. Together they still grant at most 1.5 times the rate and 4 requests in 4 s.

--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -6,9 +6,11 @@
 )
 
 const (
-	// baseBurst and burstSeconds give the size of an allocator's bucket: two permits and
-	// the rate for that many seconds.
-	baseBurst    = 2
+	// baseBurst and burstSeconds give the size of an allocator's bucket: that many permits
+	// and the rate for that many seconds. overlapBurst replaces baseBurst while another
+	// instance may grant permits as well.
+	baseBurst    = 3
+	overlapBurst = 1
 	burstSeconds = 0.25
 	// maxRetryAfter bounds the time until an instance that was denied a permit asks again,
 	// so that it notices a change of the limit or of the allocator.
@@ -161,6 +163,10 @@
 func (s *state) refill(now time.Time) {
 	rate := s.rate()
 	elapsed := max(now.Sub(s.refilledAt), 0)
-	s.tokens = min(s.tokens+elapsed.Seconds()*rate, baseBurst+burstSeconds*rate)
+	burst := baseBurst + burstSeconds*rate
+	if s.allocator.Fraction < 1 {
+		burst = overlapBurst + burstSeconds*rate
+	}
+	s.tokens = min(s.tokens+elapsed.Seconds()*rate, burst)
 	s.refilledAt = now
 }
