edge: peers pass on the newest configuration while it is written again

After a restore of the store, the operator writes again what the copy lacks. The first older version was replaced by the one known before, but a second one was taken into the records, so an instance that started then could get it from a peer that serves by the newer one. Found by reading; no play has shown it.

TestAPeerPassesOnTheNewestConfigurationWhileItIsWrittenAgain got version 6 where 7 is in force, before; now it passes, and the tests of records and restores with it.

--- a/edge/records.go
+++ b/edge/records.go
@@ -47,7 +47,7 @@
 	if e.fromPeer != "" && e.revision > c.revision {
 		c.markStoreAvailableElsewhere(now)
 	}
-	changed := c.merge(e)
+	changed := c.merge(now, e)
 	if e.full {
 		c.completeSince = max(c.completeSince, e.revision)
 	}
@@ -110,7 +110,7 @@
 
 // merge stores the newer entries and returns the keys that changed. When all records
 // were read, it marks the missing ones as deleted.
-func (c *control) merge(e recordsRead) []string {
+func (c *control) merge(now time.Time, e recordsRead) []string {
 	var changed []string
 	present := make(map[string]bool, len(e.entries))
 	for _, entry := range e.entries {
@@ -119,7 +119,7 @@
 		if old.Revision >= entry.Revision {
 			continue
 		}
-		if entry.Key == records.KeyConfig && entry.Revision.Era() > old.Revision.Era() {
+		if entry.Key == records.KeyConfig && (entry.Revision.Era() > old.Revision.Era() || c.restoring(now)) {
 			entry = newerConfig(old, entry)
 		}
 		c.records[entry.Key] = entry
--- a/edge/restored_test.go
+++ b/edge/restored_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -14,6 +15,7 @@
 	"samphireferry.example/ferry/canary"
 	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/platform/records"
+	"samphireferry.example/ferry/rpc/entrypb"
 	"samphireferry.example/ferry/soak"
 	standin "samphireferry.example/ferry/standin/records"
 	"samphireferry.example/ferry/telemetry"
@@ -176,18 +178,38 @@
 	}
 }
 
+// configEntry returns the record of a configuration.
+func configEntry(t *testing.T, version uint64, revision platform.Revision) platform.Entry {
+	t.Helper()
+	value, err := standin.Configuration{Version: version}.Value()
+	assert.NilError(t, err)
+	return platform.Entry{Key: records.KeyConfig, Value: value, Revision: revision}
+}
+
 func TestACopyKeepsTheNewestConfiguration(t *testing.T) {
-	config := func(version uint64) []byte {
-		value, err := standin.Configuration{Version: version}.Value()
-		assert.NilError(t, err)
-		return value
-	}
-	known := platform.Entry{Key: records.KeyConfig, Value: config(7), Revision: platform.NewRevision(1, 50)}
-	older := platform.Entry{Key: records.KeyConfig, Value: config(5), Revision: platform.NewRevision(2, 20)}
+	known := configEntry(t, 7, platform.NewRevision(1, 50))
+	older := configEntry(t, 5, platform.NewRevision(2, 20))
 	got := newerConfig(known, older)
 	assert.Equal(t, string(got.Value), string(known.Value))
 	assert.Equal(t, got.Revision, older.Revision)
-	newer := platform.Entry{Key: records.KeyConfig, Value: config(8), Revision: platform.NewRevision(2, 20)}
+	newer := configEntry(t, 8, platform.NewRevision(2, 20))
 	assert.Equal(t, string(newerConfig(known, newer).Value), string(newer.Value))
 	assert.Equal(t, string(newerConfig(platform.Entry{}, older).Value), string(older.Value))
 }
+
+// Guards against instances that start after a restore and get an older configuration from a
+// peer than the one that it serves by: the operator writes its versions again one by one.
+func TestAPeerPassesOnTheNewestConfigurationWhileItIsWrittenAgain(t *testing.T) {
+	c := newTestControl(t)
+	now := time.Now()
+	recordsRead{entries: []platform.Entry{configEntry(t, 7, platform.NewRevision(1, 50))}, revision: platform.NewRevision(1, 50), full: true}.apply(c, now)
+	for n, version := range []uint64{5, 6, 7} {
+		revision := platform.NewRevision(2, 20+int64(n))
+		recordsRead{entries: []platform.Entry{configEntry(t, version, revision)}, revision: revision, full: n == 0}.apply(c, now.Add(time.Duration(n)*time.Second))
+		reply := make(chan *entrypb.GetConfigResponse, 1)
+		recordsRequested{reply: reply}.apply(c, now)
+		passedOn, err := records.DecodeConfig((<-reply).GetEntries()[0].GetValue())
+		assert.NilError(t, err)
+		assert.Equal(t, passedOn.Version, uint64(7), "after version %d was written again", version)
+	}
+}
