throttle: choose an allocator among the failure domain of its upstream

Each choice compared all instances, ten times a second for each upstream in need: 75 us at 4,600 instances, so some 45 upstreams in need at once would have used the 3.4% of a core that control may use. The instances of the upstream's failure domain are ranked first, so only they are compared as long as one of them is usable; the result is the same.

--- a/edge/permits.go
+++ b/edge/permits.go
@@ -131,11 +131,8 @@
 	c.deps.throttle.Tick(now, c.upstreams.Has)
 	peers := c.members.Snapshot(now)
 	settled := now.Sub(c.permitsSince) >= settleTime
-	var others []throttle.Instance
+	others := &permitPeers{peers: peers, domains: map[string][]throttle.Instance{}}
 	c.deps.throttle.Assign(now, func(upstream string) throttle.Allocator {
-		if others == nil {
-			others = throttleInstances(peers)
-		}
 		domain := c.upstreams.FailureDomain(upstream)
 		return throttle.ChooseAllocator(upstream, domain, c.deps.settings.Domains[domain], throttleInstance(&peers.Self), settled, others)
 	})
@@ -152,6 +149,32 @@
 	}
 }
 
-func throttleInstances(peers *membership.Peers) []throttle.Instance {
-	return lo.Map(peers.All, func(p *membership.Peer, _ int) throttle.Instance { return throttleInstance(p) })
+// permitPeers implements throttle.Others. It converts the peers once for all upstreams of a
+// failure domain.
+type permitPeers struct {
+	peers   *membership.Peers
+	domains map[string][]throttle.Instance
+	all     []throttle.Instance
+}
+
+// InDomain implements throttle.Others.
+func (p *permitPeers) InDomain(failureDomain string) []throttle.Instance {
+	converted, ok := p.domains[failureDomain]
+	if !ok {
+		converted = throttleInstances(p.peers.InDomain(failureDomain))
+		p.domains[failureDomain] = converted
+	}
+	return converted
+}
+
+// All implements throttle.Others.
+func (p *permitPeers) All() []throttle.Instance {
+	if p.all == nil {
+		p.all = throttleInstances(p.peers.All)
+	}
+	return p.all
+}
+
+func throttleInstances(peers []*membership.Peer) []throttle.Instance {
+	return lo.Map(peers, func(p *membership.Peer, _ int) throttle.Instance { return throttleInstance(p) })
 }
--- a/throttle/allocator.go
+++ b/throttle/allocator.go
@@ -1,6 +1,10 @@
 package throttle
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // overlapFraction is the factor on the rate of an allocator for each instance that may
 // still grant permits beside it. With the burst of both buckets, two allocators grant at
@@ -29,10 +33,28 @@
 	Fraction float64
 }
 
-// ChooseAllocator returns the allocator of an upstream in the failure domain and the
-// region. The instance self is not in others; it is usable unless it is leaving. settled
-// reports whether it has been running for long enough that the others know it.
-func ChooseAllocator(upstream, failureDomain, region string, self Instance, settled bool, others []Instance) Allocator {
+// Others returns the other instances, without the local one.
+type Others interface {
+	// InDomain returns those of the failure domain.
+	InDomain(failureDomain string) []Instance
+	// All returns those of all failure domains.
+	All() []Instance
+}
+
+// candidates returns the other instances that decide on the allocator of an upstream in the
+// failure domain: those of the domain, as long as one of them or self is usable there.
+func candidates(failureDomain string, self *Instance, others Others) []Instance {
+	domain := others.InDomain(failureDomain)
+	if self.Usable && self.FailureDomain == failureDomain || slices.ContainsFunc(domain, func(i Instance) bool { return i.Usable }) {
+		return domain
+	}
+	return others.All()
+}
+
+// ChooseAllocator returns the allocator of an upstream in the failure domain and the region.
+// The instance self is usable unless it is leaving; settled reports whether it has been
+// running for long enough that the others know it.
+func ChooseAllocator(upstream, failureDomain, region string, self Instance, settled bool, others Others) Allocator {
 	before := func(a, b *Instance) bool {
 		if x, y := distance(a, failureDomain, region), distance(b, failureDomain, region); x != y {
 			return x < y
@@ -44,9 +66,10 @@
 	if self.Usable {
 		first = &self
 	}
-	for i := range others {
-		if others[i].Usable && (first == nil || before(&others[i], first)) {
-			first = &others[i]
+	ranked := candidates(failureDomain, &self, others)
+	for i := range ranked {
+		if ranked[i].Usable && (first == nil || before(&ranked[i], first)) {
+			first = &ranked[i]
 		}
 	}
 	if first != nil && first != &self {
@@ -56,8 +79,8 @@
 	if !settled {
 		fraction = overlapFraction
 	}
-	for i := range others {
-		if !others[i].Usable && others[i].MayRun && before(&others[i], &self) {
+	for i := range ranked {
+		if !ranked[i].Usable && ranked[i].MayRun && before(&ranked[i], &self) {
 			fraction *= overlapFraction
 		}
 	}
--- a/throttle/fleet_test.go
+++ b/throttle/fleet_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"gotest.tools/v3/assert"
 )
 
@@ -90,9 +91,20 @@
 // ones, those of the upstream's failure domain are so many that one is always usable.
 const maxCompleteView = 30
 
+// instances implements Others.
+type instances []Instance
+
+// InDomain implements Others.
+func (all instances) InDomain(failureDomain string) []Instance {
+	return lo.Filter(all, func(i Instance, _ int) bool { return i.FailureDomain == failureDomain })
+}
+
+// All implements Others.
+func (all instances) All() []Instance { return all }
+
 // view returns how the node sees the others: changes show after the detection time.
-func (f *fleet) view(now time.Time, self *simNode) []Instance {
-	var others []Instance
+func (f *fleet) view(now time.Time, self *simNode) instances {
+	var others instances
 	for _, n := range f.nodes {
 		if n == self || len(f.nodes) > maxCompleteView && n.instance.FailureDomain != "d0" {
 			continue
