edge: a restored store evacuates no failure domain again

TestACopyBringsNoEvacuationBack failed before. An evacuation that ended here within the last minute now counts only once the operator had time to take it back again.

--- a/edge/control.go
+++ b/edge/control.go
@@ -27,6 +27,9 @@
 	// restoreGrace is the time after a restore of the store within which the operator and
 	// the upstreams write again what the copy lacks.
 	restoreGrace = registry.DefaultReturnGrace
+	// maxCopyAge is the age of a copy from which the store may be restored: an evacuation
+	// that ended within it may be in the copy again.
+	maxCopyAge = time.Minute
 	// eventQueueSize is the number of events that can be queued.
 	eventQueueSize = 1024
 )
--- a/edge/records.go
+++ b/edge/records.go
@@ -297,6 +297,7 @@
 		}
 	})
 	if c.restoring(now) {
+		maps.DeleteFunc(evacuated, func(domain string, _ bool) bool { return now.Sub(c.evacuationEnded[domain]) < maxCopyAge })
 		maps.Copy(evacuated, c.evacuated)
 	}
 	for domain := range c.evacuated {
--- a/edge/restored_test.go
+++ b/edge/restored_test.go
@@ -213,3 +213,25 @@
 		assert.Equal(t, passedOn.Version, uint64(7), "after version %d was written again", version)
 	}
 }
+
+// Guards against failure domains that are evacuated again after a restore: the copy holds an
+// evacuation that ended since, until the operator takes it back once more.
+func TestACopyBringsNoEvacuationBack(t *testing.T) {
+	c := newTestControl(t)
+	now := time.Now()
+	at := func(seconds float64) time.Time { return now.Add(time.Duration(seconds * float64(time.Second))) }
+	evacuation := func(domain string, revision platform.Revision) platform.Entry {
+		return platform.Entry{Key: records.PrefixEvacuations + domain, Value: []byte("{}"), Revision: revision}
+	}
+	first := platform.NewRevision(1, 50)
+	recordsRead{entries: []platform.Entry{evacuation("east-1", first), evacuation("west-1", first)}, revision: first, full: true}.apply(c, at(0))
+	ended := platform.Entry{Key: records.PrefixEvacuations + "east-1", Revision: first + 1, Deleted: true}
+	recordsRead{entries: []platform.Entry{ended}, revision: first + 1}.apply(c, at(20))
+	copied := platform.NewRevision(2, 50)
+	recordsRead{entries: []platform.Entry{evacuation("east-1", copied), evacuation("north-1", copied)}, revision: copied, full: true}.apply(c, at(25))
+	assert.DeepEqual(t, c.evacuated, map[string]bool{"west-1": true, "north-1": true})
+	c.endRestore(at(26))
+	assert.Assert(t, !c.evacuated["east-1"])
+	c.endRestore(at(25).Add(restoreGrace))
+	assert.DeepEqual(t, c.evacuated, map[string]bool{"east-1": true, "north-1": true})
+}
