registry: an entry that a restored store holds back is applied after every read

The second read in that time took it for known already and dropped it, so the upstream stayed draining until it wrote its entry again. TestAHeldEntryIsAppliedAfterASecondRead failed before. The entry that was known before now stays as it is while another one is held back.

--- a/registry/registry.go
+++ b/registry/registry.go
@@ -154,10 +154,7 @@
 	}
 	if r.restoring(now) && r.contradicts(old, entry) {
 		r.held[entry.ID] = entry
-		if old == nil {
-			return false
-		}
-		entry.State = old.State
+		return false
 	}
 	u := &Upstream{Entry: entry, ColdUntil: now.Add(entry.ColdFor)}
 	if old != nil && r.restoring(now) && sameExceptRevision(old.Entry, entry) {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -133,6 +133,21 @@
 	}
 }
 
+// Guards against upstreams that stay draining though the store was read twice without the
+// state being written again.
+func TestAHeldEntryIsAppliedAfterASecondRead(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	r := New(time.Second)
+	r.Replace(start, []Entry{{ID: "a", Started: 1, State: Draining, Revision: 5}}, true)
+	r.StoreRestored(start)
+	for range 2 {
+		r.Replace(start, []Entry{{ID: "a", Started: 1, State: Ready, Revision: 11}}, false)
+		assert.Equal(t, r.All()[0].State, Draining)
+	}
+	r.Tick(start.Add(2 * time.Second))
+	assert.Equal(t, r.All()[0].State, Ready)
+}
+
 func TestAnUpstreamThatTheCopyLacksMayReturn(t *testing.T) {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	r := New(time.Second)
