registry: a restored store brings no earlier start of an upstream back

An upstream that had started again under its id after the copy was made was replaced by the entry of its earlier start: for up to 2.5 s its requests went to the earlier address, which may belong to another upstream by then. TestACopyBringsNoEarlierStartBack failed before, for a running and for a removed upstream. Such an entry is held back now, as one that shows a draining upstream as ready.

--- a/registry/registry.go
+++ b/registry/registry.go
@@ -164,14 +164,14 @@
 	return true
 }
 
-// contradicts reports whether the entry of a copy shows as ready what was draining or
-// removed before.
+// contradicts reports whether the entry of a copy shows an earlier start of the upstream, or
+// shows as ready what was draining or removed before.
 func (r *Registry) contradicts(old *Upstream, entry Entry) bool {
 	if old != nil {
-		return old.Started == entry.Started && old.State == Draining && entry.State == Ready
+		return entry.Started < old.Started || entry.Started == old.Started && old.State == Draining && entry.State == Ready
 	}
 	removed, ok := r.removed[entry.ID]
-	return ok && removed.started == entry.Started
+	return ok && entry.Started <= removed.started
 }
 
 // sameExceptRevision reports whether two entries differ in their revisions only.
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -133,6 +133,35 @@
 	}
 }
 
+// Guards against requests to the address of an earlier start: the copy holds the entry of an
+// upstream from before it started again, and it may be read several times.
+func TestACopyBringsNoEarlierStartBack(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	later := Entry{ID: "a", Started: 2, Address: "10.0.0.2:80", Revision: 5}
+	for name, removed := range map[string]bool{"running": false, "removed": true} {
+		t.Run(name, func(t *testing.T) {
+			r := New(time.Second)
+			r.Replace(start, []Entry{later}, true)
+			if removed {
+				r.Replace(start, nil, true)
+			}
+			known := len(r.All())
+			restored := start.Add(10 * time.Second)
+			r.StoreRestored(restored)
+			earlier := Entry{ID: "a", Started: 1, Address: "10.0.0.1:80", Revision: 11}
+			for range 2 {
+				r.Replace(restored, []Entry{earlier}, false)
+				assert.Equal(t, len(r.All()), known)
+				for _, u := range r.All() {
+					assert.Equal(t, u.Address, later.Address)
+				}
+			}
+			r.Tick(restored.Add(2 * time.Second))
+			assert.Equal(t, r.All()[0].Address, earlier.Address, "not written again, so it is as the store says")
+		})
+	}
+}
+
 // Guards against upstreams that stay draining though the store was read twice without the
 // state being written again.
 func TestAHeldEntryIsAppliedAfterASecondRead(t *testing.T) {
