upstream: the classification of faults is tested without bounds on speed

TestSendClassifiesUpstreamFaults gave every request with a query 800 ms, so an idempotent one on a pooled connection had 200 ms for its response.

Only the two cases that end by a timeout have a short deadline now, 4 s; all others a minute, and a silence timeout as long.

--- a/upstream/contract_test.go
+++ b/upstream/contract_test.go
@@ -75,16 +75,28 @@
 	}
 }
 
+// The times until the deadline of a request. Only an attempt that ends by its deadline, or by
+// the silence timeout, has to wait for it; the others must not depend on the speed of the
+// machine.
+const (
+	deadlineReached    = 4 * time.Second
+	deadlineNotReached = time.Minute
+)
+
 func (c contractCase) run(t *testing.T, atMostOnce, pooled bool, query string) {
+	deadline, silence := deadlineNotReached, deadlineNotReached
+	if c.kind == errkind.UpstreamTimeout {
+		deadline, silence = deadlineReached, 0
+	}
 	s := standin.New(standin.Options{Name: "u1", Slots: 4})
 	server := httptest.NewServer(s)
 	defer server.Close()
-	client := upstream.New(upstream.Options{})
+	client := upstream.New(upstream.Options{SilenceTimeout: silence})
 	defer client.Close()
 	service := &routing.Service{Name: "lookup", EchoRequestID: !c.noEcho}
 
 	if pooled {
-		_, body, err := sendAndRead(t, client, server, service, false, "/first", "")
+		_, body, err := sendAndRead(t, client, server, service, deadlineNotReached, false, "/first", "")
 		assert.NilError(t, err)
 		assert.Equal(t, body, string(standin.Body("/first", "", len(body))))
 	}
@@ -92,7 +104,7 @@
 	if c.fault.Kind != "" {
 		s.SetFaults(standin.Faults{Requests: []standin.Fault{c.fault}})
 	}
-	status, body, err := sendAndRead(t, client, server, service, atMostOnce, "/second", query)
+	status, body, err := sendAndRead(t, client, server, service, deadline, atMostOnce, "/second", query)
 	after := s.Ledger().Snapshot()
 
 	if c.alternativeStatus == 0 {
@@ -115,14 +127,10 @@
 	assert.Equal(t, after.Arrived-before.Arrived, 1)
 }
 
-func sendAndRead(t *testing.T, client *upstream.Client, server *httptest.Server, service *routing.Service, atMostOnce bool, path, query string) (int, string, error) {
+func sendAndRead(t *testing.T, client *upstream.Client, server *httptest.Server, service *routing.Service, timeout time.Duration, atMostOnce bool, path, query string) (int, string, error) {
 	req := newRequest(atMostOnce, path, "body of the request")
 	req.RawQuery = query
 	req.Header.Set("Idempotency-Key", "home.unique")
-	timeout := 5 * time.Second
-	if query != "" {
-		timeout = 800 * time.Millisecond
-	}
 	response, err := client.Send(withTimeout(t, timeout), newTarget(server), service, req)
 	if err != nil {
 		return 0, "", err
