daemon: a 503 of /readyz names its reason

TestEveryEntryInstanceServesReads waited until an instance serves reads and then expected it to be ready. The response had no body, so the failure did not show which condition was missing.

The response names the reason now.

--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -156,11 +156,16 @@
 // while it has no configuration, has no confirmed rate shares or is leaving.
 func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
 	v := i.deps.views.load()
-	if v.table == nil || v.leaving || !i.deps.sharesConfirmed.Load() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+	switch {
+	case v.table == nil:
+		http.Error(w, "no configuration", http.StatusServiceUnavailable)
+	case v.leaving:
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case !i.deps.sharesConfirmed.Load():
+		http.Error(w, "rate shares not confirmed", http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusOK)
 	}
-	w.WriteHeader(http.StatusOK)
 }
 
 // CallerAddress returns the bound address that serves callers.
--- a/demo/system_test.go
+++ b/demo/system_test.go
@@ -65,10 +65,17 @@
 	s := startSystem(t, Options{})
 	waitReady(t, s)
 	for _, entry := range s.Entries {
-		for _, path := range []string{"/healthz", "/readyz"} {
-			status, body := get(t, "http://"+entry.OperatorAddress()+path, "")
-			assert.Equal(t, status, http.StatusOK, "%s: %s", path, body)
-		}
+		status, body := get(t, "http://"+entry.OperatorAddress()+"/healthz", "")
+		assert.Equal(t, status, http.StatusOK, body)
+		// Reads are served before the rate shares are confirmed; readiness needs both.
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			status, body := get(t, "http://"+entry.OperatorAddress()+"/readyz", "")
+			if status == http.StatusOK {
+				return poll.Success()
+			}
+			assert.Equal(t, strings.TrimSpace(body), "rate shares not confirmed")
+			return poll.Continue("%d %s", status, body)
+		}, poll.WithTimeout(inForceTimeout), poll.WithDelay(20*time.Millisecond))
 	}
 	get(t, "http://"+s.Entries[0].CallerAddress()+"/filings/1", KeyHighRate)
 	_, counters := get(t, "http://"+s.Entries[0].OperatorAddress()+"/metrics", "")
