placement, upstream: the limit of connections follows the number of instances

An instance divides the connections that an upstream accepts among the instances that it knows. An upstream kept the part of the time at which it was first seen, when few were known: 360 instead of 36. Following each change would have closed all connections whenever an instance joins or leaves, as the limit was that of the transport.

The part now bounds the requests in flight, which placement checks before it chooses an upstream, and the transport has the whole number that the upstream accepts, which changes with the service only.

--- a/edge/records.go
+++ b/edge/records.go
@@ -319,16 +319,18 @@
 func (c *control) updatePool() {
 	now := time.Now()
 	settings := placement.Settings{
-		Regions:     c.deps.settings.Domains,
-		Evacuated:   c.evacuated,
-		Connections: map[string]int{},
-		Cold:        c.coldLimits(now),
-		Rates:       c.upstreamRates(),
+		Regions:        c.deps.settings.Domains,
+		Evacuated:      c.evacuated,
+		Connections:    map[string]int{},
+		MaxConnections: map[string]int{},
+		Cold:           c.coldLimits(now),
+		Rates:          c.upstreamRates(),
 	}
 	c.cold = len(settings.Cold) > 0
 	if c.table != nil {
 		instances := len(c.members.Snapshot(now).All) + 1
 		for _, service := range c.table.Services {
+			settings.MaxConnections[service.Name] = service.Connections
 			settings.Connections[service.Name] = max(service.Connections/instances, 1)
 		}
 	}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -71,6 +71,9 @@
 	Regions map[string]string
 	// Evacuated holds the failure domains that get no requests.
 	Evacuated map[string]bool
+	// MaxConnections maps a service to the number of connections that an upstream of it
+	// accepts from all instances together.
+	MaxConnections map[string]int
 	// Connections maps a service to the number of connections that this instance keeps
 	// to each of its upstreams.
 	Connections map[string]int
@@ -93,9 +96,10 @@
 	for _, u := range upstreams {
 		t := oldTargets[u.ID]
 		if t == nil || t.upstream.Started != u.Started || t.upstream.Address != u.Address {
-			t = newTarget(u, endpointOf(u, settings))
+			t = newTarget(u, settings)
 		}
 		t.upstream = u
+		t.setEndpoint(endpointOf(u, settings))
 		p.targets[u.ID] = t
 		p.add(t, oldServices)
 	}
@@ -123,16 +127,17 @@
 }
 
 // endpointOf returns the upstream in the form that forwarding uses.
-func endpointOf(u *registry.Upstream, settings Settings) *routing.Upstream {
-	return &routing.Upstream{
-		Name:          u.ID,
-		Service:       u.Service,
-		Version:       u.Version,
-		FailureDomain: u.FailureDomain,
-		Region:        settings.Regions[u.FailureDomain],
-		Address:       u.Address,
-		Slots:         u.Slots,
-		Connections:   settings.Connections[u.Service],
+func endpointOf(u *registry.Upstream, settings Settings) routing.Upstream {
+	return routing.Upstream{
+		Name:           u.ID,
+		Service:        u.Service,
+		Version:        u.Version,
+		FailureDomain:  u.FailureDomain,
+		Region:         settings.Regions[u.FailureDomain],
+		Address:        u.Address,
+		Slots:          u.Slots,
+		Connections:    settings.Connections[u.Service],
+		MaxConnections: settings.MaxConnections[u.Service],
 	}
 }
 
--- a/placement/target.go
+++ b/placement/target.go
@@ -49,8 +49,18 @@
 	cold                 coldLimiter
 }
 
-func newTarget(u *registry.Upstream, endpoint *routing.Upstream) *target {
-	return &target{upstream: u, endpoint: endpoint, region: endpoint.Region, hash: xxhash.Sum64String(u.ID)}
+func newTarget(u *registry.Upstream, settings Settings) *target {
+	endpoint := endpointOf(u, settings)
+	return &target{upstream: u, endpoint: &endpoint, region: endpoint.Region, hash: xxhash.Sum64String(u.ID)}
+}
+
+// setEndpoint replaces the endpoint if it has changed. Leases keep the one that they got.
+func (t *target) setEndpoint(next routing.Upstream) {
+	if next == *t.endpoint {
+		return
+	}
+	changed := next
+	t.endpoint = &changed
 }
 
 // load estimates the number of requests at the upstream from all entry instances.
--- a/routing/table.go
+++ b/routing/table.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"slices"
 	"time"
@@ -71,12 +72,20 @@
 	Address string
 	// Slots is the number of requests that the upstream runs concurrently.
 	Slots int
-	// Connections bounds the open connections from one entry instance.
+	// Connections bounds the requests in flight from one entry instance, each of which
+	// uses a connection.
 	Connections int
+	// MaxConnections bounds the open connections from one entry instance where Connections
+	// changes with the number of instances; 0 means Connections. A change of it closes all
+	// connections.
+	MaxConnections int
 	// Drained is set when a drain names the upstream or its failure domain.
 	Drained bool
 }
 
+// ConnectionLimit returns the bound on the open connections from one entry instance.
+func (u *Upstream) ConnectionLimit() int { return cmp.Or(u.MaxConnections, u.Connections) }
+
 // Service is one service of a table with its upstreams, sorted by name.
 type Service struct {
 	Name string
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -191,7 +191,7 @@
 	c.mu.RLock()
 	h := c.hosts[target.Name]
 	c.mu.RUnlock()
-	if h != nil && h.address == target.Address && h.connections == target.Connections {
+	if h != nil && h.address == target.Address && h.connections == target.ConnectionLimit() {
 		return h
 	}
 	return c.replaceHost(target)
@@ -201,7 +201,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	old := c.hosts[target.Name]
-	if old != nil && old.address == target.Address && old.connections == target.Connections {
+	if old != nil && old.address == target.Address && old.connections == target.ConnectionLimit() {
 		return old
 	}
 	if old != nil {
--- a/upstream/host.go
+++ b/upstream/host.go
@@ -33,7 +33,7 @@
 }
 
 func newHost(target *routing.Upstream, options *Options, start time.Time) *host {
-	h := &host{address: target.Address, connections: target.Connections, start: start}
+	h := &host{address: target.Address, connections: target.ConnectionLimit(), start: start}
 	dialer := &net.Dialer{
 		Timeout:         options.DialTimeout,
 		KeepAliveConfig: keepAlive(options.KeepAlive),
@@ -47,8 +47,8 @@
 			}
 			return newConn(inner, time.Now()), nil
 		},
-		MaxConnsPerHost:        target.Connections,
-		MaxIdleConnsPerHost:    min(target.Connections, idleConnsPerSlot*max(target.Slots, 1)),
+		MaxConnsPerHost:        target.ConnectionLimit(),
+		MaxIdleConnsPerHost:    min(target.ConnectionLimit(), idleConnsPerSlot*max(target.Slots, 1)),
 		IdleConnTimeout:        options.IdleTimeout,
 		MaxResponseHeaderBytes: options.MaxHeaderBytes,
 		DisableCompression:     true,
