edge, quota: heartbeats of many customers stay frequent

An instance that loses its peers then reads the store after up to 6.2 s, where a version is to be in force within 3 s, and demand spreads slower than the division of rates assumes.

In heartbeats a customer is a hash of its name now, 6 bytes instead of some 20; a demand that rounds to nothing is left out; and members of a failure domain send its sum to other domains only while their leader is quiet, as the leaders exchange the sums anyway.

Instances of a build before this one take the demand of newer ones for none: replace all instances of a fleet together.

--- a/edge/heartbeat.go
+++ b/edge/heartbeat.go
@@ -32,20 +32,20 @@
 }
 
 // stateFor builds the heartbeat for an instance of the failure domain. In a large
-// fleet, heartbeats between domains carry the sum of this instance's domain, and only
-// if the sender or the receiver is a leader. Within its domain, a leader passes on the
-// sums of the other domains.
+// fleet, the leader of a domain sends its sum to other domains; while it is quiet, the
+// other instances of the domain send it to the leaders of other domains. Within its domain,
+// a leader passes on the sums of the other domains.
 func (c *control) stateFor(now time.Time, peers *membership.Peers, domain string, toLeader bool) *entrypb.State {
 	s := c.selfState()
 	s.UpstreamLimits = c.upstreamLimits(now)
 	if peers.FullMesh() || domain == peers.Self.FailureDomain {
-		s.Demands = c.customerDemands()
+		s.Demands = demandsMessage(c.rates.Demand())
 		s.Loads = c.serviceLoads()
 		s.VersionCounts = c.rollouts.counts()
 	}
 	switch {
 	case peers.FullMesh():
-	case domain != peers.Self.FailureDomain && (toLeader || peers.IsLeader()):
+	case domain != peers.Self.FailureDomain && (peers.IsLeader() || toLeader && c.leaderQuiet(now, peers)):
 		s.DomainSums = []*entrypb.DomainSum{c.localSum(peers)}
 	case domain == peers.Self.FailureDomain && peers.IsLeader():
 		s.DomainSums = c.sums.messages(now)
@@ -53,6 +53,13 @@
 	return s
 }
 
+// leaderQuiet reports whether the leader of this instance's failure domain is late with its
+// heartbeat. It may not be able to send its sum either.
+func (c *control) leaderQuiet(now time.Time, peers *membership.Peers) bool {
+	leader := peers.Leader(peers.Self.FailureDomain)
+	return leader == nil || now.Sub(leader.LastSeen) > c.members.Interval()*3/2
+}
+
 // stateForPeer builds the heartbeat for a peer, which may not be known yet.
 func (c *control) stateForPeer(now time.Time, identity *entrypb.Identity) *entrypb.State {
 	peers := c.members.Snapshot(now)
--- a/edge/rates.go
+++ b/edge/rates.go
@@ -76,11 +76,30 @@
 // milliPerUnit is the number of thousandths in one.
 const milliPerUnit = 1000
 
-// customerDemands returns this instance's demand by customer for heartbeats.
-func (c *control) customerDemands() []*entrypb.CustomerDemand {
-	return lo.MapToSlice(c.rates.Demand(), func(customer string, perSecond float64) *entrypb.CustomerDemand {
-		return &entrypb.CustomerDemand{Customer: customer, MilliPerSecond: uint32(perSecond * milliPerUnit)}
-	})
+// demandsMessage returns the message for the demand of customers. A demand that rounds to
+// nothing is left out.
+func demandsMessage(demand quota.Demand) *entrypb.Demands {
+	m := &entrypb.Demands{}
+	for customer, perSecond := range demand {
+		milli := uint32(perSecond * milliPerUnit)
+		if milli == 0 {
+			continue
+		}
+		m.Customers = append(m.Customers, uint32(customer))
+		m.MilliPerSecond = append(m.MilliPerSecond, milli)
+	}
+	return m
+}
+
+// demandOf returns the demand in the message, which may be nil.
+func demandOf(m *entrypb.Demands) quota.Demand {
+	demand := make(quota.Demand, len(m.GetCustomers()))
+	for n, customer := range m.GetCustomers() {
+		if n < len(m.GetMilliPerSecond()) {
+			demand[quota.ID(customer)] += float64(m.GetMilliPerSecond()[n]) / milliPerUnit
+		}
+	}
+	return demand
 }
 
 // requestLoans asks peers for the tokens that customers lack at this instance.
--- a/edge/sums.go
+++ b/edge/sums.go
@@ -26,7 +26,7 @@
 	// whose last counts remain after it ends, or of a failure domain.
 	countedBy string
 	region    string
-	demands   []*entrypb.CustomerDemand
+	demands   *entrypb.Demands
 	loads     []*entrypb.ServiceLoad
 	counts    []*entrypb.VersionCount
 }
@@ -95,11 +95,11 @@
 
 // localSum adds up what this instance and its peers in the failure domain report.
 func (c *control) localSum(peers *membership.Peers) *entrypb.DomainSum {
-	demands, loads := map[string]uint32{}, map[string]uint32{}
+	demand, loads := quota.Demand{}, map[string]uint32{}
 	counts := map[countKey]*entrypb.VersionCount{}
 	add := func(s source) {
-		for _, d := range s.demands {
-			demands[d.GetCustomer()] += d.GetMilliPerSecond()
+		for customer, perSecond := range demandOf(s.demands) {
+			demand[customer] += perSecond
 		}
 		for _, l := range s.loads {
 			loads[l.GetService()] += l.GetMilliPerSecond()
@@ -108,16 +108,14 @@
 			addCount(counts, m)
 		}
 	}
-	add(source{demands: c.customerDemands(), loads: c.serviceLoads(), counts: c.rollouts.counts()})
+	add(source{demands: demandsMessage(c.rates.Demand()), loads: c.serviceLoads(), counts: c.rollouts.counts()})
 	for _, p := range peers.InDomain(peers.Self.FailureDomain) {
 		add(sourceOf(p.Name, p.Region, p.State))
 	}
 	return &entrypb.DomainSum{
 		FailureDomain: c.deps.settings.FailureDomain,
 		Region:        c.deps.settings.Region,
-		Demands: lo.MapToSlice(demands, func(name string, milli uint32) *entrypb.CustomerDemand {
-			return &entrypb.CustomerDemand{Customer: name, MilliPerSecond: milli}
-		}),
+		Demands:       demandsMessage(demand),
 		Loads: lo.MapToSlice(loads, func(name string, milli uint32) *entrypb.ServiceLoad {
 			return &entrypb.ServiceLoad{Service: name, MilliPerSecond: milli}
 		}),
@@ -182,10 +180,6 @@
 // receiveSource records the demand and the version counts that a source has just
 // reported.
 func (c *control) receiveSource(now time.Time, s source) {
-	demand := quota.Demand{}
-	for _, d := range s.demands {
-		demand[d.GetCustomer()] = float64(d.GetMilliPerSecond()) / milliPerUnit
-	}
-	c.rates.RecordDemand(now, s.name, demand)
+	c.rates.RecordDemand(now, s.name, demandOf(s.demands))
 	c.rollouts.receiveCounts(s.countedBy, s.counts)
 }
--- a/edge/sums_test.go
+++ b/edge/sums_test.go
@@ -16,7 +16,7 @@
 		return &entrypb.DomainSum{
 			FailureDomain: domain,
 			AgeMs:         uint64(age),
-			Demands:       []*entrypb.CustomerDemand{{Customer: "acme", MilliPerSecond: milli}},
+			Demands:       &entrypb.Demands{Customers: []uint32{1}, MilliPerSecond: []uint32{milli}},
 		}
 	}
 	assert.DeepEqual(t, d.merge(now, []*entrypb.DomainSum{sum("far", 100, 1), sum("own", 0, 2)}), []string{"far"})
@@ -26,7 +26,7 @@
 	passedOn := d.messages(later)
 	assert.Equal(t, len(passedOn), 1)
 	assert.Equal(t, passedOn[0].GetAgeMs(), uint64(1050))
-	assert.Equal(t, passedOn[0].GetDemands()[0].GetMilliPerSecond(), uint32(4))
+	assert.Equal(t, passedOn[0].GetDemands().GetMilliPerSecond()[0], uint32(4))
 }
 
 func TestCountsOfADomainAddUp(t *testing.T) {
--- a/quota/divider.go
+++ b/quota/divider.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -67,9 +69,16 @@
 	}
 }
 
-// Demand is the demand that one source announces, in requests per second by
-// customer name.
-type Demand map[string]float64
+// ID identifies a customer in announcements. It is a hash of the name, since names would
+// make up most of a heartbeat. The demand of two customers with the same ID adds up, so
+// that each is allocated less of its rate than it could use.
+type ID uint32
+
+// IDOf returns the ID of the customer with the name.
+func IDOf(name string) ID { return ID(xxhash.Sum64String(name)) }
+
+// Demand is the demand that one source announces, in requests per second.
+type Demand map[ID]float64
 
 // Allocation is what one instance may use of a customer's rate and burst.
 type Allocation struct {
@@ -88,7 +97,7 @@
 type Divider struct {
 	customers map[string]*customer
 	// demandBySource is the announced demand by source and customer.
-	demandBySource map[string]map[string]*series
+	demandBySource map[string]map[ID]*series
 	peers          Peers
 	sampledAt      time.Time
 	tickedAt       time.Time
@@ -97,6 +106,7 @@
 // customer is the state of one customer in a Divider.
 type customer struct {
 	Customer
+	id       ID
 	arrivals uint64
 	demand   float64
 	// announced is the demand that was announced to the peers.
@@ -116,7 +126,7 @@
 
 // New returns a divider without customers, for a system of one instance.
 func New() *Divider {
-	return &Divider{customers: map[string]*customer{}, demandBySource: map[string]map[string]*series{}, peers: Peers{Instances: 1, Convergence: DirectConvergence}}
+	return &Divider{customers: map[string]*customer{}, demandBySource: map[string]map[ID]*series{}, peers: Peers{Instances: 1, Convergence: DirectConvergence}}
 }
 
 // Configure replaces the customers. Those without a rate get no allocation.
@@ -131,7 +141,7 @@
 		if known == nil {
 			known = &customer{}
 		}
-		known.Customer = c
+		known.Customer, known.id = c, IDOf(c.Name)
 		d.customers[c.Name] = known
 	}
 }
@@ -175,17 +185,17 @@
 func (d *Divider) RecordDemand(now time.Time, source string, demand Demand) {
 	received := d.demandBySource[source]
 	if received == nil {
-		received = map[string]*series{}
+		received = map[ID]*series{}
 		d.demandBySource[source] = received
 	}
-	for name, value := range demand {
-		if received[name] == nil {
-			received[name] = &series{}
+	for id, value := range demand {
+		if received[id] == nil {
+			received[id] = &series{}
 		}
-		received[name].add(now, value, d.peers.Convergence)
+		received[id].add(now, value, d.peers.Convergence)
 	}
-	for name, values := range received {
-		if _, announced := demand[name]; !announced {
+	for id, values := range received {
+		if _, announced := demand[id]; !announced {
 			values.add(now, 0, d.peers.Convergence)
 		}
 	}
@@ -194,9 +204,9 @@
 // Demand returns this instance's demand, to be announced to the peers.
 func (d *Divider) Demand() Demand {
 	demand := Demand{}
-	for name, c := range d.customers {
+	for _, c := range d.customers {
 		if value := c.announced.newest(); value > 0 {
-			demand[name] = value
+			demand[c.id] += value
 		}
 	}
 	return demand
@@ -240,11 +250,11 @@
 		}
 		c.demand += smoothing * (arrived/elapsed - c.demand)
 		c.announced.add(now, c.demand, d.peers.Convergence)
-		total := d.totalDemand(name, c)
+		total := d.totalDemand(c)
 		c.withinRate = total <= withinRateFraction*c.Rate
 		c.oversubscribed = total > oversubscribedFactor*c.Rate
 		c.countedDemand = d.nextCounted(c.countedDemand, c.announced.convergedLow(c.withinRate))
-		c.domainDemand.add(now, c.demand+d.announcedTotal(name, d.peers.Direct), d.peers.Convergence)
+		c.domainDemand.add(now, c.demand+d.announcedTotal(c.id, d.peers.Direct), d.peers.Convergence)
 		c.countedDomainDemand = d.nextCounted(c.countedDomainDemand, c.domainDemand.convergedLow(c.withinRate))
 	}
 }
@@ -292,9 +302,9 @@
 // What neither this side nor the sources claim is divided equally, too; equal is
 // the fraction of an equal division.
 func (d *Divider) fractionAmong(c *customer, counted float64, sources []string, equal float64) float64 {
-	total, claimed := counted, counted+d.announcedTotal(c.Name, sources)
+	total, claimed := counted, counted+d.announcedTotal(c.id, sources)
 	for _, source := range sources {
-		if s := d.demandBySource[source][c.Name]; s != nil {
+		if s := d.demandBySource[source][c.id]; s != nil {
 			total += s.convergedHigh(c.withinRate)
 		}
 	}
@@ -306,10 +316,10 @@
 }
 
 // announcedTotal returns the sum of the newest demand that the sources announced.
-func (d *Divider) announcedTotal(name string, sources []string) float64 {
+func (d *Divider) announcedTotal(id ID, sources []string) float64 {
 	total := 0.0
 	for _, source := range sources {
-		if s := d.demandBySource[source][name]; s != nil {
+		if s := d.demandBySource[source][id]; s != nil {
 			total += s.newest()
 		}
 	}
@@ -318,6 +328,6 @@
 
 // totalDemand returns this instance's demand plus the newest announced demand of
 // all peers, in requests per second.
-func (d *Divider) totalDemand(name string, c *customer) float64 {
-	return c.demand + d.announcedTotal(name, d.peers.Direct) + d.announcedTotal(name, d.peers.Domains)
+func (d *Divider) totalDemand(c *customer) float64 {
+	return c.demand + d.announcedTotal(c.id, d.peers.Direct) + d.announcedTotal(c.id, d.peers.Domains)
 }
--- a/quota/divider_test.go
+++ b/quota/divider_test.go
@@ -258,12 +258,12 @@
 		for i := range dividers {
 			sum := 0.0
 			for j := range dividers[i] {
-				sum += dividers[i][j].Demand()["acme"]
+				sum += dividers[i][j].Demand()[IDOf("acme")]
 			}
 			for k := range dividers {
 				for j := range dividers[k] {
 					if k != i {
-						dividers[k][j].RecordDemand(now, fmt.Sprint("d", i), Demand{"acme": sum})
+						dividers[k][j].RecordDemand(now, fmt.Sprint("d", i), Demand{IDOf("acme"): sum})
 						continue
 					}
 					for l := range dividers[k] {
