placement: before its first response, an upstream is assumed to get as much from its region

An instance that knows no load of an upstream counted only its own requests: four instances each filled the queue of the same two upstreams, which then took nothing until the queues were empty. Until an upstream has responded, the other instances of the region are now assumed to send it as much as this one.

TestInstancesThatStartDoNotFloodAnUpstream: four instances admitted 32 requests at 4 slots before, 8 now.

--- a/edge/records.go
+++ b/edge/records.go
@@ -327,8 +327,10 @@
 		Rates:          c.upstreamRates(),
 	}
 	c.cold = len(settings.Cold) > 0
+	peers := c.members.Snapshot(now)
+	settings.Senders = 1 + lo.CountBy(peers.All, func(p *membership.Peer) bool { return p.Usable() && p.Region == peers.Self.Region })
 	if c.table != nil {
-		instances := len(c.members.Snapshot(now).All) + 1
+		instances := len(peers.All) + 1
 		for _, service := range c.table.Services {
 			settings.MaxConnections[service.Name] = service.Connections
 			settings.Connections[service.Name] = max(service.Connections/instances, 1)
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -77,6 +77,8 @@
 	// Connections maps a service to the number of connections that this instance keeps
 	// to each of its upstreams.
 	Connections map[string]int
+	// Senders is the number of instances in this region, which share its upstreams.
+	Senders int
 	// Cold maps the id of a cold upstream to its limit.
 	Cold map[string]ColdLimit
 	// Rates maps the id of an upstream that limits its rate to the requests per second
@@ -275,7 +277,7 @@
 		chosen.cold.take()
 	}
 	chosen.inFlight++
-	return &Lease{pool: p, service: s, target: chosen, Upstream: chosen.endpoint, acquiredAt: now, cold: cold, Utilization: float64(chosen.load(now)) / float64(chosen.upstream.Slots)}, Chosen
+	return &Lease{pool: p, service: s, target: chosen, Upstream: chosen.endpoint, acquiredAt: now, cold: cold, Utilization: float64(p.load(now, chosen)) / float64(chosen.upstream.Slots)}, Chosen
 }
 
 // PreferredUpstream returns the name of the preferred upstream of the object and its
@@ -294,7 +296,7 @@
 	}
 	s.order(candidates, q.Object)
 	preferred := candidates[0]
-	return preferred.upstream.ID, float64(preferred.load(now)) / float64(preferred.upstream.Slots)
+	return preferred.upstream.ID, float64(p.load(now, preferred)) / float64(preferred.upstream.Slots)
 }
 
 // candidates returns the usable upstreams that may serve the request. It includes the
@@ -364,7 +366,7 @@
 		if now.Before(t.shedUntil) || t.withoutConnection() {
 			continue
 		}
-		utilization := float64(t.load(now)+1) / float64(t.upstream.Slots)
+		utilization := float64(p.load(now, t)+1) / float64(t.upstream.Slots)
 		otherRegion := t.region != candidates[0].region
 		switch {
 		case eligible == 1 && utilization <= min(1+maxPreferredQueuePerSlot, maxUtilization), !otherRegion && utilization <= maxSecondaryUtilization:
--- a/placement/pool_test.go
+++ b/placement/pool_test.go
@@ -258,3 +258,28 @@
 	last, _ := acquire(p, 1, 7)
 	assert.Equal(t, last.Utilization, 3.0/slots, "the running request was one of the three")
 }
+
+// TestInstancesThatStartDoNotFloodAnUpstream guards against a sudden shift of traffic (SHIFT at
+// 2.0 s, recallhub-south, cold-twice, seed 949160012704): when the traffic begins, each instance
+// of a region filled the queue of the same upstreams, which then took nothing for seconds.
+func TestInstancesThatStartDoNotFloodAnUpstream(t *testing.T) {
+	const instances = 4
+	admitted := 0
+	var pools []*Pool
+	for range instances {
+		p := newPool(1, Settings{Senders: instances})
+		pools = append(pools, p)
+		for lease, _ := acquire(p, 1, 7); lease != nil; lease, _ = acquire(p, 1, 7) {
+			admitted++
+			assert.Assert(t, admitted < 100)
+		}
+	}
+	assert.Assert(t, admitted <= (1+maxQueuePerSlot)*slots, "%d requests at %d slots", admitted, slots)
+	assert.Assert(t, admitted >= slots, "%d requests at %d slots", admitted, slots)
+
+	p := pools[0]
+	answered := &Lease{pool: p, service: p.services["lookup"], target: p.targets["u00"], acquiredAt: at(1)}
+	answered.Release(at(1.2), Answered, Load{})
+	_, name := acquire(p, 1.2, 7)
+	assert.Equal(t, name, "u00", "only the own requests count once the upstream has responded")
+}
--- a/placement/target.go
+++ b/placement/target.go
@@ -63,12 +63,16 @@
 	t.endpoint = &changed
 }
 
-// load estimates the number of requests at the upstream from all entry instances.
-func (t *target) load(now time.Time) int {
-	if now.Sub(t.reportedAt) > maxReportAge {
-		return t.inFlight
+// load estimates the number of requests at the upstream from all entry instances. Before its
+// first response, the other instances of the region are assumed to send as many as this one.
+func (p *Pool) load(now time.Time, t *target) int {
+	switch {
+	case now.Sub(t.reportedAt) <= maxReportAge:
+		return max(t.inFlight, t.reported+t.inFlight-t.inFlightAtReport)
+	case t.lastResponseAt.IsZero():
+		return t.inFlight * max(p.settings.Senders, 1)
 	}
-	return max(t.inFlight, t.reported+t.inFlight-t.inFlightAtReport)
+	return t.inFlight
 }
 
 // usable reports whether the upstream is ready and not ejected.
