--- a/placement/pool.go
+++ b/placement/pool.go
@@ -222,7 +222,8 @@
 	// AllowsRegion reports whether an upstream of the region may serve the request; nil
 	// allows all.
 	AllowsRegion func(region string) bool
-	// Admits reports whether an upstream takes a request now, by its rate; nil admits all.
+	// Admits reports whether the rate that an upstream states leaves room for a request now;
+	// nil admits all.
 	Admits func(id string) bool
 	// Tried holds the ids of the upstreams that earlier attempts used.
 	Tried []string
@@ -346,10 +347,10 @@
 
 // choose returns the preferred upstream of the object while its queue is short, the
 // second one if that has enough spare capacity, or the preferred one while its queue is
-// within the limits; otherwise nil. A cold upstream at its rate limit, and one that takes
-// no request now by its own, is skipped. A full one still counts towards upstreamsPerObject: skipping it would flood the others with
-// its requests. Where a region has only one upstream, the second one is in another
-// region; then the spill limiter decides.
+// within the limits; otherwise nil. Upstreams that q.Admits rejects, and cold ones at their
+// rate limit, are passed over. A full one still counts towards upstreamsPerObject: passing it
+// over would flood the others with its requests. Where a region has only one upstream, the
+// second one is in another region; then the spill limiter decides.
 func (p *Pool) choose(now time.Time, s *service, candidates []*target, q Query) *target {
 	var fallback *target
 	maxUtilization := s.maxUtilization(q.TimeLeft)
