placement: the load before the first response is taken from the mean of the region

In a large region that takes one request for many: with 28 instances an object left its upstream until that had responded to this instance, which takes seconds where each sends to each upstream seldom.

The other instances are now assumed to send to an upstream as many as this one does on average to those of its region. TestOneRequestDoesNotFillAnUpstreamOfALargeRegion failed before; TestInstancesThatStartDoNotFloodAnUpstream still passes.

--- a/placement/pool.go
+++ b/placement/pool.go
@@ -278,7 +278,7 @@
 		chosen.cold.take()
 	}
 	chosen.inFlight++
-	return &Lease{pool: p, service: s, target: chosen, Upstream: chosen.endpoint, acquiredAt: now, cold: cold, Utilization: float64(p.load(now, chosen)) / float64(chosen.upstream.Slots)}, Chosen
+	return &Lease{pool: p, service: s, target: chosen, Upstream: chosen.endpoint, acquiredAt: now, cold: cold, Utilization: p.load(now, s, chosen) / float64(chosen.upstream.Slots)}, Chosen
 }
 
 // PreferredUpstream returns the name of the preferred upstream of the object and its
@@ -297,7 +297,7 @@
 	}
 	s.order(candidates, q.Object)
 	preferred := candidates[0]
-	return preferred.upstream.ID, float64(p.load(now, preferred)) / float64(preferred.upstream.Slots)
+	return preferred.upstream.ID, p.load(now, s, preferred) / float64(preferred.upstream.Slots)
 }
 
 // candidates returns the usable upstreams that may serve the request. It includes the
@@ -367,7 +367,7 @@
 		if now.Before(t.shedUntil) || t.withoutConnection() {
 			continue
 		}
-		utilization := float64(p.load(now, t)+1) / float64(t.upstream.Slots)
+		utilization := (p.load(now, s, t) + 1) / float64(t.upstream.Slots)
 		otherRegion := t.region != candidates[0].region
 		switch {
 		case eligible == 1 && utilization <= min(1+maxPreferredQueuePerSlot, maxUtilization), !otherRegion && utilization <= maxSecondaryUtilization:
--- a/placement/pool_test.go
+++ b/placement/pool_test.go
@@ -283,3 +283,12 @@
 	_, name := acquire(p, 1.2, 7)
 	assert.Equal(t, name, "u00", "only the own requests count once the upstream has responded")
 }
+
+// Guards against objects that leave their upstream in a large region until it has responded to
+// this instance: one request on its way says little of what the other instances send there.
+func TestOneRequestDoesNotFillAnUpstreamOfALargeRegion(t *testing.T) {
+	p := newPool(47, Settings{Senders: 28})
+	_, first := acquire(p, 1, 7)
+	_, second := acquire(p, 1, 7)
+	assert.Equal(t, second, first)
+}
--- a/placement/target.go
+++ b/placement/target.go
@@ -64,15 +64,29 @@
 }
 
 // load estimates the number of requests at the upstream from all entry instances. Before its
-// first response, the other instances of the region are assumed to send as many as this one.
-func (p *Pool) load(now time.Time, t *target) int {
+// first response, each other instance of the region is assumed to send it as many as this one
+// sends to an upstream of its region on average.
+func (p *Pool) load(now time.Time, s *service, t *target) float64 {
 	switch {
 	case now.Sub(t.reportedAt) <= maxReportAge:
-		return max(t.inFlight, t.reported+t.inFlight-t.inFlightAtReport)
-	case t.lastResponseAt.IsZero():
-		return t.inFlight * max(p.settings.Senders, 1)
+		return float64(max(t.inFlight, t.reported+t.inFlight-t.inFlightAtReport))
+	case t.lastResponseAt.IsZero() && p.settings.Senders > 1:
+		return float64(t.inFlight) + float64(p.settings.Senders-1)*s.meanInFlight(t.region)
 	}
-	return t.inFlight
+	return float64(t.inFlight)
+}
+
+// meanInFlight returns the mean number of requests of this instance at the upstreams of the
+// region.
+func (s *service) meanInFlight(region string) float64 {
+	inFlight, upstreams := 0, 0
+	for _, t := range s.targets {
+		if t.region == region {
+			inFlight += t.inFlight
+			upstreams++
+		}
+	}
+	return float64(inFlight) / float64(max(upstreams, 1))
 }
 
 // usable reports whether the upstream is ready and not ejected.
