edge: the lag of a configuration and the wait for the control goroutine are measured

Nothing showed how late a configuration is at an instance, nor where it waited. The age since the first read from the store now travels with the records; 'configuration in force' logs the lag, and the time that events wait for the control goroutine is exported, and logged from 250 ms on.

--- a/edge/control.go
+++ b/edge/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,6 +31,8 @@
 	// maxCopyAge is the age of a copy from which the store may be restored: an evacuation
 	// that ended within it may be in the copy again.
 	maxCopyAge = time.Minute
+	// maxControlWait is the wait of an event from which it is logged.
+	maxControlWait = 250 * time.Millisecond
 	// eventQueueSize is the number of events that can be queued.
 	eventQueueSize = 1024
 )
@@ -40,11 +43,17 @@
 	apply(c *control, now time.Time)
 }
 
+// queuedEvent is an event with the time at which it was queued.
+type queuedEvent struct {
+	event
+	queuedAt time.Time
+}
+
 // control is the control state. Only the control goroutine accesses it.
 type control struct {
 	deps   *dependencies
 	ctx    context.Context
-	events chan event
+	events chan queuedEvent
 
 	// records holds the latest entries of the store by key, deleted ones included.
 	records          map[string]platform.Entry
@@ -67,14 +76,17 @@
 	// the store.
 	readsStore bool
 
-	table     *routing.Table
-	upstreams *registry.Registry
-	evacuated map[string]bool
-	members   *membership.Registry
-	rollouts  *rolloutControl
-	rates     *quota.Divider
-	demand    *serviceDemand
-	sums      *domainSums
+	table *routing.Table
+	// configReadAt is when an instance read the configuration in table from the store, at
+	// the earliest.
+	configReadAt time.Time
+	upstreams    *registry.Registry
+	evacuated    map[string]bool
+	members      *membership.Registry
+	rollouts     *rolloutControl
+	rates        *quota.Divider
+	demand       *serviceDemand
+	sums         *domainSums
 	// evacuationEnded is when the last evacuation of a failure domain ended, by domain.
 	evacuationEnded map[string]time.Time
 	// cold reports whether the pool has limits for cold upstreams.
@@ -89,13 +101,15 @@
 	viewDirty bool
 	splits    map[string]*split
 	pulls     *pulls
+	// lateReportedAt is when a long wait of an event was last logged.
+	lateReportedAt time.Time
 }
 
 func newControl(ctx context.Context, deps *dependencies, now time.Time) *control {
 	c := &control{
 		deps:      deps,
 		ctx:       ctx,
-		events:    make(chan event, eventQueueSize),
+		events:    make(chan queuedEvent, eventQueueSize),
 		records:   map[string]platform.Entry{},
 		upstreams: registry.New(0),
 		evacuated: map[string]bool{},
@@ -125,7 +139,7 @@
 // post sends an event to the control goroutine, or drops it when the instance stops.
 func (c *control) post(e event) {
 	select {
-	case c.events <- e:
+	case c.events <- queuedEvent{e, time.Now()}:
 	case <-c.ctx.Done():
 	}
 }
@@ -151,7 +165,7 @@
 		case <-c.ctx.Done():
 			return
 		case e := <-c.events:
-			e.apply(c, time.Now())
+			c.applyQueued(e)
 		case <-c.deps.limiter.Wanted():
 			c.requestLoans(time.Now())
 		case <-ticker.C:
@@ -161,6 +175,22 @@
 	}
 }
 
+// applyQueued applies an event of the queue and measures how long it waited there.
+func (c *control) applyQueued(e queuedEvent) {
+	now := time.Now()
+	wait := now.Sub(e.queuedAt)
+	c.deps.metrics.Histogram("ferry_control_wait_seconds").Update(wait.Seconds())
+	if wait > maxControlWait && now.Sub(c.lateReportedAt) >= time.Second {
+		c.lateReportedAt = now
+		c.deps.log.Warn("control events wait",
+			zap.Duration("wait", wait),
+			zap.Int("queued", len(c.events)),
+			zap.String("event", fmt.Sprintf("%T", e.event)),
+		)
+	}
+	e.apply(c, now)
+}
+
 // tick does the periodic work of the control goroutine.
 func (c *control) tick(now time.Time) {
 	if c.upstreams.Tick(now) {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -112,7 +112,7 @@
 		w.reportFailure(ctx, err)
 		return 0, false
 	}
-	w.post(recordsRead{entries: entries, revision: revision, full: true})
+	w.post(recordsRead{entries: entries, revision: revision, full: true, readAt: time.Now()})
 	return revision, true
 }
 
@@ -133,7 +133,7 @@
 		w.reportFailure(ctx, err)
 		return after, true
 	}
-	w.post(recordsRead{entries: entries, revision: revision})
+	w.post(recordsRead{entries: entries, revision: revision, readAt: time.Now()})
 	if len(entries) > 0 {
 		sleep(ctx, watchBatchPause)
 	}
--- a/edge/pull.go
+++ b/edge/pull.go
@@ -133,7 +133,7 @@
 		}
 		request := &entrypb.GetConfigRequest{Revision: uint64(after)}
 		response, err := client.GetConfig(ctx, request, grpc.UseCompressor(gzip.Name))
-		return pulled{peer: name, response: response, err: err}
+		return pulled{peer: name, response: response, err: err, startedAt: now}
 	})
 }
 
@@ -142,6 +142,8 @@
 	peer     string
 	response *entrypb.GetConfigResponse
 	err      error
+	// startedAt is when the records were requested.
+	startedAt time.Time
 }
 
 func (e pulled) apply(c *control, now time.Time) {
@@ -156,6 +158,7 @@
 		full:      e.response.GetFull(),
 		confirmed: e.response.GetSettled(),
 		fromPeer:  e.peer,
+		readAt:    e.startedAt.Add(-time.Duration(e.response.GetOperatorAgeMs()) * time.Millisecond),
 	}
 	for _, entry := range e.response.GetEntries() {
 		read.entries = append(read.entries, platform.Entry{
@@ -181,6 +184,9 @@
 		Full:     e.after < c.completeSince,
 		Settled:  c.upstreams.ConfirmsRemovals(now),
 	}
+	if !c.configReadAt.IsZero() {
+		response.OperatorAgeMs = uint64(now.Sub(c.configReadAt).Milliseconds())
+	}
 	for _, entry := range c.records {
 		if response.Full && entry.Deleted || !response.Full && entry.Revision <= e.after {
 			continue
--- a/edge/records.go
+++ b/edge/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -28,6 +29,8 @@
 	confirmed bool
 	// fromPeer names the peer that sent them; empty for the store.
 	fromPeer string
+	// readAt is when an instance read them from the store, at the earliest.
+	readAt time.Time
 }
 
 func (e recordsRead) apply(c *control, now time.Time) {
@@ -48,6 +51,9 @@
 		c.markStoreAvailableElsewhere(now)
 	}
 	changed := c.merge(now, e)
+	if slices.Contains(changed, records.KeyConfig) {
+		c.configReadAt = e.readAt
+	}
 	if e.full {
 		c.completeSince = max(c.completeSince, e.revision)
 	}
@@ -231,6 +237,8 @@
 	c.updateSplits()
 	c.configureRates(now, table)
 	c.poolDirty, c.viewDirty = true, true
+	lag := now.Sub(c.configReadAt)
+	c.deps.metrics.Histogram("ferry_config_lag_seconds").Update(lag.Seconds())
 	c.deps.log.Info("configuration in force",
 		zap.Uint64("version", config.Version),
 		zap.Stringer("revision", entry.Revision),
@@ -238,6 +246,7 @@
 		zap.Int("routes_with_homes", lo.CountBy(table.Routes, func(r *routing.Route) bool { return r.HomeRegions != nil })),
 		zap.Int("customers_with_homes", lo.CountBy(table.Customers, func(c *routing.Customer) bool { return c.HomeRegions != nil })),
 		zap.Time("at", now),
+		zap.Duration("lag", lag),
 	)
 }
 
