--- a/config/static/edge.go
+++ b/config/static/edge.go
@@ -33,6 +33,10 @@
 	// and 10.
 	RateExcess float64
 	RateSlack  float64
+	// ConfigBound is the time within which a change of the configuration is to be in force
+	// at every instance, from its acknowledgement by the store. An instance gives itself a
+	// third of it. Default "3s".
+	ConfigBound time.Duration
 	// CanaryShare bounds the share of a service's requests that go to a new version
 	// before it has been compared with the old one. Default 0.05.
 	CanaryShare float64
@@ -134,6 +138,7 @@
 	fs.DurationVar(&s.RateWindow, "rate-window", 5*time.Second, "window in which rate and burst of a customer are counted")
 	fs.Float64Var(&s.RateExcess, "rate-excess", 0.05, "share of rate and burst by which a window may exceed them, across all entry instances")
 	fs.Float64Var(&s.RateSlack, "rate-slack", 10, "further requests by which a window may exceed rate and burst, across all entry instances")
+	fs.DurationVar(&s.ConfigBound, "config-bound", 3*time.Second, "time within which a change of the configuration is in force at every entry instance")
 	fs.Float64Var(&s.CanaryShare, "canary-share", 0.05, "largest share of a service's requests for a version that has not been compared yet")
 }
 
@@ -165,6 +170,7 @@
 		checkDuration("list-ttl", s.ListTTL, time.Second, time.Minute),
 		checkDuration("grace", s.Grace, time.Second, time.Hour),
 		checkDuration("rate-window", s.RateWindow, time.Second, time.Minute),
+		checkDuration("config-bound", s.ConfigBound, 500*time.Millisecond, time.Minute),
 		checkShare("canary-share", s.CanaryShare),
 		checkNotNegative("retry-ratio", s.RetryRatio),
 		checkNotNegative("retry-slack", s.RetrySlack),
--- a/membership/peer.go
+++ b/membership/peer.go
@@ -158,6 +158,21 @@
 	return peer
 }
 
+// Ring returns the names of the usable peers in the order of All, and the position in it
+// that self would have.
+func (p *Peers) Ring() (names []string, position int) {
+	for _, peer := range p.All {
+		if !peer.Usable() {
+			continue
+		}
+		if comparePeers(peer, &p.Self) < 0 {
+			position++
+		}
+		names = append(names, peer.Name)
+	}
+	return names, position
+}
+
 func (p *Peers) at(positions map[string]int, key string) *Peer {
 	i, ok := positions[key]
 	if !ok {
