edge: the operator's records do not wait for the rest

Callers were handled by a configuration up to 6 s after a newer one had been acknowledged (CONFIG), and in regions that were no longer their home (HOME). The configuration travelled with all other records: the queue of the control goroutine was first in, first out, at the instance that had read it and at the peer that was asked for it, one pull ran at a time, and one leader told its domain.

Now a leader follows the operator's records with a watch of their own; they go first in the control goroutine; peers respond from a published copy; reads of them are separate from those of other records, and propagation decides whom to tell and from where to read. A heartbeat to all contacts at each change is replaced by a small announcement.

The fake peer of TestALeaderAnnouncesWhatAPeerHasPassedOn counts announcements besides heartbeats.

--- a/edge/control.go
+++ b/edge/control.go
@@ -43,6 +43,13 @@
 	apply(c *control, now time.Time)
 }
 
+// urgentEvent is an event that may go before all others: one that brings what the operator
+// has ordered, and whose work depends on that change only.
+type urgentEvent interface {
+	event
+	urgent() bool
+}
+
 // queuedEvent is an event with the time at which it was queued.
 type queuedEvent struct {
 	event
@@ -51,21 +58,23 @@
 
 // control is the control state. Only the control goroutine accesses it.
 type control struct {
-	deps   *dependencies
-	ctx    context.Context
+	deps *dependencies
+	ctx  context.Context
+	// urgent holds the events that are applied before all others.
+	urgent chan queuedEvent
 	events chan queuedEvent
 
 	// records holds the latest entries of the store by key, deleted ones included.
-	records          map[string]platform.Entry
-	revision         platform.Revision
+	records map[string]platform.Entry
+	// coverage is that of all records; operator holds that of the operator's records, which
+	// is at least as new.
+	coverage
+	operator         *operatorState
 	storeUnavailable bool
 	// storeLostAt is when the store became unavailable here, storeFailedAt is the time
 	// of the last failed call.
 	storeLostAt   time.Time
 	storeFailedAt time.Time
-	// completeSince is the revision of the newest full read: all changes after it are
-	// known.
-	completeSince platform.Revision
 	// restoredAt is when the first records were read after a restore of the store from a
 	// copy; zero once restoreGrace is over.
 	restoredAt time.Time
@@ -76,17 +85,14 @@
 	// the store.
 	readsStore bool
 
-	table *routing.Table
-	// configReadAt is when an instance read the configuration in table from the store, at
-	// the earliest.
-	configReadAt time.Time
-	upstreams    *registry.Registry
-	evacuated    map[string]bool
-	members      *membership.Registry
-	rollouts     *rolloutControl
-	rates        *quota.Divider
-	demand       *serviceDemand
-	sums         *domainSums
+	table     *routing.Table
+	upstreams *registry.Registry
+	evacuated map[string]bool
+	members   *membership.Registry
+	rollouts  *rolloutControl
+	rates     *quota.Divider
+	demand    *serviceDemand
+	sums      *domainSums
 	// evacuationEnded is when the last evacuation of a failure domain ended, by domain.
 	evacuationEnded map[string]time.Time
 	// cold reports whether the pool has limits for cold upstreams.
@@ -109,7 +115,9 @@
 	c := &control{
 		deps:      deps,
 		ctx:       ctx,
+		urgent:    make(chan queuedEvent, eventQueueSize),
 		events:    make(chan queuedEvent, eventQueueSize),
+		operator:  newOperatorState(deps.settings.ConfigBound),
 		records:   map[string]platform.Entry{},
 		upstreams: registry.New(0),
 		evacuated: map[string]bool{},
@@ -125,6 +133,8 @@
 		pulls:           newPulls(),
 	}
 	c.rollouts = newRolloutControl(c)
+	deps.metrics.Gauge("ferry_config_behind_seconds", func() float64 { return c.operator.behind(time.Now()).Seconds() })
+	deps.metrics.Gauge("ferry_config_lag_budget_seconds", func() float64 { return c.budget().Total().Seconds() })
 	c.members.SetRegions(deps.settings.Domains)
 	deps.permits = &permits{
 		throttle: deps.throttle,
@@ -138,8 +148,12 @@
 
 // post sends an event to the control goroutine, or drops it when the instance stops.
 func (c *control) post(e event) {
+	queue := c.events
+	if first, ok := e.(urgentEvent); ok && first.urgent() {
+		queue = c.urgent
+	}
 	select {
-	case c.events <- queuedEvent{e, time.Now()}:
+	case queue <- queuedEvent{e, time.Now()}:
 	case <-c.ctx.Done():
 	}
 }
@@ -161,9 +175,12 @@
 	defer ticker.Stop()
 	c.publish(time.Now())
 	for {
+		c.applyUrgent()
 		select {
 		case <-c.ctx.Done():
 			return
+		case e := <-c.urgent:
+			c.applyQueued(e)
 		case e := <-c.events:
 			c.applyQueued(e)
 		case <-c.deps.limiter.Wanted():
@@ -175,6 +192,19 @@
 	}
 }
 
+// applyUrgent applies the urgent events that are queued.
+func (c *control) applyUrgent() {
+	for {
+		select {
+		case e := <-c.urgent:
+			c.applyQueued(e)
+			c.publish(time.Now())
+		default:
+			return
+		}
+	}
+}
+
 // applyQueued applies an event of the queue and measures how long it waited there.
 func (c *control) applyQueued(e queuedEvent) {
 	now := time.Now()
@@ -198,6 +228,7 @@
 	}
 	c.endRestore(now)
 	c.sendHeartbeats(now)
+	c.readOperatorRecords(now)
 	c.pullIfBehind(now)
 	c.expireStoreFailure(now)
 	c.rollouts.tick(now)
@@ -206,6 +237,7 @@
 	c.poolDirty = c.poolDirty || c.cold || len(c.upstreamRates()) > 0
 	c.requestLoans(now)
 	c.assignAllocators(now)
+	c.operator.publishBehind(now)
 	c.viewDirty = true
 }
 
@@ -264,7 +296,12 @@
 		c.readsStore = leads
 		c.deps.log.Info("reading the store for the failure domain", zap.Bool("reads", leads), zap.Stringer("revision", c.revision))
 	}
-	c.deps.watchRole.set(watchRole{reads: c.readsStore, revision: c.revision, leaderCount: peers.LeaderCount()})
+	role := watchRole{reads: c.readsStore, revision: c.revision, leaderCount: peers.LeaderCount()}
+	c.deps.watchRole.set(role)
+	// Until the first read of all records there is no revision to watch from.
+	role.reads = c.readsStore && c.operator.revision != 0
+	role.revision = c.operator.revision
+	c.deps.operatorWatchRole.set(role)
 }
 
 // expireStoreFailure marks the store as available again when this instance does not
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -20,8 +20,8 @@
 	watchWaitPerLeader = 400 * time.Millisecond
 	// watchJitter is the fraction of the wait by which watches vary at random.
 	watchJitter = 0.75
-	// watchBatchPause is the pause after a watch that returned changes, so that a
-	// series of changes costs one call. It is small compared to the bound on drains.
+	// watchBatchPause is the pause of the watch of all records after changes. It is small
+	// compared to the bound on drains. The watch of the operator's records has none.
 	watchBatchPause = 250 * time.Millisecond
 	// retryPause is the pause after a failed store call.
 	retryPause = 200 * time.Millisecond
@@ -80,19 +80,26 @@
 	}
 }
 
-// storeWatcher reads the records of the store in its own goroutine: all of them once,
-// then their changes while this instance leads its failure domain.
+// storeWatcher follows the records of the store with a key prefix in its own goroutine
+// while this instance leads its failure domain.
 type storeWatcher struct {
 	store platform.Store
 	log   *zap.Logger
 	role  *watchRoleState
 	post  func(event)
+	// prefix is that of the keys; empty for all records.
+	prefix string
+	// listFirst is set when all records are read once at the start, whoever leads.
+	listFirst bool
+	// batchPause is the pause after a watch that returned changes, so that a series of
+	// changes costs one call.
+	batchPause time.Duration
 }
 
 // run reads the store until the context ends.
 func (w *storeWatcher) run(ctx context.Context) {
 	after := platform.Revision(0)
-	listed := false
+	listed := !w.listFirst
 	for ctx.Err() == nil {
 		if !listed {
 			after, listed = w.list(ctx)
@@ -107,19 +114,19 @@
 
 // list reads all records. It returns their revision, and false when the call failed.
 func (w *storeWatcher) list(ctx context.Context) (platform.Revision, bool) {
-	entries, revision, err := w.store.List(ctx, "")
+	entries, revision, err := w.store.List(ctx, w.prefix)
 	if err != nil {
 		w.reportFailure(ctx, err)
 		return 0, false
 	}
-	w.post(recordsRead{entries: entries, revision: revision, full: true, readAt: time.Now()})
+	w.post(recordsRead{entries: entries, revision: revision, full: true, prefix: w.prefix, readAt: time.Now()})
 	return revision, true
 }
 
 // watch waits for changes after the revision. It returns the revision from which to
 // continue, and false when all records have to be listed again.
 func (w *storeWatcher) watch(ctx context.Context, after platform.Revision, leaderCount int) (platform.Revision, bool) {
-	entries, revision, err := w.store.Watch(ctx, "", after, watchWait(leaderCount))
+	entries, revision, err := w.store.Watch(ctx, w.prefix, after, watchWait(leaderCount))
 	w.log.Debug("watch returned",
 		zap.Stringer("after", after),
 		zap.Stringer("revision", revision),
@@ -133,9 +140,9 @@
 		w.reportFailure(ctx, err)
 		return after, true
 	}
-	w.post(recordsRead{entries: entries, revision: revision, readAt: time.Now()})
+	w.post(recordsRead{entries: entries, revision: revision, prefix: w.prefix, readAt: time.Now()})
 	if len(entries) > 0 {
-		sleep(ctx, watchBatchPause)
+		sleep(ctx, w.batchPause)
 	}
 	return revision, true
 }
--- a/edge/heartbeat.go
+++ b/edge/heartbeat.go
@@ -20,10 +20,11 @@
 // selfState returns the part of a heartbeat that describes this instance.
 func (c *control) selfState() *entrypb.State {
 	s := &entrypb.State{
-		Identity:      c.deps.identity,
-		Leaving:       c.leaving,
-		StoreRevision: uint64(c.revision),
-		StoreAway:     c.storeUnavailable,
+		Identity:         c.deps.identity,
+		Leaving:          c.leaving,
+		StoreRevision:    uint64(c.revision),
+		OperatorRevision: uint64(c.operator.newest),
+		StoreAway:        c.storeUnavailable,
 	}
 	if c.table != nil {
 		s.ConfigVersion = c.table.Version
@@ -94,6 +95,7 @@
 		if err != nil {
 			return heartbeatFailed{address: address, err: err}
 		}
+		c.noteState(response)
 		return heartbeatSucceeded{address: address, state: response}
 	})
 }
@@ -133,6 +135,9 @@
 		c.receiveSource(now, s)
 	}
 	c.receiveLimits(now, state.GetUpstreamLimits())
+	if c.operator.lacks(state.GetOperatorRevision()) {
+		announcementOf(state).apply(c, now)
+	}
 	if state.GetStoreRevision() > uint64(c.revision) {
 		c.pullIfBehind(now)
 	}
@@ -157,6 +162,7 @@
 
 // Heartbeat implements entrypb.EntryServer.
 func (s *entryServer) Heartbeat(ctx context.Context, state *entrypb.State) (*entrypb.State, error) {
+	s.control.noteState(state)
 	reply := make(chan *entrypb.State, 1)
 	s.control.post(heartbeatReceived{state: state, reply: reply})
 	return waitFor(ctx, reply)
@@ -164,8 +170,15 @@
 
 // GetConfig implements entrypb.EntryServer.
 func (s *entryServer) GetConfig(ctx context.Context, request *entrypb.GetConfigRequest) (*entrypb.GetConfigResponse, error) {
+	if request.GetOperatorOnly() {
+		return s.getOperatorRecords(request)
+	}
 	reply := make(chan *entrypb.GetConfigResponse, 1)
-	s.control.post(recordsRequested{after: platform.Revision(request.GetRevision()), reply: reply})
+	s.control.post(recordsRequested{
+		after:         platform.Revision(request.GetRevision()),
+		operatorAfter: platform.Revision(request.GetOperatorRevision()),
+		reply:         reply,
+	})
 	return waitFor(ctx, reply)
 }
 
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -111,8 +111,16 @@
 
 func (i *Instance) startControl() {
 	go i.control.run()
-	w := &storeWatcher{store: i.deps.store, log: i.deps.log, role: i.deps.watchRole, post: i.control.post}
-	go w.run(i.ctx)
+	all := &storeWatcher{
+		store: i.deps.store, log: i.deps.log, post: i.control.post, role: i.deps.watchRole,
+		listFirst: true, batchPause: watchBatchPause,
+	}
+	operator := &storeWatcher{
+		store: i.deps.store, log: i.deps.log, post: i.control.post, role: i.deps.operatorWatchRole,
+		prefix: records.PrefixOperator,
+	}
+	go all.run(i.ctx)
+	go operator.run(i.ctx)
 	ctx, cancel := context.WithCancel(i.ctx)
 	i.stopRegistrar = cancel
 	go func() {
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -35,5 +35,8 @@
 	permits     *permits
 	limiter     *admission.Limiter
 	callerConns *connections
-	watchRole   *watchRoleState
+	// watchRole is that of the watch of all records, operatorWatchRole of the watch of the
+	// operator's records.
+	watchRole         *watchRoleState
+	operatorWatchRole *watchRoleState
 }
--- a/edge/pull.go
+++ b/edge/pull.go
@@ -39,10 +39,23 @@
 	startedAt time.Time
 	// failedAt is when the last pull from a peer failed, by name.
 	failedAt map[string]time.Time
+	// announced holds the revisions that peers have announced since their last heartbeat, by
+	// name.
+	announced map[string]platform.Revision
 }
 
 func newPulls() *pulls {
-	return &pulls{running: map[string]bool{}, failedAt: map[string]time.Time{}}
+	return &pulls{running: map[string]bool{}, failedAt: map[string]time.Time{}, announced: map[string]platform.Revision{}}
+}
+
+// announce records the revision that a peer has announced.
+func (p *pulls) announce(peer string, revision platform.Revision) {
+	p.announced[peer] = max(p.announced[peer], revision)
+}
+
+// forgetAnnounced drops the announcements up to the revision, which is known here.
+func (p *pulls) forgetAnnounced(revision platform.Revision) {
+	maps.DeleteFunc(p.announced, func(_ string, announced platform.Revision) bool { return announced <= revision })
 }
 
 // mayStart reports whether another pull may start.
@@ -58,7 +71,7 @@
 	var nearest []*membership.Peer
 	best := math.MaxInt
 	for _, peer := range peers.All {
-		if !hasNewer(peer, revision) || p.running[peer.Name] {
+		if !p.hasNewer(peer, revision) || p.running[peer.Name] {
 			continue
 		}
 		preference := pullPreference(peers, peer)
@@ -101,15 +114,19 @@
 }
 
 // hasNewer reports whether the live peer has records newer than the revision.
-func hasNewer(p *membership.Peer, revision platform.Revision) bool {
-	return p.State != nil && p.Health == membership.Alive && p.State.GetStoreRevision() > uint64(revision)
+func (p *pulls) hasNewer(peer *membership.Peer, revision platform.Revision) bool {
+	if peer.Health != membership.Alive {
+		return false
+	}
+	return p.announced[peer.Name] > revision || peer.State != nil && peer.State.GetStoreRevision() > uint64(revision)
 }
 
 // pullIfBehind requests records from a peer that has newer ones. A leader first waits
 // pullDelay for its own watch.
 func (c *control) pullIfBehind(now time.Time) {
 	peers := c.members.Snapshot(now)
-	if !slices.ContainsFunc(peers.All, func(p *membership.Peer) bool { return hasNewer(p, c.revision) }) {
+	c.pulls.forgetAnnounced(c.revision)
+	if !slices.ContainsFunc(peers.All, func(p *membership.Peer) bool { return c.pulls.hasNewer(p, c.revision) }) {
 		c.behindSince = time.Time{}
 		return
 	}
@@ -125,13 +142,13 @@
 	}
 	c.pulls.running[source.Name] = true
 	c.pulls.startedAt = now
-	address, name, after := source.RPCAddress, source.Name, c.revision
+	address, name := source.RPCAddress, source.Name
+	request := &entrypb.GetConfigRequest{Revision: uint64(c.revision), OperatorRevision: uint64(c.operator.revision)}
 	c.background(pullTimeout, func(ctx context.Context) event {
 		client, err := c.deps.peers.Client(address)
 		if err != nil {
 			return pulled{peer: name, err: err}
 		}
-		request := &entrypb.GetConfigRequest{Revision: uint64(after)}
 		response, err := client.GetConfig(ctx, request, grpc.UseCompressor(gzip.Name))
 		return pulled{peer: name, response: response, err: err, startedAt: now}
 	})
@@ -153,14 +170,21 @@
 		c.deps.log.Warn("records were not pulled", zap.String("peer", e.peer), zap.Error(e.err))
 		return
 	}
+	recordsFrom(e.peer, e.startedAt, e.response).apply(c, now)
+	c.pullIfBehind(now)
+}
+
+// recordsFrom returns the records in a response of a peer to a request that was sent at
+// startedAt.
+func recordsFrom(peer string, startedAt time.Time, response *entrypb.GetConfigResponse) recordsRead {
 	read := recordsRead{
-		revision:  platform.Revision(e.response.GetRevision()),
-		full:      e.response.GetFull(),
-		confirmed: e.response.GetSettled(),
-		fromPeer:  e.peer,
-		readAt:    e.startedAt.Add(-time.Duration(e.response.GetOperatorAgeMs()) * time.Millisecond),
+		revision:  platform.Revision(response.GetRevision()),
+		full:      response.GetFull(),
+		confirmed: response.GetSettled(),
+		fromPeer:  peer,
+		readAt:    startedAt.Add(-time.Duration(response.GetOperatorAgeMs()) * time.Millisecond),
 	}
-	for _, entry := range e.response.GetEntries() {
+	for _, entry := range response.GetEntries() {
 		read.entries = append(read.entries, platform.Entry{
 			Key:      entry.GetKey(),
 			Value:    entry.GetValue(),
@@ -168,35 +192,37 @@
 			Deleted:  entry.GetDeleted(),
 		})
 	}
-	read.apply(c, now)
+	return read
+}
+
+// entryMessage returns the message for a record.
+func entryMessage(entry platform.Entry) *entrypb.StoreEntry {
+	return &entrypb.StoreEntry{Key: entry.Key, Value: entry.Value, Revision: uint64(entry.Revision), Deleted: entry.Deleted}
 }
 
 // recordsRequested is a peer's request for the records that are newer than the
 // revision.
 type recordsRequested struct {
 	after platform.Revision
-	reply chan *entrypb.GetConfigResponse
+	// operatorAfter is the revision up to which the peer has the operator's records.
+	operatorAfter platform.Revision
+	reply         chan *entrypb.GetConfigResponse
 }
 
 func (e recordsRequested) apply(c *control, now time.Time) {
 	response := &entrypb.GetConfigResponse{
-		Revision: uint64(c.revision),
-		Full:     e.after < c.completeSince,
-		Settled:  c.upstreams.ConfirmsRemovals(now),
+		Revision:      uint64(c.revision),
+		Full:          e.after < c.completeSince,
+		Settled:       c.upstreams.ConfirmsRemovals(now),
+		OperatorAgeMs: ageMillis(now, c.operator.readAt),
 	}
-	if !c.configReadAt.IsZero() {
-		response.OperatorAgeMs = uint64(now.Sub(c.configReadAt).Milliseconds())
-	}
-	for _, entry := range c.records {
-		if response.Full && entry.Deleted || !response.Full && entry.Revision <= e.after {
-			continue
+	for key, entry := range c.records {
+		switch {
+		case response.Full && entry.Deleted, !response.Full && entry.Revision <= e.after:
+		case !response.Full && isOperatorKey(key) && entry.Revision <= e.operatorAfter:
+		default:
+			response.Entries = append(response.Entries, entryMessage(entry))
 		}
-		response.Entries = append(response.Entries, &entrypb.StoreEntry{
-			Key:      entry.Key,
-			Value:    entry.Value,
-			Revision: uint64(entry.Revision),
-			Deleted:  entry.Deleted,
-		})
 	}
 	e.reply <- response
 }
--- a/edge/pull_test.go
+++ b/edge/pull_test.go
@@ -22,7 +22,7 @@
 	entrypb.UnimplementedEntryServer
 	state *entrypb.State
 	asked chan struct{}
-	// revision is the highest one that a heartbeat had.
+	// revision is the highest one that a heartbeat or an announcement had.
 	revision atomic.Uint64
 }
 
@@ -31,6 +31,11 @@
 	return p.state, nil
 }
 
+func (p *stuckPeer) Announce(_ context.Context, a *entrypb.Announcement) (*entrypb.AnnouncementReceipt, error) {
+	p.revision.Store(max(p.revision.Load(), a.GetStoreRevision()))
+	return &entrypb.AnnouncementReceipt{}, nil
+}
+
 func (p *stuckPeer) GetConfig(ctx context.Context, _ *entrypb.GetConfigRequest) (*entrypb.GetConfigResponse, error) {
 	select {
 	case p.asked <- struct{}{}:
--- a/edge/records.go
+++ b/edge/records.go
@@ -27,53 +27,69 @@
 	// confirmed reports whether missing upstreams have been removed rather than lapsed.
 	// For records from a peer it is the peer's view, see registry.Registry.Replace.
 	confirmed bool
+	// prefix is that of all keys that were read; empty for all records.
+	prefix string
 	// fromPeer names the peer that sent them; empty for the store.
 	fromPeer string
 	// readAt is when an instance read them from the store, at the earliest.
 	readAt time.Time
 }
 
+// urgent implements urgentEvent: records of the operator go before all else.
+func (e recordsRead) urgent() bool {
+	return slices.ContainsFunc(e.entries, func(entry platform.Entry) bool { return isOperatorKey(entry.Key) })
+}
+
 func (e recordsRead) apply(c *control, now time.Time) {
-	if c.revision != 0 && e.revision.Era() > c.revision.Era() {
+	known := c.revision
+	if e.prefix != "" {
+		known = c.operator.revision
+	}
+	if c.operator.revision != 0 && e.revision.Era() > c.operator.revision.Era() {
 		c.storeRestored(now, e)
 	}
 	if e.fromPeer == "" {
-		if e.revision < c.revision {
-			c.deps.log.Warn("store is behind", zap.Stringer("store_revision", e.revision), zap.Stringer("revision", c.revision))
+		if e.revision < known {
+			c.deps.log.Warn("store is behind", zap.Stringer("store_revision", e.revision), zap.Stringer("revision", known))
 		}
 		c.markStoreAvailable(now)
 		e.confirmed = c.upstreams.ConfirmsRemovals(now)
 	}
-	if e.full && e.revision < c.revision {
+	if e.full && e.revision < known {
 		return
 	}
-	if e.fromPeer != "" && e.revision > c.revision {
+	if e.fromPeer != "" && e.revision > known {
 		c.markStoreAvailableElsewhere(now)
 	}
 	changed := c.merge(now, e)
-	if slices.Contains(changed, records.KeyConfig) {
-		c.configReadAt = e.readAt
-	}
-	if e.full {
-		c.completeSince = max(c.completeSince, e.revision)
-	}
-	c.revision = max(c.revision, e.revision)
-	if len(changed) > 0 && c.readsStore {
-		c.announceRecords(now, e.fromPeer == "")
+	if e.prefix == "" {
+		c.coverage.extend(e.revision, e.full)
 	}
+	operator := c.extendOperatorRecords(e, changed)
 	c.applyRecords(now, changed, e.confirmed)
+	if operator || len(changed) > 0 && c.readsStore {
+		c.announce(now, c.members.Snapshot(now).ByName(e.fromPeer), operator)
+	}
 }
 
-// announceRecords notifies the other instances of the failure domain, which learn of a change
-// from this one, and if it was read from the store also the leaders of the other domains, whose
-// watches may not have reported it.
-func (c *control) announceRecords(now time.Time, fromStore bool) {
-	if fromStore {
-		c.members.HeartbeatNow(now)
-	} else {
-		c.members.HeartbeatDomainNow(now)
-	}
-	c.sendHeartbeats(now)
+// extendOperatorRecords applies a read to the state of the operator's records. It reports
+// whether one of them has changed.
+func (c *control) extendOperatorRecords(e recordsRead, changed []string) bool {
+	o := c.operator
+	o.extend(e.revision, e.full)
+	newest := o.newest
+	for _, key := range changed {
+		if isOperatorKey(key) {
+			newest = max(newest, c.records[key].Revision)
+		}
+	}
+	operator := newest > o.newest
+	if operator {
+		o.newest, o.readAt = newest, e.readAt
+	}
+	o.follower.Covered(o.revision)
+	c.publishOperatorRecords(operator)
+	return operator
 }
 
 // storeRestored handles the first records that were read after the store was restored from
@@ -144,8 +160,8 @@
 		return changed
 	}
 	for key, entry := range c.records {
-		if key == records.KeyConfig {
-			// The operator never removes it; only a copy of the store can lack it.
+		if key == records.KeyConfig || !strings.HasPrefix(key, e.prefix) {
+			// The operator never removes the configuration; only a copy of the store can lack it.
 			continue
 		}
 		if !present[key] && !entry.Deleted && entry.Revision <= e.revision {
@@ -237,7 +253,7 @@
 	c.updateSplits()
 	c.configureRates(now, table)
 	c.poolDirty, c.viewDirty = true, true
-	lag := now.Sub(c.configReadAt)
+	lag := now.Sub(c.operator.readAt)
 	c.deps.metrics.Histogram("ferry_config_lag_seconds").Update(lag.Seconds())
 	c.deps.log.Info("configuration in force",
 		zap.Uint64("version", config.Version),
@@ -247,6 +263,7 @@
 		zap.Int("customers_with_homes", lo.CountBy(table.Customers, func(c *routing.Customer) bool { return c.HomeRegions != nil })),
 		zap.Time("at", now),
 		zap.Duration("lag", lag),
+		zap.Bool("in_budget", lag <= c.budget().Total()),
 	)
 }
 
--- a/edge/reload.go
+++ b/edge/reload.go
@@ -29,6 +29,7 @@
 		return
 	}
 	c.deps.bounds.Store(&e.bounds)
+	c.operator.follower.SetBudget(c.budget())
 	c.deps.retries.setBounds(e.bounds)
 	c.rollouts.updateShares()
 	if c.table != nil {
