edge: no work for peers that have given up

A peer waits 1 s for the response to a heartbeat and 2 s for records. Such a request is now dropped when its turn comes, and of a late heartbeat only the receipt counts.

--- a/edge/heartbeat.go
+++ b/edge/heartbeat.go
@@ -104,12 +104,27 @@
 type heartbeatReceived struct {
 	state *entrypb.State
 	reply chan *entrypb.State
+	// callerGone is closed when the peer waits for no reply any more.
+	callerGone <-chan struct{}
 }
 
 func (e heartbeatReceived) apply(c *control, now time.Time) {
 	c.members.HandleHeartbeat(e.state, now)
 	c.receiveState(now, e.state)
-	e.reply <- c.stateForPeer(now, e.state.GetIdentity())
+	if !isClosed(e.callerGone) {
+		e.reply <- c.stateForPeer(now, e.state.GetIdentity())
+	}
+}
+
+// isClosed reports whether the channel, on which nothing is sent, is closed. A nil channel is
+// not.
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
 }
 
 // heartbeatSucceeded is a peer's response to a heartbeat of this instance.
@@ -164,7 +179,7 @@
 func (s *entryServer) Heartbeat(ctx context.Context, state *entrypb.State) (*entrypb.State, error) {
 	s.control.noteState(state)
 	reply := make(chan *entrypb.State, 1)
-	s.control.post(heartbeatReceived{state: state, reply: reply})
+	s.control.post(heartbeatReceived{state: state, reply: reply, callerGone: ctx.Done()})
 	return waitFor(ctx, reply)
 }
 
@@ -178,6 +193,7 @@
 		after:         platform.Revision(request.GetRevision()),
 		operatorAfter: platform.Revision(request.GetOperatorRevision()),
 		reply:         reply,
+		callerGone:    ctx.Done(),
 	})
 	return waitFor(ctx, reply)
 }
--- a/edge/pull.go
+++ b/edge/pull.go
@@ -207,9 +207,14 @@
 	// operatorAfter is the revision up to which the peer has the operator's records.
 	operatorAfter platform.Revision
 	reply         chan *entrypb.GetConfigResponse
+	// callerGone is closed when the peer waits for no reply any more.
+	callerGone <-chan struct{}
 }
 
 func (e recordsRequested) apply(c *control, now time.Time) {
+	if isClosed(e.callerGone) {
+		return
+	}
 	response := &entrypb.GetConfigResponse{
 		Revision:      uint64(c.revision),
 		Full:          e.after < c.completeSince,
