--- a/edge/records.go
+++ b/edge/records.go
@@ -263,6 +263,7 @@
 func (c *control) readUpstreams(now time.Time, confirmed bool) {
 	var entries []registry.Entry
 	c.forEachRecord(records.PrefixUpstreams, func(entry platform.Entry) {
+		c.deps.metrics.Counter("ferry_records_decoded_total", "kind", "upstream").Inc()
 		parsed, err := records.DecodeUpstream(entry)
 		if err != nil {
 			c.deps.metrics.Counter("ferry_unreadable_entries_total").Inc()
--- a/edge/records_test.go
+++ b/edge/records_test.go
@@ -16,7 +16,7 @@
 )
 
 // newTestControl returns the control state of an instance that is not started.
-func newTestControl(t *testing.T) *control {
+func newTestControl(t testing.TB) *control {
 	t.Helper()
 	settings, err := static.ParseEdge("ferry-edge", []string{
 		"-name", "e1", "-region", "east", "-failure-domain", "east-1", "-domain", "east-1=east",
