registry: a change of the store costs what has changed, not all entries

Cause: Replace took all entries of the store, so that each changed record made edge decode all of them, write a line for each unreadable one, and compare all.

Change: Apply takes the changed entries and the ids of the missing ones. Lapsed upstreams are kept in a set of their own, so that a confirmed read and Tick look at these only; held entries of a restored store are looked at again at each change, as before; removals are forgotten in the order of time. TakeChanges tells what has changed since. An unreadable entry is logged and counted once for each change of it. The field `entries` of the line `upstreams changed` is now the number of changed records.

--- a/edge/records.go
+++ b/edge/records.go
@@ -24,7 +24,7 @@
 	// record up to revision is deleted.
 	full bool
 	// confirmed reports whether missing upstreams have been removed rather than lapsed.
-	// For records from a peer it is the peer's view, see registry.Registry.Replace.
+	// For records from a peer it is the peer's view, see registry.Registry.Apply.
 	confirmed bool
 	// fromPeer names the peer that sent them; empty for the store.
 	fromPeer string
@@ -169,13 +169,14 @@
 
 // applyRecords puts changed records in force.
 func (c *control) applyRecords(now time.Time, changed []string, confirmed bool) {
-	var upstreams, instances, evacuations, rollouts bool
+	var upstreams []string
+	var instances, evacuations, rollouts bool
 	for _, key := range changed {
 		switch {
 		case key == records.KeyConfig:
 			c.adoptConfig(now)
 		case strings.HasPrefix(key, records.PrefixUpstreams):
-			upstreams = true
+			upstreams = append(upstreams, key)
 		case strings.HasPrefix(key, records.PrefixInstances):
 			instances = true
 		case strings.HasPrefix(key, records.PrefixEvacuations):
@@ -184,8 +185,8 @@
 			rollouts = true
 		}
 	}
-	if upstreams {
-		c.readUpstreams(now, confirmed)
+	if len(upstreams) > 0 {
+		c.readUpstreams(now, upstreams, confirmed)
 	}
 	if instances {
 		c.readInstances(now)
@@ -260,22 +261,38 @@
 	c.splits = splits
 }
 
-func (c *control) readUpstreams(now time.Time, confirmed bool) {
-	var entries []registry.Entry
-	c.forEachRecord(records.PrefixUpstreams, func(entry platform.Entry) {
-		c.deps.metrics.Counter("ferry_records_decoded_total", "kind", "upstream").Inc()
-		parsed, err := records.DecodeUpstream(entry)
-		if err != nil {
-			c.deps.metrics.Counter("ferry_unreadable_entries_total").Inc()
-			c.deps.log.Warn("entry of an upstream cannot be read", zap.Error(err))
-			return
+// readUpstreams puts the changed records of upstreams in force. One that cannot be read names no
+// upstream.
+func (c *control) readUpstreams(now time.Time, keys []string, confirmed bool) {
+	var changed []registry.Entry
+	var missing []string
+	for _, key := range keys {
+		parsed, ok := c.decodeUpstream(c.records[key])
+		if ok {
+			changed = append(changed, parsed)
+		} else if id, ok := records.CutKeyPrefix(key, records.PrefixUpstreams); ok {
+			missing = append(missing, id)
 		}
-		entries = append(entries, parsed)
-	})
-	if c.upstreams.Replace(now, entries, confirmed) {
+	}
+	if c.upstreams.Apply(now, changed, missing, confirmed) {
 		c.poolDirty, c.viewDirty = true, true
-		c.deps.log.Info("upstreams changed", zap.Stringer("revision", c.revision), zap.Int("entries", len(entries)))
+		c.deps.log.Info("upstreams changed", zap.Stringer("revision", c.revision), zap.Int("entries", len(keys)))
+	}
+}
+
+// decodeUpstream returns the upstream of a record, or false when there is none.
+func (c *control) decodeUpstream(entry platform.Entry) (registry.Entry, bool) {
+	if entry.Deleted {
+		return registry.Entry{}, false
+	}
+	c.deps.metrics.Counter("ferry_records_decoded_total", "kind", "upstream").Inc()
+	parsed, err := records.DecodeUpstream(entry)
+	if err != nil {
+		c.deps.metrics.Counter("ferry_unreadable_entries_total").Inc()
+		c.deps.log.Warn("entry of an upstream cannot be read", zap.Error(err))
+		return registry.Entry{}, false
 	}
+	return parsed, true
 }
 
 func (c *control) readInstances(now time.Time) {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -72,13 +73,21 @@
 	restoredAt time.Time
 	// removed holds the upstreams whose removal was confirmed, by id.
 	removed map[string]removal
+	// removals holds the removals of removed and those that later ones replaced, oldest
+	// first.
+	removals []removal
 	// held holds entries of the copy that contradict what was known before the restore,
 	// by id. They count at the end of the grace period.
 	held map[string]Entry
+	// lapsed holds the ids of the lapsed upstreams.
+	lapsed map[string]bool
+	// changes holds the ids of the upstreams that changed since the last TakeChanges.
+	changes map[string]bool
 }
 
 // removal is the confirmed removal of one start of an upstream.
 type removal struct {
+	id      string
 	started int64
 	at      time.Time
 }
@@ -89,7 +98,14 @@
 // New returns an empty registry. grace is how long lapsed entries may take to
 // return once the store is available again; 0 means DefaultReturnGrace.
 func New(grace time.Duration) *Registry {
-	return &Registry{grace: cmp.Or(grace, DefaultReturnGrace), upstreams: map[string]*Upstream{}, removed: map[string]removal{}, held: map[string]Entry{}}
+	return &Registry{
+		grace:     cmp.Or(grace, DefaultReturnGrace),
+		upstreams: map[string]*Upstream{},
+		removed:   map[string]removal{},
+		held:      map[string]Entry{},
+		lapsed:    map[string]bool{},
+		changes:   map[string]bool{},
+	}
 }
 
 // StoreUnavailable records that the store does not respond.
@@ -125,26 +141,77 @@
 // missing entry confirms that its upstream has left.
 func (r *Registry) ConfirmsRemovals(now time.Time) bool { return !r.mayReturn(now) }
 
-// Replace applies the complete set of entries of the store and reports whether anything
-// changed. confirmed states whether a missing entry means that its upstream has left; it
-// is the result of ConfirmsRemovals on the instance that read the entries, which may be
-// another one.
-func (r *Registry) Replace(now time.Time, entries []Entry, confirmed bool) bool {
-	present := make(map[string]bool, len(entries))
-	changed := false
-	clear(r.held)
-	for _, entry := range entries {
-		present[entry.ID] = true
-		changed = r.put(now, entry) || changed
+// Apply applies the entries of the store that have changed and the ids of those that are
+// missing now, and reports whether an upstream changed. An unchanged entry may be among
+// the changed ones. confirmed states whether a missing entry means that its upstream has left;
+// it is the result of ConfirmsRemovals on the instance that read the entries, which may be
+// another one. If it is true, all lapsed upstreams have left.
+func (r *Registry) Apply(now time.Time, changed []Entry, missing []string, confirmed bool) bool {
+	held := r.held
+	r.held = map[string]Entry{}
+	for _, entry := range changed {
+		delete(held, entry.ID)
+	}
+	for _, id := range missing {
+		delete(held, id)
 	}
-	for id, u := range r.upstreams {
-		if present[id] || u.lapsed && !confirmed {
+	updated := false
+	for _, entry := range changed {
+		updated = r.put(now, entry) || updated
+	}
+	for _, entry := range held {
+		// What contradicted it may be forgotten.
+		updated = r.put(now, entry) || updated
+	}
+	for _, id := range missing {
+		u := r.upstreams[id]
+		if u == nil || u.lapsed && !confirmed {
 			continue
 		}
 		r.remove(now, u, confirmed)
-		changed = true
+		updated = true
+	}
+	if confirmed {
+		updated = r.dropLapsed(now) || updated
+	}
+	return r.Tick(now) || updated
+}
+
+// dropLapsed deletes the lapsed upstreams, except those whose entries have returned and are held,
+// and reports whether there were any.
+func (r *Registry) dropLapsed(now time.Time) bool {
+	updated := false
+	for id := range r.lapsed {
+		if _, held := r.held[id]; !held {
+			r.drop(now, r.upstreams[id])
+			updated = true
+		}
+	}
+	return updated
+}
+
+// TakeChanges returns the upstreams that are new or changed, and the ids of those that are
+// gone, since it was last called. The upstreams must not be modified.
+func (r *Registry) TakeChanges() (changed []*Upstream, gone []string) {
+	for id := range r.changes {
+		if u := r.upstreams[id]; u != nil {
+			changed = append(changed, u)
+		} else {
+			gone = append(gone, id)
+		}
+	}
+	clear(r.changes)
+	return changed, gone
+}
+
+// set stores an upstream.
+func (r *Registry) set(u *Upstream) {
+	r.upstreams[u.ID] = u
+	r.changes[u.ID] = true
+	delete(r.lapsed, u.ID)
+	if u.lapsed {
+		r.lapsed[u.ID] = true
 	}
-	return r.Tick(now) || changed
 }
 
 func (r *Registry) put(now time.Time, entry Entry) bool {
@@ -160,7 +227,7 @@
 	if old != nil && r.restoring(now) && sameExceptRevision(old.Entry, entry) {
 		u.ColdUntil = old.ColdUntil
 	}
-	r.upstreams[entry.ID] = u
+	r.set(u)
 	return true
 }
 
@@ -190,7 +257,7 @@
 		}
 		kept := *u
 		kept.lapsed = true
-		r.upstreams[u.ID] = &kept
+		r.set(&kept)
 		return
 	}
 	r.drop(now, u)
@@ -199,8 +266,23 @@
 // drop deletes an upstream whose removal is confirmed and remembers the removal.
 func (r *Registry) drop(now time.Time, u *Upstream) {
 	delete(r.upstreams, u.ID)
-	maps.DeleteFunc(r.removed, func(_ string, m removal) bool { return now.Sub(m.at) > removalMemory })
-	r.removed[u.ID] = removal{started: u.Started, at: now}
+	delete(r.lapsed, u.ID)
+	r.changes[u.ID] = true
+	r.forgetRemovals(now)
+	last := removal{id: u.ID, started: u.Started, at: now}
+	r.removed[u.ID] = last
+	r.removals = append(r.removals, last)
+}
+
+// forgetRemovals forgets the removals that are older than removalMemory.
+func (r *Registry) forgetRemovals(now time.Time) {
+	for len(r.removals) > 0 && now.Sub(r.removals[0].at) > removalMemory {
+		oldest := r.removals[0]
+		r.removals = r.removals[1:]
+		if r.removed[oldest.id] == oldest {
+			delete(r.removed, oldest.id)
+		}
+	}
 }
 
 // mayReturn reports whether lapsed entries may still return.
@@ -215,14 +297,12 @@
 		return false
 	}
 	changed := false
-	for _, u := range r.upstreams {
-		if u.lapsed {
-			r.drop(now, u)
-			changed = true
-		}
+	for id := range r.lapsed {
+		r.drop(now, r.upstreams[id])
+		changed = true
 	}
-	for id, entry := range r.held {
-		r.upstreams[id] = &Upstream{Entry: entry, ColdUntil: now.Add(entry.ColdFor)}
+	for _, entry := range r.held {
+		r.set(&Upstream{Entry: entry, ColdUntil: now.Add(entry.ColdFor)})
 		changed = true
 	}
 	clear(r.held)
@@ -242,6 +322,13 @@
 	return u.FailureDomain
 }
 
+// Get returns the upstream with the id, or nil. It must not be modified.
+func (r *Registry) Get(id string) *Upstream { return r.upstreams[id] }
+
+// Each returns an iterator over the upstreams in no particular order. They must not be
+// modified.
+func (r *Registry) Each() iter.Seq[*Upstream] { return maps.Values(r.upstreams) }
+
 // All returns the upstreams, sorted by id. They must not be modified.
 func (r *Registry) All() []*Upstream {
 	all := lo.Values(r.upstreams)
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -23,24 +23,31 @@
 	return lo.Map(r.All(), func(u *Upstream, _ int) string { return u.ID })
 }
 
+// replace applies the complete set of entries of the store.
+func replace(r *Registry, now time.Time, entries []Entry, confirmed bool) bool {
+	present := lo.Keyify(lo.Map(entries, func(e Entry, _ int) string { return e.ID }))
+	missing := lo.Reject(append(lo.Keys(r.upstreams), lo.Keys(r.held)...), func(id string, _ int) bool { return lo.HasKey(present, id) })
+	return r.Apply(now, entries, missing, confirmed)
+}
+
 func TestRemovedEntryIsDroppedImmediately(t *testing.T) {
 	r := New(0)
 	r.StoreAvailable(at(0))
-	assert.Assert(t, r.Replace(at(0), []Entry{entry("a", 1), entry("b", 2)}, true))
-	assert.Assert(t, r.Replace(at(1), []Entry{entry("a", 1)}, r.ConfirmsRemovals(at(1))))
+	assert.Assert(t, replace(r, at(0), []Entry{entry("a", 1), entry("b", 2)}, true))
+	assert.Assert(t, replace(r, at(1), []Entry{entry("a", 1)}, r.ConfirmsRemovals(at(1))))
 	assert.DeepEqual(t, ids(r), []string{"a"})
-	assert.Assert(t, !r.Replace(at(2), []Entry{entry("a", 1)}, true))
+	assert.Assert(t, !replace(r, at(2), []Entry{entry("a", 1)}, true))
 }
 
 func TestEntriesLapsedDuringAnOutageMayReturn(t *testing.T) {
 	r := New(0)
-	r.Replace(at(0), []Entry{entry("a", 1), entry("b", 2)}, true)
+	replace(r, at(0), []Entry{entry("a", 1), entry("b", 2)}, true)
 	r.StoreUnavailable()
 	r.StoreAvailable(at(10))
-	r.Replace(at(10), nil, r.ConfirmsRemovals(at(10)))
+	replace(r, at(10), nil, r.ConfirmsRemovals(at(10)))
 	assert.DeepEqual(t, ids(r), []string{"a", "b"})
 	assert.Assert(t, r.All()[0].Lapsed())
-	r.Replace(at(11), []Entry{entry("a", 9)}, r.ConfirmsRemovals(at(11)))
+	replace(r, at(11), []Entry{entry("a", 9)}, r.ConfirmsRemovals(at(11)))
 	assert.DeepEqual(t, ids(r), []string{"a", "b"})
 	assert.Assert(t, !r.Tick(at(12.4)))
 	assert.Assert(t, r.Tick(at(12.5)))
@@ -51,9 +58,9 @@
 	r := New(0)
 	draining := entry("a", 1)
 	draining.State = Draining
-	r.Replace(at(0), []Entry{draining}, true)
+	replace(r, at(0), []Entry{draining}, true)
 	r.StoreUnavailable()
-	r.Replace(at(1), nil, r.ConfirmsRemovals(at(1)))
+	replace(r, at(1), nil, r.ConfirmsRemovals(at(1)))
 	assert.Equal(t, len(r.All()), 0)
 }
 
@@ -62,12 +69,12 @@
 // randomised runs (scale-2, seeds 14466118515 and 88110234199).
 func TestRemovalReadFromAnotherInstance(t *testing.T) {
 	r := New(0)
-	r.Replace(at(0), []Entry{entry("a", 1), entry("b", 2)}, true)
+	replace(r, at(0), []Entry{entry("a", 1), entry("b", 2)}, true)
 	r.StoreUnavailable()
-	r.Replace(at(4), []Entry{entry("a", 1)}, true)
+	replace(r, at(4), []Entry{entry("a", 1)}, true)
 	assert.DeepEqual(t, ids(r), []string{"a"})
 	r.StoreAvailable(at(13))
-	r.Replace(at(13), []Entry{entry("a", 1)}, r.ConfirmsRemovals(at(13)))
+	replace(r, at(13), []Entry{entry("a", 1)}, r.ConfirmsRemovals(at(13)))
 	assert.DeepEqual(t, ids(r), []string{"a"})
 }
 
@@ -76,11 +83,11 @@
 	cold := entry("a", 5)
 	cold.Started = 77
 	cold.ColdFor = 3 * time.Second
-	r.Replace(at(0), []Entry{entry("a", 1)}, true)
-	assert.Assert(t, r.Replace(at(1), []Entry{cold}, true))
+	replace(r, at(0), []Entry{entry("a", 1)}, true)
+	assert.Assert(t, replace(r, at(1), []Entry{cold}, true))
 	assert.Equal(t, r.All()[0].Started, int64(77))
 	assert.Equal(t, r.All()[0].ColdUntil, at(4))
-	assert.Assert(t, !r.Replace(at(2), []Entry{entry("a", 4)}, true), "an older entry changes nothing")
+	assert.Assert(t, !replace(r, at(2), []Entry{entry("a", 4)}, true), "an older entry changes nothing")
 }
 
 // TestLapseReadFromAnotherInstance guards against treating a lapse as a removal on an
@@ -88,8 +95,8 @@
 // may return.
 func TestLapseReadFromAnotherInstance(t *testing.T) {
 	r := New(0)
-	r.Replace(at(0), []Entry{entry("a", 1), entry("b", 2)}, true)
-	r.Replace(at(10), []Entry{entry("a", 1)}, false)
+	replace(r, at(0), []Entry{entry("a", 1), entry("b", 2)}, true)
+	replace(r, at(10), []Entry{entry("a", 1)}, false)
 	assert.DeepEqual(t, ids(r), []string{"a", "b"})
 	assert.Assert(t, !r.Tick(at(12)))
 	assert.Assert(t, r.Tick(at(12.5)))
@@ -107,19 +114,19 @@
 	}{"written again": {true, 0}, "not written again": {false, 2}} {
 		t.Run(name, func(t *testing.T) {
 			r := New(time.Second)
-			r.Replace(start, []Entry{ready, draining}, true)
-			r.Replace(start.Add(time.Second), []Entry{draining}, true)
+			replace(r, start, []Entry{ready, draining}, true)
+			replace(r, start.Add(time.Second), []Entry{draining}, true)
 			restored := start.Add(10 * time.Second)
 			r.StoreRestored(restored)
 			copied := []Entry{ready, draining}
 			copied[0].Revision, copied[1].Revision, copied[1].State = 11, 12, Ready
-			r.Replace(restored, copied, false)
+			replace(r, restored, copied, false)
 			assert.Equal(t, len(r.All()), 1, "a is still removed")
 			assert.Equal(t, r.All()[0].State, Draining)
 			if test.again {
 				again := copied[1]
 				again.State, again.Revision = Draining, 13
-				r.Replace(restored.Add(500*time.Millisecond), []Entry{again}, false)
+				replace(r, restored.Add(500*time.Millisecond), []Entry{again}, false)
 			}
 			r.Tick(restored.Add(2 * time.Second))
 			count := 0
@@ -141,16 +148,16 @@
 	for name, removed := range map[string]bool{"running": false, "removed": true} {
 		t.Run(name, func(t *testing.T) {
 			r := New(time.Second)
-			r.Replace(start, []Entry{later}, true)
+			replace(r, start, []Entry{later}, true)
 			if removed {
-				r.Replace(start, nil, true)
+				replace(r, start, nil, true)
 			}
 			known := len(r.All())
 			restored := start.Add(10 * time.Second)
 			r.StoreRestored(restored)
 			earlier := Entry{ID: "a", Started: 1, Address: "10.0.0.1:80", Revision: 11}
 			for range 2 {
-				r.Replace(restored, []Entry{earlier}, false)
+				replace(r, restored, []Entry{earlier}, false)
 				assert.Equal(t, len(r.All()), known)
 				for _, u := range r.All() {
 					assert.Equal(t, u.Address, later.Address)
@@ -167,10 +174,10 @@
 func TestAHeldEntryIsAppliedAfterASecondRead(t *testing.T) {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	r := New(time.Second)
-	r.Replace(start, []Entry{{ID: "a", Started: 1, State: Draining, Revision: 5}}, true)
+	replace(r, start, []Entry{{ID: "a", Started: 1, State: Draining, Revision: 5}}, true)
 	r.StoreRestored(start)
 	for range 2 {
-		r.Replace(start, []Entry{{ID: "a", Started: 1, State: Ready, Revision: 11}}, false)
+		replace(r, start, []Entry{{ID: "a", Started: 1, State: Ready, Revision: 11}}, false)
 		assert.Equal(t, r.All()[0].State, Draining)
 	}
 	r.Tick(start.Add(2 * time.Second))
@@ -180,9 +187,9 @@
 func TestAnUpstreamThatTheCopyLacksMayReturn(t *testing.T) {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	r := New(time.Second)
-	r.Replace(start, []Entry{{ID: "a", Started: 1, Revision: 1}}, true)
+	replace(r, start, []Entry{{ID: "a", Started: 1, Revision: 1}}, true)
 	r.StoreRestored(start.Add(time.Second))
-	r.Replace(start.Add(time.Second), nil, r.ConfirmsRemovals(start.Add(time.Second)))
+	replace(r, start.Add(time.Second), nil, r.ConfirmsRemovals(start.Add(time.Second)))
 	assert.Equal(t, len(r.All()), 1)
 	r.Tick(start.Add(3 * time.Second))
 	assert.Equal(t, len(r.All()), 0)
