placement, edge: a changed upstream updates the pool, not all of them

Cause: each change of one upstream sorted all, rebuilt the pool with them, compared all retained connections, and each tick with one cold upstream did so again and sorted all instances for each cold one. The control goroutine, and the configuration with it, waited for that.

Change: Pool.Update takes the changed and the gone upstreams. Pool.Configure takes the settings and touches the upstreams of a service only if its connections change. Cold limits and rates are set by id (SetCold, SetRates). A service keeps the sum of its slots by place, so that initial shares need no walk. edge keeps the set of the cold upstreams and looks at all upstreams only after a configuration or the end of an evacuation; the senders to a cold upstream are counted, not sorted. Connections of upstreams that left are dropped by name (upstream.Client.Drop), and once more after a minute, for a request that chose one just before it left. Three differences: the initial shares of a service are set anew only when a change concerns it; a lease acquired before a change still counts towards the service time after it; the rates of upstreams are cleared at the tick after the last one ends.

TestAllColdUpstreamsHaveALimit and TestColdSendersAreTheNearestInstances compare with a walk over all; the former fails without either of the two looks at all upstreams. Existing tests call Configure, SetCold and SetRates in place of fields of Settings; no check changed.

--- a/edge/cold.go
+++ b/edge/cold.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -21,34 +20,75 @@
 	coldMargin = 500 * time.Millisecond
 )
 
-// coldLimits returns the limits of this instance for each cold upstream by its ID. The
-// nearest instances, up to maxColdSenders, share the upstream's cold rate.
-func (c *control) coldLimits(now time.Time) map[string]placement.ColdLimit {
-	limits := map[string]placement.ColdLimit{}
-	if c.table == nil {
-		return limits
+// coldUpstreams holds the upstreams that have a limit because they are cold.
+type coldUpstreams struct {
+	ids map[string]bool
+	// allDirty requests a look at all upstreams: the configuration has changed, or an
+	// evacuation has ended.
+	allDirty bool
+}
+
+// updateCold sets the limits of the upstreams that have changed, or of all when the
+// configuration has changed or an evacuation has ended.
+func (c *control) updateCold(now time.Time, changed []*registry.Upstream) {
+	updated := slices.Values(changed)
+	if c.cold.allDirty {
+		c.cold.allDirty = false
+		updated = c.upstreams.Each()
 	}
 	peers := c.members.Snapshot(now)
-	for _, u := range c.upstreams.All() {
-		service := c.table.Service(u.Service)
-		if service == nil || service.ColdRate <= 0 {
-			continue
-		}
-		until := u.ColdUntil
-		if ended, ok := c.evacuationEnded[u.FailureDomain]; ok {
-			until = latest(until, ended.Add(service.ColdFor))
-		}
-		until = until.Add(coldMargin)
-		if !now.Before(until) {
-			continue
-		}
-		limit := placement.ColdLimit{Until: until}
-		if senders, sends := coldSenders(peers, c.deps.settings.Domains, u); sends {
-			limit.Rate = service.ColdRate / float64(senders)
+	for u := range updated {
+		c.setCold(now, peers, u)
+	}
+}
+
+// refreshCold follows the changes of the peers that share the rates of the cold upstreams, and
+// removes the limits that are over.
+func (c *control) refreshCold(now time.Time) {
+	peers := c.members.Snapshot(now)
+	for id := range c.cold.ids {
+		if u := c.upstreams.Get(id); u != nil {
+			c.setCold(now, peers, u)
 		}
-		limits[u.ID] = limit
 	}
-	return limits
+}
+
+// setCold sets the limit of an upstream if it is cold, or removes it.
+func (c *control) setCold(now time.Time, peers *membership.Peers, u *registry.Upstream) {
+	limit, cold := c.coldLimit(now, peers, u)
+	switch {
+	case cold:
+		c.cold.ids[u.ID] = true
+		c.deps.pool.SetCold(u.ID, limit)
+	case c.cold.ids[u.ID]:
+		delete(c.cold.ids, u.ID)
+		c.deps.pool.SetCold(u.ID, placement.ColdLimit{})
+	}
+}
+
+// coldLimit returns the limit of this instance for the upstream, or false if that is not cold.
+// The nearest instances, up to maxColdSenders, share the upstream's cold rate.
+func (c *control) coldLimit(now time.Time, peers *membership.Peers, u *registry.Upstream) (placement.ColdLimit, bool) {
+	if c.table == nil {
+		return placement.ColdLimit{}, false
+	}
+	service := c.table.Service(u.Service)
+	if service == nil || service.ColdRate <= 0 {
+		return placement.ColdLimit{}, false
+	}
+	until := u.ColdUntil
+	if ended, ok := c.evacuationEnded[u.FailureDomain]; ok {
+		until = latest(until, ended.Add(service.ColdFor))
+	}
+	until = until.Add(coldMargin)
+	if !now.Before(until) {
+		return placement.ColdLimit{}, false
+	}
+	limit := placement.ColdLimit{Until: until}
+	if senders, sends := coldSenders(peers, c.deps.settings.Domains, u); sends {
+		limit.Rate = service.ColdRate / float64(senders)
+	}
+	return limit, true
 }
 
 func latest(a, b time.Time) time.Time {
@@ -61,7 +101,6 @@
 // coldSenders returns the number of instances that send to the cold upstream, and
 // whether this instance is one of them.
 func coldSenders(peers *membership.Peers, regions map[string]string, u *registry.Upstream) (int, bool) {
-	all := append([]*membership.Peer{&peers.Self}, peers.All...)
 	distance := func(p *membership.Peer) int {
 		switch {
 		case p.FailureDomain == u.FailureDomain:
@@ -71,12 +110,16 @@
 		}
 		return 2
 	}
-	slices.SortFunc(all, func(a, b *membership.Peer) int {
-		return cmp.Or(
-			cmp.Compare(distance(a), distance(b)),
-			cmp.Compare(xxhash.Sum64String(a.Name+u.ID), xxhash.Sum64String(b.Name+u.ID)),
-		)
-	})
-	senders := min(len(all), maxColdSenders)
-	return senders, slices.Contains(all[:senders], &peers.Self)
+	rank := func(p *membership.Peer) uint64 { return xxhash.Sum64String(p.Name + u.ID) }
+	selfDistance, selfRank := distance(&peers.Self), rank(&peers.Self)
+	nearer := 0
+	for _, p := range peers.All {
+		if d := distance(p); d < selfDistance || d == selfDistance && rank(p) < selfRank {
+			nearer++
+		}
+		if nearer == maxColdSenders {
+			break
+		}
+	}
+	return min(len(peers.All)+1, maxColdSenders), nearer < maxColdSenders
 }
--- a/edge/control.go
+++ b/edge/control.go
@@ -77,9 +77,9 @@
 	sums      *domainSums
 	// evacuationEnded is when the last evacuation of a failure domain ended, by domain.
 	evacuationEnded map[string]time.Time
-	// cold reports whether the pool has limits for cold upstreams.
-	cold    bool
-	leaving bool
+	cold            coldUpstreams
+	goneUpstreams   goneUpstreams
+	leaving         bool
 	// permitsSince is when this instance began to run without a pause, permitTickAt when
 	// it last assigned the allocators of upstreams.
 	permitsSince time.Time
@@ -107,6 +107,7 @@
 		demand:          newServiceDemand(),
 		sums:            newDomainSums(deps.settings.FailureDomain),
 		evacuationEnded: map[string]time.Time{},
+		cold:            coldUpstreams{ids: map[string]bool{}},
 		viewDirty:       true,
 		pulls:           newPulls(),
 	}
@@ -173,7 +174,7 @@
 	c.rollouts.tick(now)
 	c.divideRates(now)
 	c.balance(now)
-	c.poolDirty = c.poolDirty || c.cold || len(c.upstreamRates()) > 0
+	c.refreshLimits(now)
 	c.requestLoans(now)
 	c.assignAllocators(now)
 	c.viewDirty = true
@@ -182,7 +183,7 @@
 // publish makes the new state visible to traffic goroutines.
 func (c *control) publish(now time.Time) {
 	if c.poolDirty {
-		c.updatePool()
+		c.updatePool(now)
 		c.poolDirty = false
 	}
 	if !c.viewDirty {
--- a/edge/records.go
+++ b/edge/records.go
@@ -231,6 +231,7 @@
 	c.table = table
 	c.updateSplits()
 	c.configureRates(now, table)
+	c.cold.allDirty = true
 	c.poolDirty, c.viewDirty = true, true
 	c.deps.log.Info("configuration in force",
 		zap.Uint64("version", config.Version),
@@ -330,6 +331,7 @@
 	for domain := range c.evacuated {
 		if !evacuated[domain] {
 			c.evacuationEnded[domain] = now
+			c.cold.allDirty = true
 			c.deps.log.Info("failure domain taken back", zap.String("failure_domain", domain), zap.Stringer("revision", c.revision))
 		}
 	}
@@ -342,18 +344,28 @@
 	c.poolDirty = true
 }
 
-// updatePool passes the known upstreams to the placement pool.
-func (c *control) updatePool() {
-	now := time.Now()
+// updatePool passes the settings and the changed upstreams to the placement pool. The limits of
+// cold upstreams go first, so that none gets requests without its limit.
+func (c *control) updatePool(now time.Time) {
+	changed, gone := c.upstreams.TakeChanges()
+	c.deps.pool.Configure(c.poolSettings(now))
+	c.updateCold(now, changed)
+	c.deps.pool.Update(changed, gone)
+	for _, id := range gone {
+		delete(c.cold.ids, id)
+	}
+	c.goneUpstreams.add(now, gone)
+	c.deps.upstreams.Drop(gone...)
+}
+
+// poolSettings returns the settings of the placement pool.
+func (c *control) poolSettings(now time.Time) placement.Settings {
 	settings := placement.Settings{
 		Regions:        c.deps.settings.Domains,
 		Evacuated:      c.evacuated,
 		Connections:    map[string]int{},
 		MaxConnections: map[string]int{},
-		Cold:           c.coldLimits(now),
-		Rates:          c.upstreamRates(),
 	}
-	c.cold = len(settings.Cold) > 0
 	peers := c.members.Snapshot(now)
 	settings.Senders = 1 + lo.CountBy(peers.All, func(p *membership.Peer) bool { return p.Usable() && p.Region == peers.Self.Region })
 	if c.table != nil {
@@ -363,6 +375,42 @@
 			settings.Connections[service.Name] = max(service.Connections/instances, 1)
 		}
 	}
-	c.deps.pool.Update(c.upstreams.All(), settings)
-	c.deps.upstreams.Retain(c.deps.pool.Upstreams())
+	return settings
+}
+
+// refreshLimits updates the limits of cold upstreams and the rates of those that limit them.
+func (c *control) refreshLimits(now time.Time) {
+	rates := c.upstreamRates()
+	c.deps.pool.SetRates(rates)
+	c.refreshCold(now)
+	c.poolDirty = c.poolDirty || len(c.cold.ids) > 0 || len(rates) > 0
+	c.deps.upstreams.Drop(c.goneUpstreams.expired(now, c.upstreams.Has)...)
+}
+
+// goneUpstreams holds the upstreams that have left. A request that chose one of them before may
+// open a connection to it afterwards.
+type goneUpstreams struct {
+	ids []string
+	at  []time.Time
+}
+
+// goneUpstreamAge is the age at which no request uses an upstream that has left.
+const goneUpstreamAge = time.Minute
+
+func (g *goneUpstreams) add(now time.Time, ids []string) {
+	for _, id := range ids {
+		g.ids, g.at = append(g.ids, id), append(g.at, now)
+	}
+}
+
+// expired removes the ids that are older than goneUpstreamAge, and returns those of them for
+// which known returns false.
+func (g *goneUpstreams) expired(now time.Time, known func(id string) bool) []string {
+	n := 0
+	for n < len(g.at) && now.Sub(g.at[n]) > goneUpstreamAge {
+		n++
+	}
+	old := g.ids[:n]
+	g.ids, g.at = g.ids[n:], g.at[n:]
+	return lo.Reject(old, func(id string, _ int) bool { return known(id) })
 }
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -43,29 +43,21 @@
 
 	mu       sync.Mutex
 	settings Settings
+	// cold maps the id of a cold upstream to its limit.
+	cold map[string]ColdLimit
+	// rates maps the id of an upstream that limits its rate to the requests per second
+	// that it takes from all instances together.
+	rates    map[string]float64
 	targets  map[string]*target
 	services map[string]*service
 }
 
-// service is the state of one service.
-type service struct {
-	targets []*target
-	regions []string
-	shares  shares
-	spill   spillLimiter
-	// arrivals counts requests; retries are not counted.
-	arrivals uint64
-	// serviceTime is a moving average of the time that an upstream works on a request,
-	// excluding the wait in its queue; 0 before the first sample.
-	serviceTime time.Duration
-}
-
 // NewPool returns a pool without upstreams.
 func NewPool(self Location) *Pool {
-	return &Pool{self: self, targets: map[string]*target{}, services: map[string]*service{}}
+	return &Pool{self: self, cold: map[string]ColdLimit{}, targets: map[string]*target{}, services: map[string]*service{}}
 }
 
-// Settings are the inputs of the pool besides the upstreams.
+// Settings are the inputs of the pool besides the upstreams and their limits.
 type Settings struct {
 	// Regions maps a failure domain to its region.
 	Regions map[string]string
@@ -79,55 +71,112 @@
 	Connections map[string]int
 	// Senders is the number of instances in this region, which share its upstreams.
 	Senders int
-	// Cold maps the id of a cold upstream to its limit.
-	Cold map[string]ColdLimit
-	// Rates maps the id of an upstream that limits its rate to the requests per second
-	// that it takes from all instances together.
-	Rates map[string]float64
 }
 
-// Update replaces the upstreams. The state of an upstream is kept while its id, start
-// time and address are unchanged.
-func (p *Pool) Update(upstreams []*registry.Upstream, settings Settings) {
+// Configure replaces the settings, whose maps must not be modified afterwards. Only settings
+// that concern the upstreams of a service cost work for each of them.
+func (p *Pool) Configure(settings Settings) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	old := p.settings
 	p.settings = settings
-	oldTargets, oldServices := p.targets, p.services
-	p.targets = make(map[string]*target, len(upstreams))
-	p.services = map[string]*service{}
-	for _, u := range upstreams {
-		t := oldTargets[u.ID]
+	regionsChanged := !maps.Equal(old.Regions, settings.Regions)
+	evacuatedChanged := !maps.Equal(old.Evacuated, settings.Evacuated)
+	for name, s := range p.services {
+		if regionsChanged || old.Connections[name] != settings.Connections[name] || old.MaxConnections[name] != settings.MaxConnections[name] {
+			for _, t := range s.targets {
+				t.setEndpoint(endpointOf(t.upstream, settings))
+			}
+		}
+		if evacuatedChanged {
+			p.setInitialShares(s)
+		}
+	}
+}
+
+// Update adds or replaces the changed upstreams and removes those with the ids in gone. The
+// state of an upstream is kept while its id, start time and address are unchanged, that of
+// a service while it has upstreams.
+func (p *Pool) Update(changed []*registry.Upstream, gone []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	concerned := map[string]*service{}
+	for _, id := range gone {
+		if t := p.targets[id]; t != nil {
+			p.remove(t, concerned)
+			delete(p.targets, id)
+		}
+		delete(p.cold, id)
+	}
+	for _, u := range changed {
+		t := p.targets[u.ID]
+		if t != nil {
+			p.remove(t, concerned)
+		}
 		if t == nil || t.upstream.Started != u.Started || t.upstream.Address != u.Address {
-			t = newTarget(u, settings)
+			t = newTarget(u, p.settings)
 		}
 		t.upstream = u
-		t.setEndpoint(endpointOf(u, settings))
+		t.setEndpoint(endpointOf(u, p.settings))
 		p.targets[u.ID] = t
-		p.add(t, oldServices)
+		p.add(t, concerned)
 	}
-	for _, s := range p.services {
-		if s.arrivals == 0 {
-			s.shares.byRegion = targetShares(p.self.Region, nil, p.slots(s, nil), 0)
+	for name, s := range concerned {
+		if len(s.targets) == 0 {
+			delete(p.services, name)
+			continue
 		}
+		p.setInitialShares(s)
 	}
 }
 
-func (p *Pool) add(t *target, old map[string]*service) {
+// add adds an upstream to its service, and the service to the concerned ones.
+func (p *Pool) add(t *target, concerned map[string]*service) {
 	name := t.upstream.Service
 	s := p.services[name]
 	if s == nil {
-		s = &service{}
-		if known := old[name]; known != nil {
-			s.shares, s.spill, s.arrivals, s.serviceTime = known.shares, known.spill, known.arrivals, known.serviceTime
-		}
+		s = newService()
 		p.services[name] = s
 	}
-	s.targets = append(s.targets, t)
-	if !slices.Contains(s.regions, t.region) {
-		s.regions = append(s.regions, t.region)
+	s.add(t)
+	concerned[name] = s
+}
+
+// remove removes an upstream from its service, and adds the service to the concerned ones.
+func (p *Pool) remove(t *target, concerned map[string]*service) {
+	name := t.upstream.Service
+	s := p.services[name]
+	s.remove(t)
+	concerned[name] = s
+}
+
+// setInitialShares sets the shares of a service that has had no requests.
+func (p *Pool) setInitialShares(s *service) {
+	if s.arrivals == 0 {
+		s.shares.byRegion = targetShares(p.self.Region, nil, s.slots(p.settings.Evacuated), 0)
 	}
 }
 
+// SetCold sets the limit of the upstream with the id while it is cold. The zero limit
+// removes it.
+func (p *Pool) SetCold(id string, limit ColdLimit) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if limit.Until.IsZero() {
+		delete(p.cold, id)
+		return
+	}
+	p.cold[id] = limit
+}
+
+// SetRates replaces the rates of the upstreams that limit them, by id, in requests per
+// second from all instances together. The map must not be modified afterwards.
+func (p *Pool) SetRates(rates map[string]float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rates = rates
+}
+
 // endpointOf returns the upstream in the form that forwarding uses.
 func endpointOf(u *registry.Upstream, settings Settings) routing.Upstream {
 	return routing.Upstream{
@@ -143,7 +192,7 @@
 	}
 }
 
-// Upstreams returns the upstreams to keep connections to, in no particular order.
+// Upstreams returns the upstreams in no particular order.
 func (p *Pool) Upstreams() []*routing.Upstream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -177,14 +226,10 @@
 	}
 }
 
-// slots returns the number of slots by region, without evacuated failure domains. It
-// counts the upstreams for which usable returns true, or all when usable is nil.
-func (p *Pool) slots(s *service, usable func(t *target) bool) map[string]float64 {
-	return p.slotsAtRate(s, usable, 0)
-}
-
-// slotsAtRate is like slots, but counts at most as many slots of an upstream that limits
-// its rate as serve that rate, with perSlot requests per second at each slot.
+// slotsAtRate returns the number of slots by region, without evacuated failure domains. It
+// counts the upstreams for which usable returns true, or all when usable is nil. Of an upstream
+// that limits its rate, it counts at most as many slots as serve that rate, with perSlot
+// requests per second at each slot.
 func (p *Pool) slotsAtRate(s *service, usable func(t *target) bool, perSlot float64) map[string]float64 {
 	slots := map[string]float64{}
 	for _, t := range s.targets {
@@ -192,7 +237,7 @@
 			continue
 		}
 		usableSlots := float64(t.upstream.Slots)
-		if rate, limited := p.settings.Rates[t.upstream.ID]; limited && perSlot > 0 {
+		if rate, limited := p.rates[t.upstream.ID]; limited && perSlot > 0 {
 			usableSlots = min(usableSlots, rate/perSlot)
 		}
 		slots[t.region] += usableSlots
@@ -392,7 +437,7 @@
 
 // coldLimit returns the limit of a cold upstream, or false for a warm one.
 func (p *Pool) coldLimit(now time.Time, t *target) (ColdLimit, bool) {
-	limit, ok := p.settings.Cold[t.upstream.ID]
+	limit, ok := p.cold[t.upstream.ID]
 	return limit, ok && now.Before(limit.Until)
 }
 
--- a/placement/target.go
+++ b/placement/target.go
@@ -54,6 +54,8 @@
 	return &target{upstream: u, endpoint: &endpoint, region: endpoint.Region, hash: xxhash.Sum64String(u.ID)}
 }
 
+func (t *target) place() place { return place{t.upstream.FailureDomain, t.region} }
+
 // setEndpoint replaces the endpoint if it has changed. Leases keep the one that they got.
 func (t *target) setEndpoint(next routing.Upstream) {
 	if next == *t.endpoint {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -182,6 +182,19 @@
 	}
 }
 
+// Drop closes the idle connections to the upstreams with the names and forgets those
+// upstreams.
+func (c *Client) Drop(names ...string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, name := range names {
+		if h := c.hosts[name]; h != nil {
+			h.transport.CloseIdleConnections()
+			delete(c.hosts, name)
+		}
+	}
+}
+
 // Close closes all idle connections.
 func (c *Client) Close() { c.Retain(nil) }
 
