edge: the answer to a pull costs what has changed, not all records

Cause: each pull of a peer, and each read of the records with a prefix, went through all records, so that the upstreams delayed the control goroutine of the instance that is asked.

Change: recordSet keeps the records by the first part of their keys, and the changes by revision. A full answer still takes all. Orders, evacuations and instances are read without looking at the upstreams.

--- a/edge/control.go
+++ b/edge/control.go
@@ -46,8 +46,7 @@
 	ctx    context.Context
 	events chan event
 
-	// records holds the latest entries of the store by key, deleted ones included.
-	records          map[string]platform.Entry
+	records          *recordSet
 	revision         platform.Revision
 	storeUnavailable bool
 	// storeLostAt is when the store became unavailable here, storeFailedAt is the time
@@ -96,7 +95,7 @@
 		deps:      deps,
 		ctx:       ctx,
 		events:    make(chan event, eventQueueSize),
-		records:   map[string]platform.Entry{},
+		records:   newRecordSet(),
 		upstreams: registry.New(0),
 		evacuated: map[string]bool{},
 		members: membership.NewRegistry(membership.Config{
--- a/edge/pull.go
+++ b/edge/pull.go
@@ -181,8 +181,12 @@
 		Full:     e.after < c.completeSince,
 		Settled:  c.upstreams.ConfirmsRemovals(now),
 	}
-	for _, entry := range c.records {
-		if response.Full && entry.Deleted || !response.Full && entry.Revision <= e.after {
+	entries := c.records.after(e.after)
+	if response.Full {
+		entries = c.records.all()
+	}
+	for entry := range entries {
+		if response.Full && entry.Deleted {
 			continue
 		}
 		response.Entries = append(response.Entries, &entrypb.StoreEntry{
--- a/edge/records.go
+++ b/edge/records.go
@@ -124,30 +124,33 @@
 	present := make(map[string]bool, len(e.entries))
 	for _, entry := range e.entries {
 		present[entry.Key] = true
-		old := c.records[entry.Key]
+		old := c.records.get(entry.Key)
 		if old.Revision >= entry.Revision {
 			continue
 		}
 		if entry.Key == records.KeyConfig && (entry.Revision.Era() > old.Revision.Era() || c.restoring(now)) {
 			entry = newerConfig(old, entry)
 		}
-		c.records[entry.Key] = entry
+		c.records.put(entry)
 		changed = append(changed, entry.Key)
 	}
 	if !e.full {
 		return changed
 	}
-	for key, entry := range c.records {
-		if key == records.KeyConfig {
+	var missing []string
+	for entry := range c.records.all() {
+		if entry.Key == records.KeyConfig {
 			// The operator never removes it; only a copy of the store can lack it.
 			continue
 		}
-		if !present[key] && !entry.Deleted && entry.Revision <= e.revision {
-			c.records[key] = platform.Entry{Key: key, Revision: e.revision, Deleted: true}
-			changed = append(changed, key)
+		if !present[entry.Key] && !entry.Deleted && entry.Revision <= e.revision {
+			missing = append(missing, entry.Key)
 		}
 	}
-	return changed
+	for _, key := range missing {
+		c.records.put(platform.Entry{Key: key, Revision: e.revision, Deleted: true})
+	}
+	return append(changed, missing...)
 }
 
 // newerConfig returns the record of a restored store, with the configuration known before
@@ -202,8 +205,8 @@
 // forEachRecord calls handle with every entry that has the key prefix and is not
 // deleted.
 func (c *control) forEachRecord(prefix string, handle func(entry platform.Entry)) {
-	for key, entry := range c.records {
-		if !entry.Deleted && strings.HasPrefix(key, prefix) {
+	for entry := range c.records.withPrefix(prefix) {
+		if !entry.Deleted {
 			handle(entry)
 		}
 	}
@@ -211,7 +214,7 @@
 
 // adoptConfig puts the configuration in force if it is valid and its version is newer.
 func (c *control) adoptConfig(now time.Time) {
-	entry := c.records[records.KeyConfig]
+	entry := c.records.get(records.KeyConfig)
 	if entry.Deleted {
 		return
 	}
@@ -268,7 +271,7 @@
 	var changed []registry.Entry
 	var missing []string
 	for _, key := range keys {
-		parsed, ok := c.decodeUpstream(c.records[key])
+		parsed, ok := c.decodeUpstream(c.records.get(key))
 		if ok {
 			changed = append(changed, parsed)
 		} else if id, ok := records.CutKeyPrefix(key, records.PrefixUpstreams); ok {
--- a/edge/rollout.go
+++ b/edge/rollout.go
@@ -109,8 +109,8 @@
 
 // readStatus adopts the phase of a changed status record.
 func (r *rolloutControl) readStatus(now time.Time, service string, run *rolloutRun) {
-	entry, ok := r.control.records[records.PrefixRolloutStatus+service]
-	if !ok || entry.Deleted {
+	entry := r.control.records.get(records.PrefixRolloutStatus + service)
+	if entry.Revision == 0 || entry.Deleted {
 		// A restored store may have lost the status.
 		run.revision, run.status = 0, records.RolloutStatus{}
 		return
@@ -275,8 +275,8 @@
 		run.revision, run.status = 0, records.RolloutStatus{}
 		return
 	}
-	if c.records[e.entry.Key].Revision < e.entry.Revision {
-		c.records[e.entry.Key] = e.entry
+	if c.records.get(e.entry.Key).Revision < e.entry.Revision {
+		c.records.put(e.entry)
 	}
 	c.rollouts.readRecords(now)
 }
