--- a/edge/control.go
+++ b/edge/control.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"samphireferry.example/ferry/membership"
-	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/quota"
 	"samphireferry.example/ferry/registry"
 	"samphireferry.example/ferry/routing"
@@ -64,8 +63,7 @@
 	urgent chan queuedEvent
 	events chan queuedEvent
 
-	// records holds the latest entries of the store by key, deleted ones included.
-	records map[string]platform.Entry
+	records *recordSet
 	// coverage is that of all records; operator holds that of the operator's records, which
 	// is at least as new.
 	coverage
@@ -95,9 +93,9 @@
 	sums      *domainSums
 	// evacuationEnded is when the last evacuation of a failure domain ended, by domain.
 	evacuationEnded map[string]time.Time
-	// cold reports whether the pool has limits for cold upstreams.
-	cold    bool
-	leaving bool
+	cold            coldUpstreams
+	goneUpstreams   goneUpstreams
+	leaving         bool
 	// permitsSince is when this instance began to run without a pause, permitTickAt when
 	// it last assigned the allocators of upstreams.
 	permitsSince time.Time
@@ -118,7 +116,7 @@
 		urgent:    make(chan queuedEvent, eventQueueSize),
 		events:    make(chan queuedEvent, eventQueueSize),
 		operator:  newOperatorState(deps.settings.ConfigBound),
-		records:   map[string]platform.Entry{},
+		records:   newRecordSet(),
 		upstreams: registry.New(0),
 		evacuated: map[string]bool{},
 		members: membership.NewRegistry(membership.Config{
@@ -129,6 +127,7 @@
 		demand:          newServiceDemand(),
 		sums:            newDomainSums(deps.settings.FailureDomain),
 		evacuationEnded: map[string]time.Time{},
+		cold:            coldUpstreams{ids: map[string]bool{}},
 		viewDirty:       true,
 		pulls:           newPulls(),
 	}
@@ -234,7 +233,7 @@
 	c.rollouts.tick(now)
 	c.divideRates(now)
 	c.balance(now)
-	c.poolDirty = c.poolDirty || c.cold || len(c.upstreamRates()) > 0
+	c.refreshLimits(now)
 	c.requestLoans(now)
 	c.assignAllocators(now)
 	c.operator.publishBehind(now)
@@ -244,7 +243,7 @@
 // publish makes the new state visible to traffic goroutines.
 func (c *control) publish(now time.Time) {
 	if c.poolDirty {
-		c.updatePool()
+		c.updatePool(now)
 		c.poolDirty = false
 	}
 	if !c.viewDirty {
--- a/edge/operator.go
+++ b/edge/operator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -132,11 +133,7 @@
 	if last != nil && !changed {
 		next.entries = last.entries
 	} else {
-		for key, entry := range c.records {
-			if isOperatorKey(key) {
-				next.entries = append(next.entries, entry)
-			}
-		}
+		next.entries = slices.Collect(c.records.withPrefix(records.PrefixOperator))
 	}
 	o.published.Store(next)
 }
--- a/edge/pull.go
+++ b/edge/pull.go
@@ -221,13 +221,16 @@
 		Settled:       c.upstreams.ConfirmsRemovals(now),
 		OperatorAgeMs: ageMillis(now, c.operator.readAt),
 	}
-	for key, entry := range c.records {
-		switch {
-		case response.Full && entry.Deleted, !response.Full && entry.Revision <= e.after:
-		case !response.Full && isOperatorKey(key) && entry.Revision <= e.operatorAfter:
-		default:
-			response.Entries = append(response.Entries, entryMessage(entry))
+	entries := c.records.after(e.after)
+	if response.Full {
+		entries = c.records.all()
+	}
+	for entry := range entries {
+		known := isOperatorKey(entry.Key) && entry.Revision <= e.operatorAfter
+		if response.Full && entry.Deleted || !response.Full && known {
+			continue
 		}
+		response.Entries = append(response.Entries, entryMessage(entry))
 	}
 	e.reply <- response
 }
--- a/edge/records.go
+++ b/edge/records.go
@@ -25,7 +25,7 @@
 	// record up to revision is deleted.
 	full bool
 	// confirmed reports whether missing upstreams have been removed rather than lapsed.
-	// For records from a peer it is the peer's view, see registry.Registry.Replace.
+	// For records from a peer it is the peer's view, see registry.Registry.Apply.
 	confirmed bool
 	// prefix is that of all keys that were read; empty for all records.
 	prefix string
@@ -80,7 +80,7 @@
 	newest := o.newest
 	for _, key := range changed {
 		if isOperatorKey(key) {
-			newest = max(newest, c.records[key].Revision)
+			newest = max(newest, c.records.get(key).Revision)
 		}
 	}
 	operator := newest > o.newest
@@ -146,30 +146,33 @@
 	present := make(map[string]bool, len(e.entries))
 	for _, entry := range e.entries {
 		present[entry.Key] = true
-		old := c.records[entry.Key]
+		old := c.records.get(entry.Key)
 		if old.Revision >= entry.Revision {
 			continue
 		}
 		if entry.Key == records.KeyConfig && (entry.Revision.Era() > old.Revision.Era() || c.restoring(now)) {
 			entry = newerConfig(old, entry)
 		}
-		c.records[entry.Key] = entry
+		c.records.put(entry)
 		changed = append(changed, entry.Key)
 	}
 	if !e.full {
 		return changed
 	}
-	for key, entry := range c.records {
-		if key == records.KeyConfig || !strings.HasPrefix(key, e.prefix) {
+	var missing []string
+	for entry := range c.records.all() {
+		if entry.Key == records.KeyConfig || !strings.HasPrefix(entry.Key, e.prefix) {
 			// The operator never removes the configuration; only a copy of the store can lack it.
 			continue
 		}
-		if !present[key] && !entry.Deleted && entry.Revision <= e.revision {
-			c.records[key] = platform.Entry{Key: key, Revision: e.revision, Deleted: true}
-			changed = append(changed, key)
+		if !present[entry.Key] && !entry.Deleted && entry.Revision <= e.revision {
+			missing = append(missing, entry.Key)
 		}
 	}
-	return changed
+	for _, key := range missing {
+		c.records.put(platform.Entry{Key: key, Revision: e.revision, Deleted: true})
+	}
+	return append(changed, missing...)
 }
 
 // newerConfig returns the record of a restored store, with the configuration known before
@@ -191,13 +194,14 @@
 
 // applyRecords puts changed records in force.
 func (c *control) applyRecords(now time.Time, changed []string, confirmed bool) {
-	var upstreams, instances, evacuations, rollouts bool
+	var upstreams []string
+	var instances, evacuations, rollouts bool
 	for _, key := range changed {
 		switch {
 		case key == records.KeyConfig:
 			c.adoptConfig(now)
 		case strings.HasPrefix(key, records.PrefixUpstreams):
-			upstreams = true
+			upstreams = append(upstreams, key)
 		case strings.HasPrefix(key, records.PrefixInstances):
 			instances = true
 		case strings.HasPrefix(key, records.PrefixEvacuations):
@@ -206,8 +210,8 @@
 			rollouts = true
 		}
 	}
-	if upstreams {
-		c.readUpstreams(now, confirmed)
+	if len(upstreams) > 0 {
+		c.readUpstreams(now, upstreams, confirmed)
 	}
 	if instances {
 		c.readInstances(now)
@@ -223,8 +227,8 @@
 // forEachRecord calls handle with every entry that has the key prefix and is not
 // deleted.
 func (c *control) forEachRecord(prefix string, handle func(entry platform.Entry)) {
-	for key, entry := range c.records {
-		if !entry.Deleted && strings.HasPrefix(key, prefix) {
+	for entry := range c.records.withPrefix(prefix) {
+		if !entry.Deleted {
 			handle(entry)
 		}
 	}
@@ -232,7 +236,7 @@
 
 // adoptConfig puts the configuration in force if it is valid and its version is newer.
 func (c *control) adoptConfig(now time.Time) {
-	entry := c.records[records.KeyConfig]
+	entry := c.records.get(records.KeyConfig)
 	if entry.Deleted {
 		return
 	}
@@ -252,6 +256,7 @@
 	c.table = table
 	c.updateSplits()
 	c.configureRates(now, table)
+	c.cold.allDirty = true
 	c.poolDirty, c.viewDirty = true, true
 	lag := now.Sub(c.operator.readAt)
 	c.deps.metrics.Histogram("ferry_config_lag_seconds").Update(lag.Seconds())
@@ -286,21 +291,38 @@
 	c.splits = splits
 }
 
-func (c *control) readUpstreams(now time.Time, confirmed bool) {
-	var entries []registry.Entry
-	c.forEachRecord(records.PrefixUpstreams, func(entry platform.Entry) {
-		parsed, err := records.DecodeUpstream(entry)
-		if err != nil {
-			c.deps.metrics.Counter("ferry_unreadable_entries_total").Inc()
-			c.deps.log.Warn("entry of an upstream cannot be read", zap.Error(err))
-			return
+// readUpstreams puts the changed records of upstreams in force. One that cannot be read names no
+// upstream.
+func (c *control) readUpstreams(now time.Time, keys []string, confirmed bool) {
+	var changed []registry.Entry
+	var missing []string
+	for _, key := range keys {
+		parsed, ok := c.decodeUpstream(c.records.get(key))
+		if ok {
+			changed = append(changed, parsed)
+		} else if id, ok := records.CutKeyPrefix(key, records.PrefixUpstreams); ok {
+			missing = append(missing, id)
 		}
-		entries = append(entries, parsed)
-	})
-	if c.upstreams.Replace(now, entries, confirmed) {
+	}
+	if c.upstreams.Apply(now, changed, missing, confirmed) {
 		c.poolDirty, c.viewDirty = true, true
-		c.deps.log.Info("upstreams changed", zap.Stringer("revision", c.revision), zap.Int("entries", len(entries)))
+		c.deps.log.Info("upstreams changed", zap.Stringer("revision", c.revision), zap.Int("entries", len(keys)))
+	}
+}
+
+// decodeUpstream returns the upstream of a record, or false when there is none.
+func (c *control) decodeUpstream(entry platform.Entry) (registry.Entry, bool) {
+	if entry.Deleted {
+		return registry.Entry{}, false
 	}
+	c.deps.metrics.Counter("ferry_records_decoded_total", "kind", "upstream").Inc()
+	parsed, err := records.DecodeUpstream(entry)
+	if err != nil {
+		c.deps.metrics.Counter("ferry_unreadable_entries_total").Inc()
+		c.deps.log.Warn("entry of an upstream cannot be read", zap.Error(err))
+		return registry.Entry{}, false
+	}
+	return parsed, true
 }
 
 func (c *control) readInstances(now time.Time) {
@@ -338,6 +360,7 @@
 	for domain := range c.evacuated {
 		if !evacuated[domain] {
 			c.evacuationEnded[domain] = now
+			c.cold.allDirty = true
 			c.deps.log.Info("failure domain taken back", zap.String("failure_domain", domain), zap.Stringer("revision", c.revision))
 		}
 	}
@@ -350,18 +373,28 @@
 	c.poolDirty = true
 }
 
-// updatePool passes the known upstreams to the placement pool.
-func (c *control) updatePool() {
-	now := time.Now()
+// updatePool passes the settings and the changed upstreams to the placement pool. The limits of
+// cold upstreams go first, so that none gets requests without its limit.
+func (c *control) updatePool(now time.Time) {
+	changed, gone := c.upstreams.TakeChanges()
+	c.deps.pool.Configure(c.poolSettings(now))
+	c.updateCold(now, changed)
+	c.deps.pool.Update(changed, gone)
+	for _, id := range gone {
+		delete(c.cold.ids, id)
+	}
+	c.goneUpstreams.add(now, gone)
+	c.deps.upstreams.Drop(gone...)
+}
+
+// poolSettings returns the settings of the placement pool.
+func (c *control) poolSettings(now time.Time) placement.Settings {
 	settings := placement.Settings{
 		Regions:        c.deps.settings.Domains,
 		Evacuated:      c.evacuated,
 		Connections:    map[string]int{},
 		MaxConnections: map[string]int{},
-		Cold:           c.coldLimits(now),
-		Rates:          c.upstreamRates(),
 	}
-	c.cold = len(settings.Cold) > 0
 	peers := c.members.Snapshot(now)
 	settings.Senders = 1 + lo.CountBy(peers.All, func(p *membership.Peer) bool { return p.Usable() && p.Region == peers.Self.Region })
 	if c.table != nil {
@@ -371,6 +404,42 @@
 			settings.Connections[service.Name] = max(service.Connections/instances, 1)
 		}
 	}
-	c.deps.pool.Update(c.upstreams.All(), settings)
-	c.deps.upstreams.Retain(c.deps.pool.Upstreams())
+	return settings
+}
+
+// refreshLimits updates the limits of cold upstreams and the rates of those that limit them.
+func (c *control) refreshLimits(now time.Time) {
+	rates := c.upstreamRates()
+	c.deps.pool.SetRates(rates)
+	c.refreshCold(now)
+	c.poolDirty = c.poolDirty || len(c.cold.ids) > 0 || len(rates) > 0
+	c.deps.upstreams.Drop(c.goneUpstreams.expired(now, c.upstreams.Has)...)
+}
+
+// goneUpstreams holds the upstreams that have left. A request that chose one of them before may
+// open a connection to it afterwards.
+type goneUpstreams struct {
+	ids []string
+	at  []time.Time
+}
+
+// goneUpstreamAge is the age at which no request uses an upstream that has left.
+const goneUpstreamAge = time.Minute
+
+func (g *goneUpstreams) add(now time.Time, ids []string) {
+	for _, id := range ids {
+		g.ids, g.at = append(g.ids, id), append(g.at, now)
+	}
+}
+
+// expired removes the ids that are older than goneUpstreamAge, and returns those of them for
+// which known returns false.
+func (g *goneUpstreams) expired(now time.Time, known func(id string) bool) []string {
+	n := 0
+	for n < len(g.at) && now.Sub(g.at[n]) > goneUpstreamAge {
+		n++
+	}
+	old := g.ids[:n]
+	g.ids, g.at = g.ids[n:], g.at[n:]
+	return lo.Reject(old, func(id string, _ int) bool { return known(id) })
 }
