--- a/edge/control.go
+++ b/edge/control.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
 
 	"samphireferry.example/ferry/membership"
-	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/quota"
 	"samphireferry.example/ferry/registry"
 	"samphireferry.example/ferry/routing"
@@ -30,6 +30,8 @@
 	// maxCopyAge is the age of a copy from which the store may be restored: an evacuation
 	// that ended within it may be in the copy again.
 	maxCopyAge = time.Minute
+	// maxControlWait is the wait of an event from which it is logged.
+	maxControlWait = 250 * time.Millisecond
 	// eventQueueSize is the number of events that can be queued.
 	eventQueueSize = 1024
 )
@@ -40,23 +42,37 @@
 	apply(c *control, now time.Time)
 }
 
+// urgentEvent is an event that may go before all others: one that brings what the operator
+// has ordered, and whose work depends on that change only.
+type urgentEvent interface {
+	event
+	urgent() bool
+}
+
+// queuedEvent is an event with the time at which it was queued.
+type queuedEvent struct {
+	event
+	queuedAt time.Time
+}
+
 // control is the control state. Only the control goroutine accesses it.
 type control struct {
-	deps   *dependencies
-	ctx    context.Context
-	events chan event
+	deps *dependencies
+	ctx  context.Context
+	// urgent holds the events that are applied before all others.
+	urgent chan queuedEvent
+	events chan queuedEvent
 
-	// records holds the latest entries of the store by key, deleted ones included.
-	records          map[string]platform.Entry
-	revision         platform.Revision
+	records *recordSet
+	// coverage is that of all records; operator holds that of the operator's records, which
+	// is at least as new.
+	coverage
+	operator         *operatorState
 	storeUnavailable bool
 	// storeLostAt is when the store became unavailable here, storeFailedAt is the time
 	// of the last failed call.
 	storeLostAt   time.Time
 	storeFailedAt time.Time
-	// completeSince is the revision of the newest full read: all changes after it are
-	// known.
-	completeSince platform.Revision
 	// restoredAt is when the first records were read after a restore of the store from a
 	// copy; zero once restoreGrace is over.
 	restoredAt time.Time
@@ -77,9 +93,9 @@
 	sums      *domainSums
 	// evacuationEnded is when the last evacuation of a failure domain ended, by domain.
 	evacuationEnded map[string]time.Time
-	// cold reports whether the pool has limits for cold upstreams.
-	cold    bool
-	leaving bool
+	cold            coldUpstreams
+	goneUpstreams   goneUpstreams
+	leaving         bool
 	// permitsSince is when this instance began to run without a pause, permitTickAt when
 	// it last assigned the allocators of upstreams.
 	permitsSince time.Time
@@ -89,14 +105,18 @@
 	viewDirty bool
 	splits    map[string]*split
 	pulls     *pulls
+	// lateReportedAt is when a long wait of an event was last logged.
+	lateReportedAt time.Time
 }
 
 func newControl(ctx context.Context, deps *dependencies, now time.Time) *control {
 	c := &control{
 		deps:      deps,
 		ctx:       ctx,
-		events:    make(chan event, eventQueueSize),
-		records:   map[string]platform.Entry{},
+		urgent:    make(chan queuedEvent, eventQueueSize),
+		events:    make(chan queuedEvent, eventQueueSize),
+		operator:  newOperatorState(deps.settings.ConfigBound),
+		records:   newRecordSet(),
 		upstreams: registry.New(0),
 		evacuated: map[string]bool{},
 		members: membership.NewRegistry(membership.Config{
@@ -107,10 +127,13 @@
 		demand:          newServiceDemand(),
 		sums:            newDomainSums(deps.settings.FailureDomain),
 		evacuationEnded: map[string]time.Time{},
+		cold:            coldUpstreams{ids: map[string]bool{}},
 		viewDirty:       true,
 		pulls:           newPulls(),
 	}
 	c.rollouts = newRolloutControl(c)
+	deps.metrics.Gauge("ferry_config_behind_seconds", func() float64 { return c.operator.behind(time.Now()).Seconds() })
+	deps.metrics.Gauge("ferry_config_lag_budget_seconds", func() float64 { return c.budget().Total().Seconds() })
 	c.members.SetRegions(deps.settings.Domains)
 	deps.permits = &permits{
 		throttle: deps.throttle,
@@ -124,8 +147,12 @@
 
 // post sends an event to the control goroutine, or drops it when the instance stops.
 func (c *control) post(e event) {
+	queue := c.events
+	if first, ok := e.(urgentEvent); ok && first.urgent() {
+		queue = c.urgent
+	}
 	select {
-	case c.events <- e:
+	case queue <- queuedEvent{e, time.Now()}:
 	case <-c.ctx.Done():
 	}
 }
@@ -147,11 +174,14 @@
 	defer ticker.Stop()
 	c.publish(time.Now())
 	for {
+		c.applyUrgent()
 		select {
 		case <-c.ctx.Done():
 			return
+		case e := <-c.urgent:
+			c.applyQueued(e)
 		case e := <-c.events:
-			e.apply(c, time.Now())
+			c.applyQueued(e)
 		case <-c.deps.limiter.Wanted():
 			c.requestLoans(time.Now())
 		case <-ticker.C:
@@ -161,6 +191,35 @@
 	}
 }
 
+// applyUrgent applies the urgent events that are queued.
+func (c *control) applyUrgent() {
+	for {
+		select {
+		case e := <-c.urgent:
+			c.applyQueued(e)
+			c.publish(time.Now())
+		default:
+			return
+		}
+	}
+}
+
+// applyQueued applies an event of the queue and measures how long it waited there.
+func (c *control) applyQueued(e queuedEvent) {
+	now := time.Now()
+	wait := now.Sub(e.queuedAt)
+	c.deps.metrics.Histogram("ferry_control_wait_seconds").Update(wait.Seconds())
+	if wait > maxControlWait && now.Sub(c.lateReportedAt) >= time.Second {
+		c.lateReportedAt = now
+		c.deps.log.Warn("control events wait",
+			zap.Duration("wait", wait),
+			zap.Int("queued", len(c.events)),
+			zap.String("event", fmt.Sprintf("%T", e.event)),
+		)
+	}
+	e.apply(c, now)
+}
+
 // tick does the periodic work of the control goroutine.
 func (c *control) tick(now time.Time) {
 	if c.upstreams.Tick(now) {
@@ -168,21 +227,23 @@
 	}
 	c.endRestore(now)
 	c.sendHeartbeats(now)
+	c.readOperatorRecords(now)
 	c.pullIfBehind(now)
 	c.expireStoreFailure(now)
 	c.rollouts.tick(now)
 	c.divideRates(now)
 	c.balance(now)
-	c.poolDirty = c.poolDirty || c.cold || len(c.upstreamRates()) > 0
+	c.refreshLimits(now)
 	c.requestLoans(now)
 	c.assignAllocators(now)
+	c.operator.publishBehind(now)
 	c.viewDirty = true
 }
 
 // publish makes the new state visible to traffic goroutines.
 func (c *control) publish(now time.Time) {
 	if c.poolDirty {
-		c.updatePool()
+		c.updatePool(now)
 		c.poolDirty = false
 	}
 	if !c.viewDirty {
@@ -234,7 +295,12 @@
 		c.readsStore = leads
 		c.deps.log.Info("reading the store for the failure domain", zap.Bool("reads", leads), zap.Stringer("revision", c.revision))
 	}
-	c.deps.watchRole.set(watchRole{reads: c.readsStore, revision: c.revision, leaderCount: peers.LeaderCount()})
+	role := watchRole{reads: c.readsStore, revision: c.revision, leaderCount: peers.LeaderCount()}
+	c.deps.watchRole.set(role)
+	// Until the first read of all records there is no revision to watch from.
+	role.reads = c.readsStore && c.operator.revision != 0
+	role.revision = c.operator.revision
+	c.deps.operatorWatchRole.set(role)
 }
 
 // expireStoreFailure marks the store as available again when this instance does not
--- a/edge/heartbeat.go
+++ b/edge/heartbeat.go
@@ -20,10 +20,11 @@
 // selfState returns the part of a heartbeat that describes this instance.
 func (c *control) selfState() *entrypb.State {
 	s := &entrypb.State{
-		Identity:      c.deps.identity,
-		Leaving:       c.leaving,
-		StoreRevision: uint64(c.revision),
-		StoreAway:     c.storeUnavailable,
+		Identity:         c.deps.identity,
+		Leaving:          c.leaving,
+		StoreRevision:    uint64(c.revision),
+		OperatorRevision: uint64(c.operator.newest),
+		StoreAway:        c.storeUnavailable,
 	}
 	if c.table != nil {
 		s.ConfigVersion = c.table.Version
@@ -94,6 +95,7 @@
 		if err != nil {
 			return heartbeatFailed{address: address, err: err}
 		}
+		c.noteState(response)
 		return heartbeatSucceeded{address: address, state: response}
 	})
 }
@@ -102,12 +104,27 @@
 type heartbeatReceived struct {
 	state *entrypb.State
 	reply chan *entrypb.State
+	// callerGone is closed when the peer waits for no reply any more.
+	callerGone <-chan struct{}
 }
 
 func (e heartbeatReceived) apply(c *control, now time.Time) {
 	c.members.HandleHeartbeat(e.state, now)
 	c.receiveState(now, e.state)
-	e.reply <- c.stateForPeer(now, e.state.GetIdentity())
+	if !isClosed(e.callerGone) {
+		e.reply <- c.stateForPeer(now, e.state.GetIdentity())
+	}
+}
+
+// isClosed reports whether the channel, on which nothing is sent, is closed. A nil channel is
+// not.
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
 }
 
 // heartbeatSucceeded is a peer's response to a heartbeat of this instance.
@@ -133,6 +150,9 @@
 		c.receiveSource(now, s)
 	}
 	c.receiveLimits(now, state.GetUpstreamLimits())
+	if c.operator.lacks(state.GetOperatorRevision()) {
+		announcementOf(state).apply(c, now)
+	}
 	if state.GetStoreRevision() > uint64(c.revision) {
 		c.pullIfBehind(now)
 	}
@@ -157,15 +177,24 @@
 
 // Heartbeat implements entrypb.EntryServer.
 func (s *entryServer) Heartbeat(ctx context.Context, state *entrypb.State) (*entrypb.State, error) {
+	s.control.noteState(state)
 	reply := make(chan *entrypb.State, 1)
-	s.control.post(heartbeatReceived{state: state, reply: reply})
+	s.control.post(heartbeatReceived{state: state, reply: reply, callerGone: ctx.Done()})
 	return waitFor(ctx, reply)
 }
 
 // GetConfig implements entrypb.EntryServer.
 func (s *entryServer) GetConfig(ctx context.Context, request *entrypb.GetConfigRequest) (*entrypb.GetConfigResponse, error) {
+	if request.GetOperatorOnly() {
+		return s.getOperatorRecords(request)
+	}
 	reply := make(chan *entrypb.GetConfigResponse, 1)
-	s.control.post(recordsRequested{after: platform.Revision(request.GetRevision()), reply: reply})
+	s.control.post(recordsRequested{
+		after:         platform.Revision(request.GetRevision()),
+		operatorAfter: platform.Revision(request.GetOperatorRevision()),
+		reply:         reply,
+		callerGone:    ctx.Done(),
+	})
 	return waitFor(ctx, reply)
 }
 
--- a/edge/records.go
+++ b/edge/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -24,50 +25,71 @@
 	// record up to revision is deleted.
 	full bool
 	// confirmed reports whether missing upstreams have been removed rather than lapsed.
-	// For records from a peer it is the peer's view, see registry.Registry.Replace.
+	// For records from a peer it is the peer's view, see registry.Registry.Apply.
 	confirmed bool
+	// prefix is that of all keys that were read; empty for all records.
+	prefix string
 	// fromPeer names the peer that sent them; empty for the store.
 	fromPeer string
+	// readAt is when an instance read them from the store, at the earliest.
+	readAt time.Time
+}
+
+// urgent implements urgentEvent: records of the operator go before all else.
+func (e recordsRead) urgent() bool {
+	return slices.ContainsFunc(e.entries, func(entry platform.Entry) bool { return isOperatorKey(entry.Key) })
 }
 
 func (e recordsRead) apply(c *control, now time.Time) {
-	if c.revision != 0 && e.revision.Era() > c.revision.Era() {
+	known := c.revision
+	if e.prefix != "" {
+		known = c.operator.revision
+	}
+	if c.operator.revision != 0 && e.revision.Era() > c.operator.revision.Era() {
 		c.storeRestored(now, e)
 	}
 	if e.fromPeer == "" {
-		if e.revision < c.revision {
-			c.deps.log.Warn("store is behind", zap.Stringer("store_revision", e.revision), zap.Stringer("revision", c.revision))
+		if e.revision < known {
+			c.deps.log.Warn("store is behind", zap.Stringer("store_revision", e.revision), zap.Stringer("revision", known))
 		}
 		c.markStoreAvailable(now)
 		e.confirmed = c.upstreams.ConfirmsRemovals(now)
 	}
-	if e.full && e.revision < c.revision {
+	if e.full && e.revision < known {
 		return
 	}
-	if e.fromPeer != "" && e.revision > c.revision {
+	if e.fromPeer != "" && e.revision > known {
 		c.markStoreAvailableElsewhere(now)
 	}
 	changed := c.merge(now, e)
-	if e.full {
-		c.completeSince = max(c.completeSince, e.revision)
-	}
-	c.revision = max(c.revision, e.revision)
-	if len(changed) > 0 && c.readsStore {
-		c.announceRecords(now, e.fromPeer == "")
+	if e.prefix == "" {
+		c.coverage.extend(e.revision, e.full)
 	}
+	operator := c.extendOperatorRecords(e, changed)
 	c.applyRecords(now, changed, e.confirmed)
+	if operator || len(changed) > 0 && c.readsStore {
+		c.announce(now, c.members.Snapshot(now).ByName(e.fromPeer), operator)
+	}
 }
 
-// announceRecords notifies the other instances of the failure domain, which learn of a change
-// from this one, and if it was read from the store also the leaders of the other domains, whose
-// watches may not have reported it.
-func (c *control) announceRecords(now time.Time, fromStore bool) {
-	if fromStore {
-		c.members.HeartbeatNow(now)
-	} else {
-		c.members.HeartbeatDomainNow(now)
-	}
-	c.sendHeartbeats(now)
+// extendOperatorRecords applies a read to the state of the operator's records. It reports
+// whether one of them has changed.
+func (c *control) extendOperatorRecords(e recordsRead, changed []string) bool {
+	o := c.operator
+	o.extend(e.revision, e.full)
+	newest := o.newest
+	for _, key := range changed {
+		if isOperatorKey(key) {
+			newest = max(newest, c.records.get(key).Revision)
+		}
+	}
+	operator := newest > o.newest
+	if operator {
+		o.newest, o.readAt = newest, e.readAt
+	}
+	o.follower.Covered(o.revision)
+	c.publishOperatorRecords(operator)
+	return operator
 }
 
 // storeRestored handles the first records that were read after the store was restored from
@@ -124,30 +146,33 @@
 	present := make(map[string]bool, len(e.entries))
 	for _, entry := range e.entries {
 		present[entry.Key] = true
-		old := c.records[entry.Key]
+		old := c.records.get(entry.Key)
 		if old.Revision >= entry.Revision {
 			continue
 		}
 		if entry.Key == records.KeyConfig && (entry.Revision.Era() > old.Revision.Era() || c.restoring(now)) {
 			entry = newerConfig(old, entry)
 		}
-		c.records[entry.Key] = entry
+		c.records.put(entry)
 		changed = append(changed, entry.Key)
 	}
 	if !e.full {
 		return changed
 	}
-	for key, entry := range c.records {
-		if key == records.KeyConfig {
-			// The operator never removes it; only a copy of the store can lack it.
+	var missing []string
+	for entry := range c.records.all() {
+		if entry.Key == records.KeyConfig || !strings.HasPrefix(entry.Key, e.prefix) {
+			// The operator never removes the configuration; only a copy of the store can lack it.
 			continue
 		}
-		if !present[key] && !entry.Deleted && entry.Revision <= e.revision {
-			c.records[key] = platform.Entry{Key: key, Revision: e.revision, Deleted: true}
-			changed = append(changed, key)
+		if !present[entry.Key] && !entry.Deleted && entry.Revision <= e.revision {
+			missing = append(missing, entry.Key)
 		}
 	}
-	return changed
+	for _, key := range missing {
+		c.records.put(platform.Entry{Key: key, Revision: e.revision, Deleted: true})
+	}
+	return append(changed, missing...)
 }
 
 // newerConfig returns the record of a restored store, with the configuration known before
@@ -169,13 +194,14 @@
 
 // applyRecords puts changed records in force.
 func (c *control) applyRecords(now time.Time, changed []string, confirmed bool) {
-	var upstreams, instances, evacuations, rollouts bool
+	var upstreams []string
+	var instances, evacuations, rollouts bool
 	for _, key := range changed {
 		switch {
 		case key == records.KeyConfig:
 			c.adoptConfig(now)
 		case strings.HasPrefix(key, records.PrefixUpstreams):
-			upstreams = true
+			upstreams = append(upstreams, key)
 		case strings.HasPrefix(key, records.PrefixInstances):
 			instances = true
 		case strings.HasPrefix(key, records.PrefixEvacuations):
@@ -184,8 +210,8 @@
 			rollouts = true
 		}
 	}
-	if upstreams {
-		c.readUpstreams(now, confirmed)
+	if len(upstreams) > 0 {
+		c.readUpstreams(now, upstreams, confirmed)
 	}
 	if instances {
 		c.readInstances(now)
@@ -201,8 +227,8 @@
 // forEachRecord calls handle with every entry that has the key prefix and is not
 // deleted.
 func (c *control) forEachRecord(prefix string, handle func(entry platform.Entry)) {
-	for key, entry := range c.records {
-		if !entry.Deleted && strings.HasPrefix(key, prefix) {
+	for entry := range c.records.withPrefix(prefix) {
+		if !entry.Deleted {
 			handle(entry)
 		}
 	}
@@ -210,7 +236,7 @@
 
 // adoptConfig puts the configuration in force if it is valid and its version is newer.
 func (c *control) adoptConfig(now time.Time) {
-	entry := c.records[records.KeyConfig]
+	entry := c.records.get(records.KeyConfig)
 	if entry.Deleted {
 		return
 	}
@@ -230,7 +256,10 @@
 	c.table = table
 	c.updateSplits()
 	c.configureRates(now, table)
+	c.cold.allDirty = true
 	c.poolDirty, c.viewDirty = true, true
+	lag := now.Sub(c.operator.readAt)
+	c.deps.metrics.Histogram("ferry_config_lag_seconds").Update(lag.Seconds())
 	c.deps.log.Info("configuration in force",
 		zap.Uint64("version", config.Version),
 		zap.Stringer("revision", entry.Revision),
@@ -238,6 +267,8 @@
 		zap.Int("routes_with_homes", lo.CountBy(table.Routes, func(r *routing.Route) bool { return r.HomeRegions != nil })),
 		zap.Int("customers_with_homes", lo.CountBy(table.Customers, func(c *routing.Customer) bool { return c.HomeRegions != nil })),
 		zap.Time("at", now),
+		zap.Duration("lag", lag),
+		zap.Bool("in_budget", lag <= c.budget().Total()),
 	)
 }
 
@@ -260,21 +291,38 @@
 	c.splits = splits
 }
 
-func (c *control) readUpstreams(now time.Time, confirmed bool) {
-	var entries []registry.Entry
-	c.forEachRecord(records.PrefixUpstreams, func(entry platform.Entry) {
-		parsed, err := records.DecodeUpstream(entry)
-		if err != nil {
-			c.deps.metrics.Counter("ferry_unreadable_entries_total").Inc()
-			c.deps.log.Warn("entry of an upstream cannot be read", zap.Error(err))
-			return
+// readUpstreams puts the changed records of upstreams in force. One that cannot be read names no
+// upstream.
+func (c *control) readUpstreams(now time.Time, keys []string, confirmed bool) {
+	var changed []registry.Entry
+	var missing []string
+	for _, key := range keys {
+		parsed, ok := c.decodeUpstream(c.records.get(key))
+		if ok {
+			changed = append(changed, parsed)
+		} else if id, ok := records.CutKeyPrefix(key, records.PrefixUpstreams); ok {
+			missing = append(missing, id)
 		}
-		entries = append(entries, parsed)
-	})
-	if c.upstreams.Replace(now, entries, confirmed) {
+	}
+	if c.upstreams.Apply(now, changed, missing, confirmed) {
 		c.poolDirty, c.viewDirty = true, true
-		c.deps.log.Info("upstreams changed", zap.Stringer("revision", c.revision), zap.Int("entries", len(entries)))
+		c.deps.log.Info("upstreams changed", zap.Stringer("revision", c.revision), zap.Int("entries", len(keys)))
+	}
+}
+
+// decodeUpstream returns the upstream of a record, or false when there is none.
+func (c *control) decodeUpstream(entry platform.Entry) (registry.Entry, bool) {
+	if entry.Deleted {
+		return registry.Entry{}, false
+	}
+	c.deps.metrics.Counter("ferry_records_decoded_total", "kind", "upstream").Inc()
+	parsed, err := records.DecodeUpstream(entry)
+	if err != nil {
+		c.deps.metrics.Counter("ferry_unreadable_entries_total").Inc()
+		c.deps.log.Warn("entry of an upstream cannot be read", zap.Error(err))
+		return registry.Entry{}, false
 	}
+	return parsed, true
 }
 
 func (c *control) readInstances(now time.Time) {
@@ -312,6 +360,7 @@
 	for domain := range c.evacuated {
 		if !evacuated[domain] {
 			c.evacuationEnded[domain] = now
+			c.cold.allDirty = true
 			c.deps.log.Info("failure domain taken back", zap.String("failure_domain", domain), zap.Stringer("revision", c.revision))
 		}
 	}
@@ -324,18 +373,28 @@
 	c.poolDirty = true
 }
 
-// updatePool passes the known upstreams to the placement pool.
-func (c *control) updatePool() {
-	now := time.Now()
+// updatePool passes the settings and the changed upstreams to the placement pool. The limits of
+// cold upstreams go first, so that none gets requests without its limit.
+func (c *control) updatePool(now time.Time) {
+	changed, gone := c.upstreams.TakeChanges()
+	c.deps.pool.Configure(c.poolSettings(now))
+	c.updateCold(now, changed)
+	c.deps.pool.Update(changed, gone)
+	for _, id := range gone {
+		delete(c.cold.ids, id)
+	}
+	c.goneUpstreams.add(now, gone)
+	c.deps.upstreams.Drop(gone...)
+}
+
+// poolSettings returns the settings of the placement pool.
+func (c *control) poolSettings(now time.Time) placement.Settings {
 	settings := placement.Settings{
 		Regions:        c.deps.settings.Domains,
 		Evacuated:      c.evacuated,
 		Connections:    map[string]int{},
 		MaxConnections: map[string]int{},
-		Cold:           c.coldLimits(now),
-		Rates:          c.upstreamRates(),
 	}
-	c.cold = len(settings.Cold) > 0
 	peers := c.members.Snapshot(now)
 	settings.Senders = 1 + lo.CountBy(peers.All, func(p *membership.Peer) bool { return p.Usable() && p.Region == peers.Self.Region })
 	if c.table != nil {
@@ -345,6 +404,42 @@
 			settings.Connections[service.Name] = max(service.Connections/instances, 1)
 		}
 	}
-	c.deps.pool.Update(c.upstreams.All(), settings)
-	c.deps.upstreams.Retain(c.deps.pool.Upstreams())
+	return settings
+}
+
+// refreshLimits updates the limits of cold upstreams and the rates of those that limit them.
+func (c *control) refreshLimits(now time.Time) {
+	rates := c.upstreamRates()
+	c.deps.pool.SetRates(rates)
+	c.refreshCold(now)
+	c.poolDirty = c.poolDirty || len(c.cold.ids) > 0 || len(rates) > 0
+	c.deps.upstreams.Drop(c.goneUpstreams.expired(now, c.upstreams.Has)...)
+}
+
+// goneUpstreams holds the upstreams that have left. A request that chose one of them before may
+// open a connection to it afterwards.
+type goneUpstreams struct {
+	ids []string
+	at  []time.Time
+}
+
+// goneUpstreamAge is the age at which no request uses an upstream that has left.
+const goneUpstreamAge = time.Minute
+
+func (g *goneUpstreams) add(now time.Time, ids []string) {
+	for _, id := range ids {
+		g.ids, g.at = append(g.ids, id), append(g.at, now)
+	}
+}
+
+// expired removes the ids that are older than goneUpstreamAge, and returns those of them for
+// which known returns false.
+func (g *goneUpstreams) expired(now time.Time, known func(id string) bool) []string {
+	n := 0
+	for n < len(g.at) && now.Sub(g.at[n]) > goneUpstreamAge {
+		n++
+	}
+	old := g.ids[:n]
+	g.ids, g.at = g.ids[n:], g.at[n:]
+	return lo.Reject(old, func(id string, _ int) bool { return known(id) })
 }
