--- a/standin/records/records.go
+++ b/standin/records/records.go
@@ -27,7 +27,8 @@
 	Slots         int
 	// Draining reports whether the upstream accepts no new requests.
 	Draining bool
-	Started  time.Time
+	// Started is the start time of the process; zero when unknown.
+	Started time.Time
 }
 
 // Key returns the store key of the entry.
@@ -39,8 +40,12 @@
 	if u.Draining {
 		state = "draining"
 	}
+	born := int64(0)
+	if !u.Started.IsZero() {
+		born = u.Started.UnixMilli()
+	}
 	return json.Marshal(object{
-		"addr": u.Address, "born": u.Started.UnixMilli(),
+		"addr": u.Address, "born": born,
 		"info":   object{"service": u.Service, "version": u.Version, "zone": u.FailureDomain, "slots": u.Slots},
 		"status": object{"state": state, "seq": 1, "cold_left_ms": 0},
 	})
