edge: an entry that cannot be read is logged once for each change of it

One odd entry in the store was logged and counted again at every change of any entry of its kind, and upstreams write every second or so: the log of each instance grew without bound while it was there, and the counter told nothing of how many there were.

The cause: all entries of a kind are decoded again whenever one has changed, and each failure was reported.

The control goroutine remembers the revision at which it reported an entry, and forgets it when the entry changes or is removed.

--- a/edge/control.go
+++ b/edge/control.go
@@ -47,8 +47,10 @@
 	events chan event
 
 	// records holds the latest entries of the store by key, deleted ones included.
-	records          map[string]platform.Entry
-	revision         platform.Revision
+	records  map[string]platform.Entry
+	revision platform.Revision
+	// unreadable holds the revisions of the entries that were reported as unreadable, by key.
+	unreadable       map[string]platform.Revision
 	storeUnavailable bool
 	// storeLostAt is when the store became unavailable here, storeFailedAt is the time
 	// of the last failed call.
@@ -93,12 +95,13 @@
 
 func newControl(ctx context.Context, deps *dependencies, now time.Time) *control {
 	c := &control{
-		deps:      deps,
-		ctx:       ctx,
-		events:    make(chan event, eventQueueSize),
-		records:   map[string]platform.Entry{},
-		upstreams: registry.New(0),
-		evacuated: map[string]bool{},
+		deps:       deps,
+		ctx:        ctx,
+		events:     make(chan event, eventQueueSize),
+		records:    map[string]platform.Entry{},
+		unreadable: map[string]platform.Revision{},
+		upstreams:  registry.New(0),
+		evacuated:  map[string]bool{},
 		members: membership.NewRegistry(membership.Config{
 			Self:     deps.identity,
 			Interval: deps.settings.HeartbeatInterval,
--- a/edge/records.go
+++ b/edge/records.go
@@ -132,6 +132,7 @@
 			entry = newerConfig(old, entry)
 		}
 		c.records[entry.Key] = entry
+		delete(c.unreadable, entry.Key)
 		changed = append(changed, entry.Key)
 	}
 	if !e.full {
@@ -144,6 +145,7 @@
 		}
 		if !present[key] && !entry.Deleted && entry.Revision <= e.revision {
 			c.records[key] = platform.Entry{Key: key, Revision: e.revision, Deleted: true}
+			delete(c.unreadable, key)
 			changed = append(changed, key)
 		}
 	}
@@ -260,13 +262,22 @@
 	c.splits = splits
 }
 
+// reportUnreadable logs and counts an entry that cannot be read, once for each change of it.
+func (c *control) reportUnreadable(entry platform.Entry, message string, err error) {
+	if c.unreadable[entry.Key] == entry.Revision {
+		return
+	}
+	c.unreadable[entry.Key] = entry.Revision
+	c.deps.metrics.Counter("ferry_unreadable_entries_total").Inc()
+	c.deps.log.Warn(message, zap.Stringer("revision", entry.Revision), zap.Error(err))
+}
+
 func (c *control) readUpstreams(now time.Time, confirmed bool) {
 	var entries []registry.Entry
 	c.forEachRecord(records.PrefixUpstreams, func(entry platform.Entry) {
 		parsed, err := records.DecodeUpstream(entry)
 		if err != nil {
-			c.deps.metrics.Counter("ferry_unreadable_entries_total").Inc()
-			c.deps.log.Warn("entry of an upstream cannot be read", zap.Error(err))
+			c.reportUnreadable(entry, "entry of an upstream cannot be read", err)
 			return
 		}
 		entries = append(entries, parsed)
@@ -282,7 +293,7 @@
 	c.forEachRecord(records.PrefixInstances, func(entry platform.Entry) {
 		i, err := records.DecodeInstance(entry)
 		if err != nil {
-			c.deps.log.Warn("entry of an instance cannot be read", zap.Error(err))
+			c.reportUnreadable(entry, "entry of an instance cannot be read", err)
 			return
 		}
 		instances = append(instances, platform.Instance{
--- a/edge/records_test.go
+++ b/edge/records_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"samphireferry.example/ferry/config/static"
@@ -128,3 +129,38 @@
 		assert.Equal(t, c.upstreams.ConfirmsRemovals(now.Add(2*storeFailureExpiry)), !readsStore)
 	}
 }
+
+// oddEntry returns an entry of an upstream that cannot be read.
+func oddEntry(id string, revision platform.Revision) platform.Entry {
+	return platform.Entry{Key: "servers/" + id, Revision: revision, Value: []byte(`{"addr":"10.0.0.9:70000"}`)}
+}
+
+// changes applies entries that a watch returned.
+func (c *control) changes(now time.Time, entries ...platform.Entry) {
+	recordsRead{entries: entries, revision: entries[len(entries)-1].Revision}.apply(c, now)
+}
+
+// TestAnOddEntryIsLoggedOncePerChange guards against a log that grows with every change of
+// any upstream while one odd entry is in the store.
+func TestAnOddEntryIsLoggedOncePerChange(t *testing.T) {
+	c := newTestControl(t)
+	core, logs := observer.New(zap.WarnLevel)
+	c.deps.log = zap.New(core)
+	now := time.Now()
+	c.changes(now, oddEntry("u-odd", 1), platform.Entry{Key: "ferry/instances/odd", Revision: 2, Value: []byte(`[`)},
+		platform.Entry{Key: "op/rollout/odd", Revision: 3, Value: []byte(`{}`)})
+	assert.Equal(t, logs.Len(), 3)
+	for beat := range platform.Revision(100) {
+		c.changes(now, upstreamEntry(t, "u-1", 10+4*beat),
+			platform.Entry{Key: "ferry/instances/other", Revision: 11 + 4*beat, Deleted: true},
+			platform.Entry{Key: "op/rollout/other", Revision: 12 + 4*beat, Deleted: true})
+	}
+	assert.Equal(t, logs.Len(), 3)
+	c.changes(now, oddEntry("u-odd", 1000))
+	assert.Equal(t, logs.Len(), 4)
+	assert.Equal(t, c.deps.metrics.Counter("ferry_unreadable_entries_total").Get(), uint64(4))
+	c.changes(now, upstreamEntry(t, "u-odd", 1001))
+	c.changes(now, platform.Entry{Key: "servers/u-odd", Revision: 1002, Deleted: true})
+	c.changes(now, oddEntry("u-odd", 1003))
+	assert.Equal(t, logs.Len(), 5)
+}
--- a/edge/rollout.go
+++ b/edge/rollout.go
@@ -60,7 +60,7 @@
 	r.control.forEachRecord(records.PrefixRolloutOrders, func(entry platform.Entry) {
 		order, err := records.DecodeRolloutOrder(entry)
 		if err != nil {
-			r.control.deps.log.Warn("roll-out order cannot be read", zap.Error(err))
+			r.control.reportUnreadable(entry, "roll-out order cannot be read", err)
 			return
 		}
 		ordered[order.Service] = true
