edge, registry: an entry replaced by an odd one names its upstream no more

While missing entries may return, in an outage of the store and 2.5 s after it, an upstream whose entry another writer had replaced by one that cannot be read stayed in use, as if its entry had lapsed. The others held, and later changes too.

The cause: the registry was given the readable entries only, so that an unreadable one looked missing.

Evidence: TestAnOddEntryNamesNoUpstream failed in "store was lost": the upstream was still there after the change.

Such an upstream is now forgotten at once. It does not count as removed, so that its next good entry is taken as it comes.

--- a/edge/records.go
+++ b/edge/records.go
@@ -274,15 +274,18 @@
 
 func (c *control) readUpstreams(now time.Time, confirmed bool) {
 	var entries []registry.Entry
+	replaced := false
 	c.forEachRecord(records.PrefixUpstreams, func(entry platform.Entry) {
 		parsed, err := records.DecodeUpstream(entry)
 		if err != nil {
 			c.reportUnreadable(entry, "entry of an upstream cannot be read", err)
+			id, _ := records.CutKeyPrefix(entry.Key, records.PrefixUpstreams)
+			replaced = c.upstreams.Forget(id) || replaced
 			return
 		}
 		entries = append(entries, parsed)
 	})
-	if c.upstreams.Replace(now, entries, confirmed) {
+	if c.upstreams.Replace(now, entries, confirmed) || replaced {
 		c.poolDirty, c.viewDirty = true, true
 		c.deps.log.Info("upstreams changed", zap.Stringer("revision", c.revision), zap.Int("entries", len(entries)))
 	}
--- a/edge/records_test.go
+++ b/edge/records_test.go
@@ -164,3 +164,31 @@
 	c.changes(now, oddEntry("u-odd", 1003))
 	assert.Equal(t, logs.Len(), 5)
 }
+
+// TestAnOddEntryNamesNoUpstream guards against requests to an upstream whose entry another
+// writer has replaced: while missing entries only lapse, after an outage of the store, it
+// stayed in use.
+func TestAnOddEntryNamesNoUpstream(t *testing.T) {
+	for name, lost := range map[string]bool{"store available": false, "store was lost": true} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestControl(t)
+			now := time.Now()
+			recordsRead{entries: []platform.Entry{upstreamEntry(t, "u-1", 3), upstreamEntry(t, "u-2", 4)}, revision: 10, full: true}.apply(c, now)
+			if lost {
+				storeFailed{}.apply(c, now.Add(time.Second))
+			}
+			at := now.Add(2 * time.Second)
+			c.changes(at, oddEntry("u-1", 11))
+			assert.Assert(t, !c.upstreams.Has("u-1"))
+			assert.Assert(t, c.upstreams.Has("u-2"), "the others hold")
+			c.changes(at, upstreamEntry(t, "u-3", 12))
+			assert.Assert(t, c.upstreams.Has("u-3"), "later changes hold")
+			assert.Assert(t, !c.upstreams.Has("u-1"))
+			c.changes(at, upstreamEntry(t, "u-1", 13))
+			assert.Assert(t, c.upstreams.Has("u-1"), "the upstream has written again")
+			recordsRead{entries: []platform.Entry{oddEntry("u-1", 14), upstreamEntry(t, "u-2", 4)}, revision: 15, full: true}.apply(c, at)
+			assert.Assert(t, !c.upstreams.Has("u-1"))
+			assert.Assert(t, c.upstreams.Has("u-2"))
+		})
+	}
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -147,6 +147,15 @@
 	return r.Tick(now) || changed
 }
 
+// Forget deletes an upstream whose entry has been replaced by one that names none, and
+// reports whether there was one. It neither lapses nor counts as removed: the upstream may
+// write its entry again at any time.
+func (r *Registry) Forget(id string) bool {
+	known := r.Has(id)
+	delete(r.upstreams, id)
+	return known
+}
+
 func (r *Registry) put(now time.Time, entry Entry) bool {
 	old := r.upstreams[entry.ID]
 	if old != nil && old.Revision >= entry.Revision && !old.lapsed {
