upstream: a reset that a write has met is no end of a response

Another operator's clients got a 200 with a short body as whole after an upstream had broken off. Cut heads and bodies are errors here at every byte (TestACutResponseIsNoSuccess, which passed at once).

The cause: the kernel reports a reset to one call only. The write of the request body met it, and the read of the response then saw a plain end, which is the end of such a response.

At the end of the stream, the connection now asks for the state of its socket: after a close it is CLOSE_WAIT, after a reset CLOSE. If it was closed here meanwhile, which a failed write leads to, the end is not trusted either.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -1,12 +1,15 @@
 package upstream
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 var (
@@ -43,17 +46,41 @@
 	return c.opened.Add(time.Duration(c.lastRead.Load()))
 }
 
-// Read reads from the upstream and records the time of contact.
+// Read reads from the upstream and records the time of contact. It returns io.EOF only if the
+// upstream has closed the connection without a reset.
 func (c *conn) Read(p []byte) (int, error) {
 	c.setReading(true)
 	n, err := c.Conn.Read(p)
 	c.setReading(false)
+	if err == io.EOF && c.wasReset() {
+		err = syscall.ECONNRESET
+	}
 	if n > 0 {
 		c.lastRead.Store(int64(time.Since(c.opened)))
 	}
 	return n, err
 }
 
+// wasReset reports whether the upstream may have reset the connection. The kernel reports a
+// reset to one call only; if that is a write, a read sees a plain end. The state of the socket
+// still shows which it was, unless the failed write has led to its close here.
+func (c *conn) wasReset() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := true
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = infoErr != nil || info.State == unix.BPF_TCP_CLOSE
+	})
+	return err != nil || closed
+}
+
 func (c *conn) setReading(reading bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
