upstream: a connection that brought a response of another request is closed

Another operator reported that a faulty upstream wrote an earlier refusal once more on a kept connection, and that requests were refused as not run that had run. The id tells such a refusal apart here: the request counts as one that may have run (TestAnEarlierRefusalProvesNothing). But the connection was used again. The response to the request in whose place the refusal came was then due at the next one, and so on: each request on that connection failed as "does not echo the request id" though its upstream ran it.

The cause: a response without a body gives its connection back to the pool of net/http before its header is checked, and closing the body of the refused response does nothing then.

An attempt whose response is not accepted now closes its connection, unless the upstream refused the request. A request that was given the connection meanwhile fails, as it did.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -201,3 +201,15 @@
 	a.sealed = true
 	return a.writing || a.written > 0
 }
+
+// closeConn closes the connection of the attempt after a response that does not belong to its
+// request. net/http keeps it open for other requests when the response has no body, and each
+// of them would get the response to the one before it.
+func (a *attempt) closeConn() {
+	a.mu.Lock()
+	bound := a.bound
+	a.mu.Unlock()
+	if bound != nil {
+		_ = bound.Close()
+	}
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -81,6 +81,9 @@
 	e.host.observe(time.Since(e.started))
 	if err := e.checkResponse(resp); err != nil {
 		_ = resp.Body.Close()
+		if !errors.Is(err, errShed) {
+			e.attempt.closeConn()
+		}
 		e.release()
 		return nil, err
 	}
