upstream: a refusal without an id is trusted once on a connection

A service whose upstreams echo no ids (not on the users' platform, where all echo them): an earlier refusal, written once more on a kept connection, told the caller of the next request "not run", or had it sent to a second upstream, though it was running.

The cause: nothing tells such a refusal from that of the request, and its connection was used again.

Evidence: TestARefusalAfterARefusalNeedsAnID saw the request after a refusal on the connection of the refusal, and its refusal trusted.

A connection is now closed after a refusal without an id, and a request that was given it meanwhile does not trust one either (TestARefusalIsOwnedOnlyAfterAcceptedResponses). Such services pay a connection for each refusal.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -25,6 +25,9 @@
 	// lastRead is the time of the last byte read, in nanoseconds since opened.
 	lastRead atomic.Int64
 	attempt  atomic.Pointer[attempt]
+	// unchecked counts the attempts that were bound to the connection and whose responses have
+	// not been accepted.
+	unchecked atomic.Int64
 
 	mu sync.Mutex
 	// reading is set while a Read is in progress.
@@ -128,13 +131,15 @@
 	// deadline is the time after which no byte is written.
 	deadline time.Time
 
-	mu       sync.Mutex
-	bound    *conn
-	reused   bool
-	unusable bool
-	sealed   bool
-	writing  bool
-	written  int64
+	mu     sync.Mutex
+	bound  *conn
+	reused bool
+	// earlierAccepted is set when all earlier responses on the connection were accepted.
+	earlierAccepted bool
+	unusable        bool
+	sealed          bool
+	writing         bool
+	written         int64
 }
 
 // bind assigns the connection to the attempt. When usable is false, or after the
@@ -150,6 +155,7 @@
 		return
 	}
 	a.bound = c
+	a.earlierAccepted = c.unchecked.Add(1) == 1
 	c.attempt.Store(a)
 }
 
@@ -202,9 +208,27 @@
 	return a.writing || a.written > 0
 }
 
+// markChecked records that the response was accepted as that of this attempt.
+func (a *attempt) markChecked() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.bound != nil {
+		a.bound.unchecked.Add(-1)
+	}
+}
+
+// ownsRefusal reports whether a refusal without an id can only be that of this request. A
+// request may be given the connection before closeConn is called for the one before it.
+func (a *attempt) ownsRefusal() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.earlierAccepted
+}
+
 // closeConn closes the connection of the attempt after a response that does not belong to its
-// request. net/http keeps it open for other requests when the response has no body, and each
-// of them would get the response to the one before it.
+// request, or that may come once more without being recognised. net/http keeps it open for
+// other requests when the response has no body, and each of them would get the response to
+// the one before it.
 func (a *attempt) closeConn() {
 	a.mu.Lock()
 	bound := a.bound
--- a/upstream/conn_test.go
+++ b/upstream/conn_test.go
@@ -65,6 +65,27 @@
 	}
 }
 
+// TestARefusalIsOwnedOnlyAfterAcceptedResponses guards against trusting an earlier refusal
+// without an id: a request may be given the connection before the response to the one before
+// it has been looked at.
+func TestARefusalIsOwnedOnlyAfterAcceptedResponses(t *testing.T) {
+	c := newConn(&recordingConn{}, time.Now())
+	bind := func() *attempt {
+		a := &attempt{}
+		a.bind(c, true, true)
+		return a
+	}
+	accepted := bind()
+	assert.Assert(t, accepted.ownsRefusal())
+	accepted.markChecked()
+	refused := bind()
+	assert.Assert(t, refused.ownsRefusal())
+	next := bind()
+	assert.Assert(t, !next.ownsRefusal())
+	next.markChecked()
+	assert.Assert(t, !bind().ownsRefusal(), "the refusal may still come once more")
+}
+
 // TestIdleConnectionIsUsedOnlyOnceItIsRead guards against a request on a connection whose
 // reader still holds bytes that followed the last response.
 func TestIdleConnectionIsUsedOnlyOnceItIsRead(t *testing.T) {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -81,15 +81,19 @@
 	e.host.observe(time.Since(e.started))
 	if err := e.checkResponse(resp); err != nil {
 		_ = resp.Body.Close()
-		if !errors.Is(err, errShed) {
+		if !errors.Is(err, errShed) || !e.echoesID() {
 			e.attempt.closeConn()
 		}
 		e.release()
 		return nil, err
 	}
+	e.attempt.markChecked()
 	return e.newResponse(resp), nil
 }
 
+// echoesID reports whether the id in a response tells which request it belongs to.
+func (e *exchange) echoesID() bool { return e.service != nil && e.service.EchoRequestID }
+
 // startSilenceTimer starts the silence timer of an idempotent request once it
 // has a connection.
 func (e *exchange) startSilenceTimer(reused bool) {
@@ -183,10 +187,13 @@
 // this request, reports that the request was not run, or has no verifiable end.
 func (e *exchange) checkResponse(resp *http.Response) error {
 	options := &e.client.options
-	if e.service != nil && e.service.EchoRequestID && resp.Header.Get(options.Headers.RequestID) != e.id {
+	if e.echoesID() && resp.Header.Get(options.Headers.RequestID) != e.id {
 		return e.wrap(errors.New("response does not echo the request id"), errkind.AnswerMismatched, true)
 	}
 	if options.Headers.NotRun(resp.StatusCode, resp.Header) {
+		if !e.echoesID() && !e.attempt.ownsRefusal() {
+			return e.wrap(errors.New("the refusal may be that of the request before"), errkind.AnswerMismatched, true)
+		}
 		return e.shedError(resp)
 	}
 	if resp.StatusCode < http.StatusOK {
--- a/upstream/refusal_test.go
+++ b/upstream/refusal_test.go
@@ -125,3 +125,19 @@
 		}
 	}
 }
+
+// TestARefusalAfterARefusalNeedsAnID guards against a false promise that a request has not
+// run (REFUSED): upstreams of a service that echoes no ids may write an earlier refusal once
+// more where the response to the next request of the connection is due.
+func TestARefusalAfterARefusalNeedsAnID(t *testing.T) {
+	s := newEchoingServer(t, map[string]string{"/refused": refusalNoID, "/ok": success})
+	client := upstream.New(upstream.Options{MaxContactAge: time.Hour})
+	defer client.Close()
+	service := &routing.Service{Name: "lookup"}
+	assert.NilError(t, s.send(t, client, service, "r1", "/ok"))
+	err := s.send(t, client, service, "r2", "/refused")
+	assert.Assert(t, !upstream.MayHaveRun(err), "no refusal came before it: %v", err)
+	err = s.send(t, client, service, "r3", "/refused")
+	assert.Assert(t, !upstream.MayHaveRun(err), "on a connection without an earlier refusal: %v", err)
+	assert.DeepEqual(t, s.connections(), [][]string{{"/ok", "/refused"}, {"/refused"}})
+}
