--- a/edge/control.go
+++ b/edge/control.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"samphireferry.example/ferry/membership"
+	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/quota"
 	"samphireferry.example/ferry/registry"
 	"samphireferry.example/ferry/routing"
@@ -64,6 +65,8 @@
 	events chan queuedEvent
 
 	records *recordSet
+	// unreadable holds the revisions of the entries that were reported as unreadable, by key.
+	unreadable map[string]platform.Revision
 	// coverage is that of all records; operator holds that of the operator's records, which
 	// is at least as new.
 	coverage
@@ -111,14 +114,15 @@
 
 func newControl(ctx context.Context, deps *dependencies, now time.Time) *control {
 	c := &control{
-		deps:      deps,
-		ctx:       ctx,
-		urgent:    make(chan queuedEvent, eventQueueSize),
-		events:    make(chan queuedEvent, eventQueueSize),
-		operator:  newOperatorState(deps.settings.ConfigBound),
-		records:   newRecordSet(),
-		upstreams: registry.New(0),
-		evacuated: map[string]bool{},
+		deps:       deps,
+		ctx:        ctx,
+		urgent:     make(chan queuedEvent, eventQueueSize),
+		events:     make(chan queuedEvent, eventQueueSize),
+		operator:   newOperatorState(deps.settings.ConfigBound),
+		records:    newRecordSet(),
+		unreadable: map[string]platform.Revision{},
+		upstreams:  registry.New(0),
+		evacuated:  map[string]bool{},
 		members: membership.NewRegistry(membership.Config{
 			Self:     deps.identity,
 			Interval: deps.settings.HeartbeatInterval,
--- a/edge/records.go
+++ b/edge/records.go
@@ -154,6 +154,7 @@
 			entry = newerConfig(old, entry)
 		}
 		c.records.put(entry)
+		delete(c.unreadable, entry.Key)
 		changed = append(changed, entry.Key)
 	}
 	if !e.full {
@@ -171,6 +172,7 @@
 	}
 	for _, key := range missing {
 		c.records.put(platform.Entry{Key: key, Revision: e.revision, Deleted: true})
+		delete(c.unreadable, key)
 	}
 	return append(changed, missing...)
 }
@@ -291,38 +293,49 @@
 	c.splits = splits
 }
 
+// reportUnreadable logs and counts an entry that cannot be read, once for each change of it.
+func (c *control) reportUnreadable(entry platform.Entry, message string, err error) {
+	if c.unreadable[entry.Key] == entry.Revision {
+		return
+	}
+	c.unreadable[entry.Key] = entry.Revision
+	c.deps.metrics.Counter("ferry_unreadable_entries_total").Inc()
+	c.deps.log.Warn(message, zap.Stringer("revision", entry.Revision), zap.Error(err))
+}
+
 // readUpstreams puts the changed records of upstreams in force. One that cannot be read names no
-// upstream.
+// upstream: it has replaced the entry, which so has not lapsed.
 func (c *control) readUpstreams(now time.Time, keys []string, confirmed bool) {
 	var changed []registry.Entry
-	var missing []string
+	var missing, unreadable []string
 	for _, key := range keys {
-		parsed, ok := c.decodeUpstream(c.records.get(key))
-		if ok {
-			changed = append(changed, parsed)
-		} else if id, ok := records.CutKeyPrefix(key, records.PrefixUpstreams); ok {
+		id, ok := records.CutKeyPrefix(key, records.PrefixUpstreams)
+		entry := c.records.get(key)
+		if !ok {
+			continue
+		}
+		if entry.Deleted {
 			missing = append(missing, id)
+			continue
+		}
+		c.deps.metrics.Counter("ferry_records_decoded_total", "kind", "upstream").Inc()
+		parsed, err := records.DecodeUpstream(entry)
+		if err != nil {
+			c.reportUnreadable(entry, "entry of an upstream cannot be read", err)
+			unreadable = append(unreadable, id)
+			continue
 		}
+		changed = append(changed, parsed)
 	}
-	if c.upstreams.Apply(now, changed, missing, confirmed) {
+	forgotten := c.upstreams.Forget(unreadable...)
+	if c.upstreams.Apply(now, changed, missing, confirmed) || forgotten {
 		c.poolDirty, c.viewDirty = true, true
 		c.deps.log.Info("upstreams changed", zap.Stringer("revision", c.revision), zap.Int("entries", len(keys)))
 	}
-}
-
-// decodeUpstream returns the upstream of a record, or false when there is none.
-func (c *control) decodeUpstream(entry platform.Entry) (registry.Entry, bool) {
-	if entry.Deleted {
-		return registry.Entry{}, false
-	}
-	c.deps.metrics.Counter("ferry_records_decoded_total", "kind", "upstream").Inc()
-	parsed, err := records.DecodeUpstream(entry)
-	if err != nil {
-		c.deps.metrics.Counter("ferry_unreadable_entries_total").Inc()
-		c.deps.log.Warn("entry of an upstream cannot be read", zap.Error(err))
-		return registry.Entry{}, false
+	if c.upstreams.Apply(now, changed, missing, confirmed) {
+		c.poolDirty, c.viewDirty = true, true
+		c.deps.log.Info("upstreams changed", zap.Stringer("revision", c.revision), zap.Int("entries", len(keys)))
 	}
-	return parsed, true
 }
 
 func (c *control) readInstances(now time.Time) {
@@ -330,7 +343,7 @@
 	c.forEachRecord(records.PrefixInstances, func(entry platform.Entry) {
 		i, err := records.DecodeInstance(entry)
 		if err != nil {
-			c.deps.log.Warn("entry of an instance cannot be read", zap.Error(err))
+			c.reportUnreadable(entry, "entry of an instance cannot be read", err)
 			return
 		}
 		instances = append(instances, platform.Instance{
--- a/edge/records_test.go
+++ b/edge/records_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"samphireferry.example/ferry/config/static"
@@ -128,3 +129,66 @@
 		assert.Equal(t, c.upstreams.ConfirmsRemovals(now.Add(2*storeFailureExpiry)), !readsStore)
 	}
 }
+
+// oddEntry returns an entry of an upstream that cannot be read.
+func oddEntry(id string, revision platform.Revision) platform.Entry {
+	return platform.Entry{Key: "servers/" + id, Revision: revision, Value: []byte(`{"addr":"10.0.0.9:70000"}`)}
+}
+
+// changes applies entries that a watch returned.
+func (c *control) changes(now time.Time, entries ...platform.Entry) {
+	recordsRead{entries: entries, revision: entries[len(entries)-1].Revision}.apply(c, now)
+}
+
+// TestAnOddEntryIsLoggedOncePerChange guards against a log that grows with every change of
+// any upstream while one odd entry is in the store.
+func TestAnOddEntryIsLoggedOncePerChange(t *testing.T) {
+	c := newTestControl(t)
+	core, logs := observer.New(zap.WarnLevel)
+	c.deps.log = zap.New(core)
+	now := time.Now()
+	c.changes(now, oddEntry("u-odd", 1), platform.Entry{Key: "ferry/instances/odd", Revision: 2, Value: []byte(`[`)},
+		platform.Entry{Key: "op/rollout/odd", Revision: 3, Value: []byte(`{}`)})
+	assert.Equal(t, logs.Len(), 3)
+	for beat := range platform.Revision(100) {
+		c.changes(now, upstreamEntry(t, "u-1", 10+4*beat),
+			platform.Entry{Key: "ferry/instances/other", Revision: 11 + 4*beat, Deleted: true},
+			platform.Entry{Key: "op/rollout/other", Revision: 12 + 4*beat, Deleted: true})
+	}
+	assert.Equal(t, logs.Len(), 3)
+	c.changes(now, oddEntry("u-odd", 1000))
+	assert.Equal(t, logs.Len(), 4)
+	assert.Equal(t, c.deps.metrics.Counter("ferry_unreadable_entries_total").Get(), uint64(4))
+	c.changes(now, upstreamEntry(t, "u-odd", 1001))
+	c.changes(now, platform.Entry{Key: "servers/u-odd", Revision: 1002, Deleted: true})
+	c.changes(now, oddEntry("u-odd", 1003))
+	assert.Equal(t, logs.Len(), 5)
+}
+
+// TestAnOddEntryNamesNoUpstream guards against requests to an upstream whose entry another
+// writer has replaced: while missing entries only lapse, after an outage of the store, it
+// stayed in use.
+func TestAnOddEntryNamesNoUpstream(t *testing.T) {
+	for name, lost := range map[string]bool{"store available": false, "store was lost": true} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestControl(t)
+			now := time.Now()
+			recordsRead{entries: []platform.Entry{upstreamEntry(t, "u-1", 3), upstreamEntry(t, "u-2", 4)}, revision: 10, full: true}.apply(c, now)
+			if lost {
+				storeFailed{}.apply(c, now.Add(time.Second))
+			}
+			at := now.Add(2 * time.Second)
+			c.changes(at, oddEntry("u-1", 11))
+			assert.Assert(t, !c.upstreams.Has("u-1"))
+			assert.Assert(t, c.upstreams.Has("u-2"), "the others hold")
+			c.changes(at, upstreamEntry(t, "u-3", 12))
+			assert.Assert(t, c.upstreams.Has("u-3"), "later changes hold")
+			assert.Assert(t, !c.upstreams.Has("u-1"))
+			c.changes(at, upstreamEntry(t, "u-1", 13))
+			assert.Assert(t, c.upstreams.Has("u-1"), "the upstream has written again")
+			recordsRead{entries: []platform.Entry{oddEntry("u-1", 14), upstreamEntry(t, "u-2", 4)}, revision: 15, full: true}.apply(c, at)
+			assert.Assert(t, !c.upstreams.Has("u-1"))
+			assert.Assert(t, c.upstreams.Has("u-2"))
+		})
+	}
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -1,12 +1,15 @@
 package upstream
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 var (
@@ -22,6 +25,9 @@
 	// lastRead is the time of the last byte read, in nanoseconds since opened.
 	lastRead atomic.Int64
 	attempt  atomic.Pointer[attempt]
+	// unchecked counts the attempts that were bound to the connection and whose responses have
+	// not been accepted.
+	unchecked atomic.Int64
 
 	mu sync.Mutex
 	// reading is set while a Read is in progress.
@@ -43,17 +49,41 @@
 	return c.opened.Add(time.Duration(c.lastRead.Load()))
 }
 
-// Read reads from the upstream and records the time of contact.
+// Read reads from the upstream and records the time of contact. It returns io.EOF only if the
+// upstream has closed the connection without a reset.
 func (c *conn) Read(p []byte) (int, error) {
 	c.setReading(true)
 	n, err := c.Conn.Read(p)
 	c.setReading(false)
+	if err == io.EOF && c.wasReset() {
+		err = syscall.ECONNRESET
+	}
 	if n > 0 {
 		c.lastRead.Store(int64(time.Since(c.opened)))
 	}
 	return n, err
 }
 
+// wasReset reports whether the upstream may have reset the connection. The kernel reports a
+// reset to one call only; if that is a write, a read sees a plain end. The state of the socket
+// still shows which it was, unless the failed write has led to its close here.
+func (c *conn) wasReset() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := true
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = infoErr != nil || info.State == unix.BPF_TCP_CLOSE
+	})
+	return err != nil || closed
+}
+
 func (c *conn) setReading(reading bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -101,13 +131,15 @@
 	// deadline is the time after which no byte is written.
 	deadline time.Time
 
-	mu       sync.Mutex
-	bound    *conn
-	reused   bool
-	unusable bool
-	sealed   bool
-	writing  bool
-	written  int64
+	mu     sync.Mutex
+	bound  *conn
+	reused bool
+	// earlierAccepted is set when all earlier responses on the connection were accepted.
+	earlierAccepted bool
+	unusable        bool
+	sealed          bool
+	writing         bool
+	written         int64
 }
 
 // bind assigns the connection to the attempt. When usable is false, or after the
@@ -123,6 +155,7 @@
 		return
 	}
 	a.bound = c
+	a.earlierAccepted = c.unchecked.Add(1) == 1
 	c.attempt.Store(a)
 }
 
@@ -174,3 +207,33 @@
 	a.sealed = true
 	return a.writing || a.written > 0
 }
+
+// markChecked records that the response was accepted as that of this attempt.
+func (a *attempt) markChecked() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.bound != nil {
+		a.bound.unchecked.Add(-1)
+	}
+}
+
+// ownsRefusal reports whether a refusal without an id can only be that of this request. A
+// request may be given the connection before closeConn is called for the one before it.
+func (a *attempt) ownsRefusal() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.earlierAccepted
+}
+
+// closeConn closes the connection of the attempt after a response that does not belong to its
+// request, or that may come once more without being recognised. net/http keeps it open for
+// other requests when the response has no body, and each of them would get the response to
+// the one before it.
+func (a *attempt) closeConn() {
+	a.mu.Lock()
+	bound := a.bound
+	a.mu.Unlock()
+	if bound != nil {
+		_ = bound.Close()
+	}
+}
