edge: changes of the store are applied in their order

A batch of changes with a record of the operator went before earlier batches of the same watch. Only reads of the operator's records alone go first now; their watch brings a configuration before the batch that has it as well. TestPeersGetEveryBatchOfChanges and TestAListIsNotFollowedByAnOlderBatch failed before: the upstream was still known.

--- a/edge/records.go
+++ b/edge/records.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"strings"
 	"time"
 
@@ -35,10 +34,9 @@
 	readAt time.Time
 }
 
-// urgent implements urgentEvent: records of the operator go before all else.
-func (e recordsRead) urgent() bool {
-	return slices.ContainsFunc(e.entries, func(entry platform.Entry) bool { return isOperatorKey(entry.Key) })
-}
+// urgent implements urgentEvent: a read of the operator's records alone goes before all else.
+// Reads of all records stay in their order.
+func (e recordsRead) urgent() bool { return e.prefix != "" }
 
 func (e recordsRead) apply(c *control, now time.Time) {
 	known := c.revision
