edge: a failure of the watch of the operator's records is no outage of the store

That watch is quiet most of the time, and may be cut for it. Only the watch of all records decides now. TestACutWatchOfTheOperatorsRecordsIsNoOutage failed before: the cut was posted as a failure of the store.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -154,12 +154,18 @@
 	return min(wait, platform.MaxWatchWait)
 }
 
-// reportFailure posts the failed store call and pauses, unless the context has ended.
+// reportFailure posts the failed store call and pauses, unless the context has ended. A failure
+// of the watch of the operator's records, which is quiet most of the time and may be cut for
+// that, is no sign that the store is unavailable: the watch of all records decides that.
 func (w *storeWatcher) reportFailure(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	w.post(storeFailed{err: err})
+	if w.prefix == "" {
+		w.post(storeFailed{err: err})
+	} else {
+		w.log.Debug("watch failed", zap.String("prefix", w.prefix), zap.Error(err))
+	}
 	sleep(ctx, retryPause)
 }
 
--- a/edge/records.go
+++ b/edge/records.go
@@ -46,10 +46,10 @@
 	if c.operator.revision != 0 && e.revision.Era() > c.operator.revision.Era() {
 		c.storeRestored(now, e)
 	}
-	if e.fromPeer == "" {
-		if e.revision < known {
-			c.deps.log.Warn("store is behind", zap.Stringer("store_revision", e.revision), zap.Stringer("revision", known))
-		}
+	if e.fromPeer == "" && e.revision < known {
+		c.deps.log.Warn("store is behind", zap.Stringer("store_revision", e.revision), zap.Stringer("revision", known))
+	}
+	if e.fromPeer == "" && e.prefix == "" {
 		c.markStoreAvailable(now)
 		e.confirmed = c.upstreams.ConfirmsRemovals(now)
 	}
