edge: an older read takes back no record of the operator

The operator's records are known here up to a later revision than the rest. A list or a pull from before brought a record back that the operator had removed since, and later pulls left the removal out as known: an evacuation lasted, or a roll-out was ordered again. Now what such a read has of the operator's records up to the known revision does not count, and a peer between two eras responds with nothing. A pull that brings nothing counts as a failure, so that the peer is not asked again at once.

--- a/edge/pull.go
+++ b/edge/pull.go
@@ -170,7 +170,11 @@
 		c.deps.log.Warn("records were not pulled", zap.String("peer", e.peer), zap.Error(e.err))
 		return
 	}
+	before := c.revision
 	recordsFrom(e.peer, e.startedAt, e.response).apply(c, now)
+	if c.revision == before {
+		c.pulls.recordFailure(now, e.peer)
+	}
 	c.pullIfBehind(now)
 }
 
@@ -215,6 +219,11 @@
 	if isClosed(e.callerGone) {
 		return
 	}
+	if c.operator.revision.Era() > c.revision.Era() {
+		// The operator's records are of a later era than the rest: they do not go together.
+		e.reply <- &entrypb.GetConfigResponse{}
+		return
+	}
 	response := &entrypb.GetConfigResponse{
 		Revision:      uint64(c.revision),
 		Full:          e.after < c.completeSince,
--- a/edge/records.go
+++ b/edge/records.go
@@ -145,7 +145,8 @@
 	for _, entry := range e.entries {
 		present[entry.Key] = true
 		old := c.records.get(entry.Key)
-		if old.Revision >= entry.Revision {
+		if old.Revision >= entry.Revision || isOperatorKey(entry.Key) && entry.Revision <= c.operator.revision {
+			// A record of the operator that is not known here up to operator.revision was removed.
 			continue
 		}
 		if entry.Key == records.KeyConfig && (entry.Revision.Era() > old.Revision.Era() || c.restoring(now)) {
