propagation: the store is read in time beside peers that hang, and rarely for a faulty one

Two faults of the choice of a source, found by review. Three peers that did not respond used up all reads, so the store was read at 1/2 of the budget instead of 1/3: reads of the store are not counted among those of peers now. A peer that repeats a revision which the store does not have made every instance read the store once a second, for ever (60 reads a minute each): its announcements are ignored for a time that doubles. TestTheStoreIsReadWhenAllPeersHang and TestAFaultyPeerCausesFewReadsOfTheStore failed before. TestReadsAreBounded counts peers and the store apart.

--- a/propagation/follower.go
+++ b/propagation/follower.go
@@ -7,8 +7,12 @@
 	"samphireferry.example/ferry/platform"
 )
 
-// maxReads bounds the concurrent reads of a Follower.
-const maxReads = 3
+const (
+	// maxReads bounds the concurrent reads of peers.
+	maxReads = 3
+	// maxDoubt bounds the time for which announcements of a peer are ignored.
+	maxDoubt = time.Minute
+)
 
 // Distance orders the sources of a change.
 type Distance uint8
@@ -43,23 +47,33 @@
 	// peers holds the peers that have announced a revision above covered.
 	peers map[string]*source
 	store source
+	// doubted holds the peers that have announced what the store did not have.
+	doubted map[string]doubt
 	// behindSince is when a revision above covered was first announced; zero if none is.
 	behindSince time.Time
 	startedAt   time.Time
 	reads       int
 }
 
+// doubt states until when announcements of a peer are ignored.
+type doubt struct {
+	until time.Time
+	// pause is the time for which they were ignored last; it doubles each time.
+	pause time.Duration
+}
+
 // NewFollower returns a follower that knows nothing. random chooses among equal sources.
 func NewFollower(budget Budget, random *rand.Rand) *Follower {
-	return &Follower{budget: budget, random: random, peers: map[string]*source{}}
+	return &Follower{budget: budget, random: random, peers: map[string]*source{}, doubted: map[string]doubt{}}
 }
 
 // SetBudget replaces the budget.
 func (f *Follower) SetBudget(b Budget) { f.budget = b }
 
-// Announced records that the peer has every record of the operator up to the revision.
+// Announced records that the peer has every record of the operator up to the revision. It is
+// ignored for a while after the store did not have what the peer had announced.
 func (f *Follower) Announced(now time.Time, peer string, distance Distance, revision platform.Revision) {
-	if revision <= f.covered {
+	if revision <= f.covered || now.Before(f.doubted[peer].until) {
 		return
 	}
 	if f.behindSince.IsZero() {
@@ -113,7 +127,7 @@
 // Budget.Hedge. readsStore states that the instance watches the store itself, so that
 // the change is expected from there first. The caller reports the end of the read to Done.
 func (f *Follower) Next(now time.Time, readsStore bool) (string, bool) {
-	if f.behindSince.IsZero() || f.reads >= maxReads || f.reads > 0 && now.Sub(f.startedAt) < f.budget.Hedge() {
+	if f.behindSince.IsZero() {
 		return "", false
 	}
 	waited := now.Sub(f.behindSince)
@@ -121,7 +135,8 @@
 		f.start(now, &f.store)
 		return Store, true
 	}
-	if readsStore && waited < f.budget.Hedge() {
+	recent := f.reads > 0 && now.Sub(f.startedAt) < f.budget.Hedge()
+	if f.reads >= maxReads || recent || readsStore && waited < f.budget.Hedge() {
 		return "", false
 	}
 	name, s := f.nearest(now, waited)
@@ -165,14 +180,15 @@
 func (f *Follower) start(now time.Time, s *source) {
 	s.running = true
 	f.startedAt = now
-	f.reads++
+	if s != &f.store {
+		f.reads++
+	}
 }
 
 // Done records the end of the read of a source that began at started. A successful read
 // must have been reported to Covered before. What was announced before a successful read
 // of the store and is not in it does not exist.
 func (f *Follower) Done(now time.Time, name string, started time.Time, err error) {
-	f.reads--
 	if name == Store {
 		f.store.running = false
 		f.store.failedAt = time.Time{}
@@ -180,10 +196,19 @@
 			f.store.failedAt = now
 			return
 		}
+		for peer, s := range f.peers {
+			if !s.toldAt.After(started) {
+				f.doubt(now, peer)
+			}
+		}
 		f.dropSources(func(s *source) bool { return !s.toldAt.After(started) })
 		return
 	}
+	f.reads--
 	s := f.peers[name]
+	if err == nil && (s == nil || s.requested <= f.covered) {
+		delete(f.doubted, name)
+	}
 	if s == nil {
 		return
 	}
@@ -193,3 +218,9 @@
 		s.failedAt = now
 	}
 }
+
+// doubt ignores the announcements of a peer for a while.
+func (f *Follower) doubt(now time.Time, peer string) {
+	pause := min(max(2*f.doubted[peer].pause, f.budget.Total()), maxDoubt)
+	f.doubted[peer] = doubt{until: now.Add(pause), pause: pause}
+}
--- a/propagation/follower_test.go
+++ b/propagation/follower_test.go
@@ -89,13 +89,17 @@
 	for _, peer := range []string{"a", "b", "c", "d", "e"} {
 		f.Announced(testNow, peer, SameDomain, 5)
 	}
-	reads := 0
+	peers, store := 0, 0
 	for now := testNow; now.Before(testNow.Add(testBound)); now = now.Add(time.Millisecond) {
-		if _, due := f.Next(now, false); due {
-			reads++
+		switch name, due := f.Next(now, false); {
+		case due && name == Store:
+			store++
+		case due:
+			peers++
 		}
 	}
-	assert.Equal(t, reads, maxReads)
+	assert.Equal(t, peers, maxReads)
+	assert.Equal(t, store, 1)
 }
 
 // Guards against an instance that reads the store again and again for a revision that a peer
@@ -149,3 +153,64 @@
 	assert.DeepEqual(t, Contacts("s", ring[:3], 1), [][]string{{"b", "a"}, {"c"}, nil})
 	assert.DeepEqual(t, Contacts("s", nil, 0), make([][]string, 3))
 }
+
+// Guards against a faulty peer that makes every instance read the store without end, by
+// announcing revisions that the store does not have.
+func TestAFaultyPeerCausesFewReadsOfTheStore(t *testing.T) {
+	for name, grows := range map[string]bool{"the same revision in each heartbeat": false, "an ever newer one": true} {
+		t.Run(name, func(t *testing.T) {
+			f := NewFollower(NewBudget(testBound), rand.New(rand.NewPCG(1, 1)))
+			f.Covered(10)
+			type running struct {
+				name string
+				at   time.Time
+			}
+			var reads []running
+			store, peers := 0, 0
+			revision := platform.Revision(1 << 30)
+			const minute = 60
+			for tick := range minute * 10 {
+				now := testNow.Add(time.Duration(tick) * 100 * time.Millisecond)
+				for _, r := range reads {
+					f.Done(now, r.name, r.at, nil)
+				}
+				reads = nil
+				if tick%10 == 0 {
+					f.Announced(now, "liar", SameDomain, revision)
+					if grows {
+						revision++
+					}
+				}
+				for {
+					name, due := f.Next(now, false)
+					if !due {
+						break
+					}
+					if name == Store {
+						store++
+					} else {
+						peers++
+					}
+					reads = append(reads, running{name, now})
+				}
+			}
+			assert.Assert(t, store <= 10, "%d reads of the store and %d of the peer in a minute, by one instance", store, peers)
+		})
+	}
+}
+
+// Guards against a store that is read late because as many peers as may be read at once do not
+// respond.
+func TestTheStoreIsReadWhenAllPeersHang(t *testing.T) {
+	f := newTestFollower()
+	for _, peer := range []string{"a", "b", "c", "d"} {
+		f.Announced(testNow, peer, SameDomain, 5)
+	}
+	b := NewBudget(testBound)
+	for d := time.Duration(0); d <= b.StoreAfter()+b.Hedge(); d += time.Millisecond {
+		if name, due := f.Next(testNow.Add(d), false); due && name == Store {
+			return
+		}
+	}
+	t.Fatalf("the store was not read within %v", b.StoreAfter()+b.Hedge())
+}
