edge: urgent events hold up others for a short time only

Urgent events were applied until none was left, and every announcement was one. At most 64 go in a row now, and an announcement is urgent only if it has a change of the operator's records that is missing here.

--- a/edge/control.go
+++ b/edge/control.go
@@ -195,9 +195,12 @@
 	}
 }
 
-// applyUrgent applies the urgent events that are queued.
+// maxUrgentEvents is the number of urgent events that are applied in a row.
+const maxUrgentEvents = 64
+
+// applyUrgent applies the urgent events that are queued, up to maxUrgentEvents.
 func (c *control) applyUrgent() {
-	for {
+	for range maxUrgentEvents {
 		select {
 		case e := <-c.urgent:
 			c.applyQueued(e)
--- a/edge/operator.go
+++ b/edge/operator.go
@@ -222,10 +222,14 @@
 }
 
 // announced tells which records a peer has.
-type announced struct{ message *entrypb.Announcement }
+type announced struct {
+	message *entrypb.Announcement
+	// lacking is set when it has a change of the operator's records that is missing here.
+	lacking bool
+}
 
 // urgent implements urgentEvent.
-func (announced) urgent() bool { return true }
+func (e announced) urgent() bool { return e.lacking }
 
 func (e announced) apply(c *control, now time.Time) {
 	peer := c.members.Snapshot(now).ByName(e.message.GetSender())
@@ -258,11 +262,12 @@
 
 // announcementOf returns what a heartbeat announces.
 func announcementOf(state *entrypb.State) announced {
-	return announced{&entrypb.Announcement{
+	message := &entrypb.Announcement{
 		Sender:           state.GetIdentity().GetName(),
 		StoreRevision:    state.GetStoreRevision(),
 		OperatorRevision: state.GetOperatorRevision(),
-	}}
+	}
+	return announced{message, true}
 }
 
 // announce tells peers which records this instance has, after it has read a change from a
@@ -335,7 +340,7 @@
 
 // Announce implements entrypb.EntryServer.
 func (s *entryServer) Announce(_ context.Context, message *entrypb.Announcement) (*entrypb.AnnouncementReceipt, error) {
-	s.control.post(announced{message})
+	s.control.post(announced{message, s.control.operator.lacks(message.GetOperatorRevision())})
 	return &entrypb.AnnouncementReceipt{}, nil
 }
 
--- a/edge/order_test.go
+++ b/edge/order_test.go
@@ -118,3 +118,25 @@
 	recordsFrom("e2", now, response).apply(c, now.Add(time.Second))
 	assert.Assert(t, c.rollouts.runs["lookup"] == run, fmt.Sprint("the roll-out has started again, by a response of revision ", platform.Revision(response.GetRevision())))
 }
+
+// repeated is an urgent event that is followed by another one.
+type repeated struct{ count *int }
+
+func (repeated) urgent() bool { return true }
+
+func (e repeated) apply(c *control, _ time.Time) {
+	*e.count++
+	if *e.count < 100*maxUrgentEvents {
+		c.post(e)
+	}
+}
+
+// Guards against urgent events that keep coming and hold up everything else.
+func TestUrgentEventsHoldUpOthersForAShortTime(t *testing.T) {
+	c := newTestControl(t)
+	count, before := 0, 0
+	c.post(inspect(func(*control) { before = count }))
+	c.post(repeated{&count})
+	applyAll(c)
+	assert.Equal(t, before, maxUrgentEvents)
+}
