--- a/edge/control.go
+++ b/edge/control.go
@@ -33,6 +33,9 @@
 	maxCopyAge = time.Minute
 	// maxControlWait is the wait of an event from which it is logged.
 	maxControlWait = 250 * time.Millisecond
+	// minOperatorReaders is the number of instances that follow the operator's records in the
+	// store, where there are fewer failure domains.
+	minOperatorReaders = 3
 	// eventQueueSize is the number of events that can be queued.
 	eventQueueSize = 1024
 )
@@ -305,8 +308,9 @@
 	role := watchRole{reads: c.readsStore, revision: c.revision, leaderCount: peers.LeaderCount()}
 	c.deps.watchRole.set(role)
 	// Until the first read of all records there is no revision to watch from.
-	role.reads = c.readsStore && c.operator.revision != 0
+	role.reads = peers.IsReader(minOperatorReaders) && c.operator.revision != 0
 	role.revision = c.operator.revision
+	role.leaderCount = max(role.leaderCount, minOperatorReaders)
 	c.deps.operatorWatchRole.set(role)
 }
 
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -94,6 +94,9 @@
 	// batchPause is the pause after a watch that returned changes, so that a series of
 	// changes costs one call.
 	batchPause time.Duration
+	// timeout returns how long the response of a watch may take after its wait. nil leaves it to
+	// the store's client.
+	timeout func() time.Duration
 }
 
 // run reads the store until the context ends.
@@ -126,7 +129,10 @@
 // watch waits for changes after the revision. It returns the revision from which to
 // continue, and false when all records have to be listed again.
 func (w *storeWatcher) watch(ctx context.Context, after platform.Revision, leaderCount int) (platform.Revision, bool) {
-	entries, revision, err := w.store.Watch(ctx, w.prefix, after, watchWait(leaderCount))
+	wait := watchWait(leaderCount)
+	watchContext, cancel := w.withTimeout(ctx, wait)
+	entries, revision, err := w.store.Watch(watchContext, w.prefix, after, wait)
+	cancel()
 	w.log.Debug("watch returned",
 		zap.Stringer("after", after),
 		zap.Stringer("revision", revision),
@@ -147,6 +153,14 @@
 	return revision, true
 }
 
+// withTimeout returns the context of a watch with the wait.
+func (w *storeWatcher) withTimeout(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
+	if w.timeout == nil {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, wait+w.timeout())
+}
+
 // watchWait returns how long the next watch waits for changes, with random jitter.
 func watchWait(leaderCount int) time.Duration {
 	base := float64(max(leaderCount, 1)) * float64(watchWaitPerLeader)
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -117,7 +117,8 @@
 	}
 	operator := &storeWatcher{
 		store: i.deps.store, log: i.deps.log, post: i.control.post, role: i.deps.operatorWatchRole,
-		prefix: records.PrefixOperator,
+		prefix:  records.PrefixOperator,
+		timeout: func() time.Duration { return i.control.budget().ReadTimeout() },
 	}
 	go all.run(i.ctx)
 	go operator.run(i.ctx)
--- a/edge/operator.go
+++ b/edge/operator.go
@@ -284,7 +284,7 @@
 			targets[peer.Name] = peer
 		}
 	}
-	if c.readsStore && from == nil {
+	if (c.readsStore || operator) && from == nil {
 		for domain := range c.deps.settings.Domains {
 			if leader := peers.Leader(domain); leader != nil {
 				targets[leader.Name] = leader
--- a/membership/leads.go
+++ b/membership/leads.go
@@ -23,6 +23,26 @@
 // LeaderCount returns the number of failure domains that have a leader.
 func (p *Peers) LeaderCount() int { return len(p.leaders) }
 
+// IsReader reports whether this instance is one of the readers of a small set of records that
+// at least count instances read: the leaders, and where those are fewer, the next usable
+// instances in the order of compareLeaders.
+func (p *Peers) IsReader(count int) bool {
+	if p.IsLeader() {
+		return true
+	}
+	missing := count - len(p.leaders)
+	if missing <= 0 || p.Self.Leaving {
+		return false
+	}
+	before := 0
+	for _, peer := range p.All {
+		if peer.Usable() && p.leaders[peer.FailureDomain] != peer && compareLeaders(peer, &p.Self) < 0 {
+			before++
+		}
+	}
+	return before < missing
+}
+
 // FullMesh reports whether every instance exchanges heartbeats with every other.
 func (p *Peers) FullMesh() bool { return len(p.All) <= FullMeshLimit }
 
--- a/membership/leads_test.go
+++ b/membership/leads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -76,3 +77,25 @@
 		}
 	}
 }
+
+// Guards against a change that depends on one instance where there are few failure domains.
+func TestAtLeastThreeInstancesRead(t *testing.T) {
+	for _, domains := range []int{1, 2, 3, 5} {
+		const instances = 10
+		var all []*Peer
+		for n := range instances {
+			name := fmt.Sprintf("i%d", n)
+			all = append(all, &Peer{Name: name, FailureDomain: fmt.Sprintf("d%d", n%domains), State: &entrypb.State{}})
+		}
+		readers := 0
+		for n, self := range all {
+			others := slices.Delete(slices.Clone(all), n, n+1)
+			if NewPeers(*self, others).IsReader(3) {
+				readers++
+			}
+		}
+		assert.Equal(t, readers, max(domains, 3), "%d domains", domains)
+	}
+	alone := NewPeers(Peer{Name: "i", FailureDomain: "d", State: &entrypb.State{}}, nil)
+	assert.Assert(t, alone.IsReader(3))
+}
