--- a/edge/control.go
+++ b/edge/control.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"samphireferry.example/ferry/membership"
+	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/quota"
 	"samphireferry.example/ferry/registry"
 	"samphireferry.example/ferry/routing"
@@ -32,6 +33,9 @@
 	maxCopyAge = time.Minute
 	// maxControlWait is the wait of an event from which it is logged.
 	maxControlWait = 250 * time.Millisecond
+	// minOperatorReaders is the number of instances that follow the operator's records in the
+	// store, where there are fewer failure domains.
+	minOperatorReaders = 3
 	// eventQueueSize is the number of events that can be queued.
 	eventQueueSize = 1024
 )
@@ -64,6 +68,8 @@
 	events chan queuedEvent
 
 	records *recordSet
+	// unreadable holds the revisions of the entries that were reported as unreadable, by key.
+	unreadable map[string]platform.Revision
 	// coverage is that of all records; operator holds that of the operator's records, which
 	// is at least as new.
 	coverage
@@ -111,14 +117,15 @@
 
 func newControl(ctx context.Context, deps *dependencies, now time.Time) *control {
 	c := &control{
-		deps:      deps,
-		ctx:       ctx,
-		urgent:    make(chan queuedEvent, eventQueueSize),
-		events:    make(chan queuedEvent, eventQueueSize),
-		operator:  newOperatorState(deps.settings.ConfigBound),
-		records:   newRecordSet(),
-		upstreams: registry.New(0),
-		evacuated: map[string]bool{},
+		deps:       deps,
+		ctx:        ctx,
+		urgent:     make(chan queuedEvent, eventQueueSize),
+		events:     make(chan queuedEvent, eventQueueSize),
+		operator:   newOperatorState(deps.settings.ConfigBound),
+		records:    newRecordSet(),
+		unreadable: map[string]platform.Revision{},
+		upstreams:  registry.New(0),
+		evacuated:  map[string]bool{},
 		members: membership.NewRegistry(membership.Config{
 			Self:     deps.identity,
 			Interval: deps.settings.HeartbeatInterval,
@@ -191,9 +198,12 @@
 	}
 }
 
-// applyUrgent applies the urgent events that are queued.
+// maxUrgentEvents is the number of urgent events that are applied in a row.
+const maxUrgentEvents = 64
+
+// applyUrgent applies the urgent events that are queued, up to maxUrgentEvents.
 func (c *control) applyUrgent() {
-	for {
+	for range maxUrgentEvents {
 		select {
 		case e := <-c.urgent:
 			c.applyQueued(e)
@@ -298,8 +308,9 @@
 	role := watchRole{reads: c.readsStore, revision: c.revision, leaderCount: peers.LeaderCount()}
 	c.deps.watchRole.set(role)
 	// Until the first read of all records there is no revision to watch from.
-	role.reads = c.readsStore && c.operator.revision != 0
+	role.reads = peers.IsReader(minOperatorReaders) && c.operator.revision != 0
 	role.revision = c.operator.revision
+	role.leaderCount = max(role.leaderCount, minOperatorReaders)
 	c.deps.operatorWatchRole.set(role)
 }
 
--- a/edge/records.go
+++ b/edge/records.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"strings"
 	"time"
 
@@ -35,10 +34,9 @@
 	readAt time.Time
 }
 
-// urgent implements urgentEvent: records of the operator go before all else.
-func (e recordsRead) urgent() bool {
-	return slices.ContainsFunc(e.entries, func(entry platform.Entry) bool { return isOperatorKey(entry.Key) })
-}
+// urgent implements urgentEvent: a read of the operator's records alone goes before all else.
+// Reads of all records stay in their order.
+func (e recordsRead) urgent() bool { return e.prefix != "" }
 
 func (e recordsRead) apply(c *control, now time.Time) {
 	known := c.revision
@@ -48,10 +46,10 @@
 	if c.operator.revision != 0 && e.revision.Era() > c.operator.revision.Era() {
 		c.storeRestored(now, e)
 	}
-	if e.fromPeer == "" {
-		if e.revision < known {
-			c.deps.log.Warn("store is behind", zap.Stringer("store_revision", e.revision), zap.Stringer("revision", known))
-		}
+	if e.fromPeer == "" && e.revision < known {
+		c.deps.log.Warn("store is behind", zap.Stringer("store_revision", e.revision), zap.Stringer("revision", known))
+	}
+	if e.fromPeer == "" && e.prefix == "" {
 		c.markStoreAvailable(now)
 		e.confirmed = c.upstreams.ConfirmsRemovals(now)
 	}
@@ -147,13 +145,15 @@
 	for _, entry := range e.entries {
 		present[entry.Key] = true
 		old := c.records.get(entry.Key)
-		if old.Revision >= entry.Revision {
+		if old.Revision >= entry.Revision || isOperatorKey(entry.Key) && entry.Revision <= c.operator.revision {
+			// A record of the operator that is not known here up to operator.revision was removed.
 			continue
 		}
 		if entry.Key == records.KeyConfig && (entry.Revision.Era() > old.Revision.Era() || c.restoring(now)) {
 			entry = newerConfig(old, entry)
 		}
 		c.records.put(entry)
+		delete(c.unreadable, entry.Key)
 		changed = append(changed, entry.Key)
 	}
 	if !e.full {
@@ -171,6 +171,7 @@
 	}
 	for _, key := range missing {
 		c.records.put(platform.Entry{Key: key, Revision: e.revision, Deleted: true})
+		delete(c.unreadable, key)
 	}
 	return append(changed, missing...)
 }
@@ -291,38 +292,49 @@
 	c.splits = splits
 }
 
+// reportUnreadable logs and counts an entry that cannot be read, once for each change of it.
+func (c *control) reportUnreadable(entry platform.Entry, message string, err error) {
+	if c.unreadable[entry.Key] == entry.Revision {
+		return
+	}
+	c.unreadable[entry.Key] = entry.Revision
+	c.deps.metrics.Counter("ferry_unreadable_entries_total").Inc()
+	c.deps.log.Warn(message, zap.Stringer("revision", entry.Revision), zap.Error(err))
+}
+
 // readUpstreams puts the changed records of upstreams in force. One that cannot be read names no
-// upstream.
+// upstream: it has replaced the entry, which so has not lapsed.
 func (c *control) readUpstreams(now time.Time, keys []string, confirmed bool) {
 	var changed []registry.Entry
-	var missing []string
+	var missing, unreadable []string
 	for _, key := range keys {
-		parsed, ok := c.decodeUpstream(c.records.get(key))
-		if ok {
-			changed = append(changed, parsed)
-		} else if id, ok := records.CutKeyPrefix(key, records.PrefixUpstreams); ok {
+		id, ok := records.CutKeyPrefix(key, records.PrefixUpstreams)
+		entry := c.records.get(key)
+		if !ok {
+			continue
+		}
+		if entry.Deleted {
 			missing = append(missing, id)
+			continue
 		}
+		c.deps.metrics.Counter("ferry_records_decoded_total", "kind", "upstream").Inc()
+		parsed, err := records.DecodeUpstream(entry)
+		if err != nil {
+			c.reportUnreadable(entry, "entry of an upstream cannot be read", err)
+			unreadable = append(unreadable, id)
+			continue
+		}
+		changed = append(changed, parsed)
 	}
-	if c.upstreams.Apply(now, changed, missing, confirmed) {
+	forgotten := c.upstreams.Forget(unreadable...)
+	if c.upstreams.Apply(now, changed, missing, confirmed) || forgotten {
 		c.poolDirty, c.viewDirty = true, true
 		c.deps.log.Info("upstreams changed", zap.Stringer("revision", c.revision), zap.Int("entries", len(keys)))
 	}
-}
-
-// decodeUpstream returns the upstream of a record, or false when there is none.
-func (c *control) decodeUpstream(entry platform.Entry) (registry.Entry, bool) {
-	if entry.Deleted {
-		return registry.Entry{}, false
-	}
-	c.deps.metrics.Counter("ferry_records_decoded_total", "kind", "upstream").Inc()
-	parsed, err := records.DecodeUpstream(entry)
-	if err != nil {
-		c.deps.metrics.Counter("ferry_unreadable_entries_total").Inc()
-		c.deps.log.Warn("entry of an upstream cannot be read", zap.Error(err))
-		return registry.Entry{}, false
+	if c.upstreams.Apply(now, changed, missing, confirmed) {
+		c.poolDirty, c.viewDirty = true, true
+		c.deps.log.Info("upstreams changed", zap.Stringer("revision", c.revision), zap.Int("entries", len(keys)))
 	}
-	return parsed, true
 }
 
 func (c *control) readInstances(now time.Time) {
@@ -330,7 +342,7 @@
 	c.forEachRecord(records.PrefixInstances, func(entry platform.Entry) {
 		i, err := records.DecodeInstance(entry)
 		if err != nil {
-			c.deps.log.Warn("entry of an instance cannot be read", zap.Error(err))
+			c.reportUnreadable(entry, "entry of an instance cannot be read", err)
 			return
 		}
 		instances = append(instances, platform.Instance{
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -214,6 +214,24 @@
 	}
 }
 
+// Forget deletes the upstreams whose entries have been replaced by ones that name none, and
+// reports whether there were any. They neither lapse nor count as removed: an upstream may
+// write its entry again at any time.
+func (r *Registry) Forget(ids ...string) bool {
+	known := false
+	for _, id := range ids {
+		delete(r.held, id)
+		if !r.Has(id) {
+			continue
+		}
+		known = true
+		delete(r.upstreams, id)
+		delete(r.lapsed, id)
+		r.changes[id] = true
+	}
+	return known
+}
+
 func (r *Registry) put(now time.Time, entry Entry) bool {
 	old := r.upstreams[entry.ID]
 	if old != nil && old.Revision >= entry.Revision && !old.lapsed {
