entryinstance: short calls find a silent connection

Callers saw: with a call timeout of 333 ms, each call to a peer failed for as long as its connection was silent; none was found silent and none was dialled. Permits (100 ms) are such calls.

Cause: the check of silence comes SilenceTimeout after the start of a call, and the end of the call took it away. A Confirm with a short deadline had the same fault.

Fix: if nothing was read during the call, one check remains after its end. It sends the probe, which runs on the context of the connection, so neither depends on the time-out of a call; the probe tells a slow handler from a silent connection, as before. A connection is thus retired 2 x SilenceTimeout after the first call that got nothing, at the latest. A call during which something was read takes its check away, so sound connections cost no probes.

--- a/entryinstance/connection.go
+++ b/entryinstance/connection.go
@@ -149,10 +149,11 @@
 	return err
 }
 
-// watchCall checks the connection for silence, at intervals of SilenceTimeout,
-// until the returned function is called.
+// watchCall checks the connection for silence, at intervals of SilenceTimeout, until the
+// returned function is called at the end of the call. If nothing was read during the call, one
+// check remains: else calls that are shorter than SilenceTimeout would never lead to one.
 func (c *connection) watchCall() func() {
-	w := &callWatch{conn: c}
+	w := &callWatch{conn: c, started: time.Now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(c.pool.config.SilenceTimeout, w.check)
@@ -162,6 +163,7 @@
 // callWatch repeats the silence check until the call ends.
 type callWatch struct {
 	conn    *connection
+	started time.Time
 	mu      sync.Mutex
 	timer   *time.Timer
 	stopped bool
@@ -180,7 +182,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
-	w.timer.Stop()
+	if w.conn.lastRead().After(w.started) {
+		w.timer.Stop()
+	}
 }
 
 // trackedConn records the time of each read that returned data.
--- a/entryinstance/doc.go
+++ b/entryinstance/doc.go
@@ -24,7 +24,8 @@
 //     unacknowledged in the kernel;
 //   - while a call waits and nothing has been read from the connection for
 //     SilenceTimeout, the pool sends a probe, and retires the connection if
-//     nothing is read within SilenceTimeout after it either;
+//     nothing is read within SilenceTimeout after it either; a call that ends sooner,
+//     before anything was read, leads to the probe as well;
 //   - Confirm probes a connection from which nothing has been read recently, so
 //     that an at-most-once request is not sent on a dead one.
 //
--- a/entryinstance/pool.go
+++ b/entryinstance/pool.go
@@ -90,6 +90,7 @@
 	if lastRead := c.lastRead(); !lastRead.IsZero() && time.Since(lastRead) < maxAge {
 		return nil
 	}
+	defer c.watchCall()()
 	return c.probe(ctx)
 }
 
