upstream: no request is written on a connection that has ended

TestRequestIsNotRepeatedOnClosedConnection, case 0 (the upstream closes an idle connection), failed beside load with "0 != 1" received requests: a fault of the product, not of the test.

Callers would see a 502 for a request that has run nowhere, and for one that must run at most once no second attempt: it was written on a pooled connection that the upstream had already closed. Its outcome then counts as unknown, although it could have gone on another connection.

Cause: awaitIdle waits until net/http reads from the connection. That this Read has begun does not show that nothing has arrived: the end of the connection lay in the kernel while the reading goroutine waited for a processor.

Fix: before a pooled connection is used, the kernel is asked (recv with MSG_PEEK and MSG_DONTWAIT) whether it holds bytes or the end of the connection. Peeking takes nothing from the reader. Such a connection gets no byte, and the request goes on another one as for any unusable connection. What arrives after the check still makes the outcome unknown, rightly.

The flaky test is unchanged.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -4,9 +4,11 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 var (
@@ -82,6 +84,26 @@
 	return !c.closed
 }
 
+// receivedNothing reports whether the kernel holds neither bytes nor the end of the connection.
+// The reader of net/http may not have run since they arrived, and a request that is written on
+// a connection that the upstream has closed has an unknown outcome.
+func (c *conn) receivedNothing() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peeked error
+	// Control, unlike Read, does not wait for the Read in progress.
+	err = raw.Control(func(fd uintptr) {
+		_, _, peeked = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && errors.Is(peeked, unix.EAGAIN)
+}
+
 // Write writes only while the attempt that the connection is bound to allows it.
 func (c *conn) Write(p []byte) (int, error) {
 	a := c.attempt.Load()
--- a/upstream/doc.go
+++ b/upstream/doc.go
@@ -17,8 +17,9 @@
 // that attempt is used again; the next attempt dials a new one. With
 // Options.NoSilenceTimer only keep-alive probes detect a silent connection.
 //
-// A connection on which bytes follow a complete response is closed. It carries no
-// further request, unless these bytes arrive only after that request got it.
+// A connection on which bytes follow a complete response, or that the upstream has
+// closed, is closed. It carries no further request, unless these bytes or the end of the
+// connection arrive only after that request got it.
 //
 // A response is complete only when its Content-Length or its last chunk shows
 // it. A response with neither is rejected unless Options.AcceptCloseDelimited is
--- a/upstream/host.go
+++ b/upstream/host.go
@@ -80,7 +80,7 @@
 	if c.lastContact().Sub(h.start) < time.Duration(h.staleBefore.Load()) {
 		return false
 	}
-	return (!atMostOnce || now.Sub(c.lastContact()) <= maxContactAge) && c.awaitIdle()
+	return (!atMostOnce || now.Sub(c.lastContact()) <= maxContactAge) && c.awaitIdle() && c.receivedNothing()
 }
 
 // markStaleBefore makes every connection whose last contact is older than the
