edge: a permit that was waited for is not used by an old decision

Callers would see requests outside their home regions (HOME), in an evacuated failure domain (EVAC) or at an upstream that drains or has gone (DRAIN), and requests on a dropped route, of a version that has been rolled back, or repeated after the route had become at-most-once. With many upstreams that limit their rate, a request could wait for each of them in turn.

Fix: after each such wait, granted or not, the request is resolved by the newest view. The permit is used only if the pool still allows its upstream (Pool.Allows: the same process, ready, not evacuated, service, version and region allowed). Otherwise the lease is given back and the upstream chosen anew, or the request refused at once if the configuration does not allow it any more. A request that may have run is not sent if its route is at-most-once now, or has no attempt left. Waits count like upstreams tried, so an attempt makes four at most and ends at the deadline of the request; what finds no permit then is refused with a time to come back. The version that a canary request falls back to is part of the same bound.

With the old loop, the tests failed: the upstream got the request (1, not 0, status 200) in all seven changes of TestAPermitIsNotUsedByAnOldDecision, in TestADeniedPermitLeavesNoOldDecision and in both cases of TestAWaitForAPermitKeepsAtMostOnce; TestARequestAsksForFewPermits saw 12 requests for permits instead of 4. The wait is a field of permits so that the tests do not depend on the load of the machine.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -120,40 +120,94 @@
 	return nil, err
 }
 
-// acquire takes a slot at an upstream. A request chosen for the new version of a
-// roll-out may fall back to the old version when the new one has no capacity.
+// acquire takes a slot at an upstream, with a permit if the upstream limits its rate. What
+// was decided before a wait for a permit is decided again after it. Such waits count like
+// upstreams tried, which bounds them.
 func (x *exchange) acquire(ctx context.Context) (*placement.Lease, error) {
+	var denied []string
+	for waits := len(x.tried); ; {
+		lease, fallback, err := x.choose(denied)
+		if err != nil {
+			return nil, err
+		}
+		granted, waited := x.deps.permits.obtain(ctx, lease.Upstream.Name)
+		if waited {
+			waits++
+			err = x.decideAgain(ctx)
+			granted = granted && err == nil && x.allowsStill(lease, fallback)
+		}
+		if granted {
+			return lease, nil
+		}
+		lease.Cancel()
+		denied = append(denied, lease.Upstream.Name)
+		if err == nil && waits >= maxTriedUpstreams {
+			err = errkind.New(errkind.Overloaded, "no permit")
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// choose takes a slot at an upstream that is not denied. A request chosen for the new
+// version of a roll-out may fall back to the old version when the new one has no capacity;
+// fallback is the refusal by the new version then, and otherwise Chosen.
+func (x *exchange) choose(denied []string) (lease *placement.Lease, fallback placement.Refusal, err error) {
 	versions := x.view.versions[x.service.Name]
 	object := x.objectHash()
 	if x.prefersNew {
 		object = versions.placementKey(object)
 	}
-	lease, refusal := x.acquireObject(ctx, object, versions.allows(x.prefersNew))
+	lease, refusal := x.acquireObject(object, versions.allows(x.prefersNew), denied)
 	if x.prefersNew && versions.mayFallBack(refusal) {
-		lease, refusal = x.acquireObject(ctx, x.objectHash(), versions.allows(false))
+		fallback = refusal
+		lease, refusal = x.acquireObject(x.objectHash(), versions.allows(false), denied)
 	}
 	switch refusal {
 	case placement.NoCandidates:
-		return nil, errkind.New(errkind.NoUpstream, "")
+		return nil, fallback, errkind.New(errkind.NoUpstream, "")
 	case placement.AllBusy:
 		preferred, utilization := x.deps.pool.PreferredUpstream(time.Now(), x.placementQuery(x.objectHash(), versions.allows(x.prefersNew)))
-		return nil, errkind.New(errkind.Overloaded, fmt.Sprintf("upstream %s has %.2f requests for each slot", preferred, utilization))
+		return nil, fallback, errkind.New(errkind.Overloaded, fmt.Sprintf("upstream %s has %.2f requests for each slot", preferred, utilization))
 	}
-	return lease, nil
+	return lease, fallback, nil
 }
 
-// acquireObject takes a slot at an upstream for the object. It passes over upstreams
-// that limit their rate and have no permit for the request.
-func (x *exchange) acquireObject(ctx context.Context, object uint64, allows func(version string) bool) (*placement.Lease, placement.Refusal) {
+// acquireObject takes a slot at an upstream for the object.
+func (x *exchange) acquireObject(object uint64, allows func(version string) bool, denied []string) (*placement.Lease, placement.Refusal) {
 	q := x.placementQuery(object, allows)
-	for {
-		lease, refusal := x.deps.pool.Acquire(time.Now(), q)
-		if lease == nil || x.deps.permits.obtain(ctx, lease.Upstream.Name) {
-			return lease, refusal
-		}
-		lease.Cancel()
-		q.Denied = append(q.Denied, lease.Upstream.Name)
+	q.Denied = denied
+	return x.deps.pool.Acquire(time.Now(), q)
+}
+
+// decideAgain resolves the request after a wait. An error means that it must not be sent,
+// also because of an attempt that may have run it: by the newest configuration the route may
+// be at-most-once or have fewer attempts.
+func (x *exchange) decideAgain(ctx context.Context) error {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return errkind.Wrap(ctx.Err(), errkind.CallerGone, "")
+	case ctx.Err() != nil:
+		return errkind.Wrap(ctx.Err(), errkind.DeadlineExceeded, "")
+	}
+	err := x.resolve()
+	if err != nil {
+		return err
 	}
+	limit := x.route.MaxAttempts
+	if x.ran > 0 && (x.atMostOnce || limit > 0 && x.ran >= limit) {
+		return errkind.New(errkind.UpstreamFailed, "the configuration allows no further attempt")
+	}
+	return nil
+}
+
+// allowsStill reports whether the request, as it is resolved now, may go to the upstream of
+// the lease. fallback is the refusal by the new version after which the lease was taken.
+func (x *exchange) allowsStill(lease *placement.Lease, fallback placement.Refusal) bool {
+	versions := x.view.versions[x.service.Name]
+	prefersNew := x.prefersNew && !(fallback != placement.Chosen && versions.mayFallBack(fallback))
+	return x.deps.pool.Allows(lease, x.placementQuery(x.objectHash(), versions.allows(prefersNew)))
 }
 
 func (x *exchange) placementQuery(object uint64, allows func(version string) bool) placement.Query {
--- a/edge/control.go
+++ b/edge/control.go
@@ -139,6 +139,7 @@
 		throttle: deps.throttle,
 		peers:    deps.peers,
 		metrics:  deps.metrics,
+		maxWait:  maxPermitWait,
 		changed:  func() { c.post(limitChanged{}) },
 		failed:   func(e permitFailed) { c.post(e) },
 	}
--- a/edge/permits.go
+++ b/edge/permits.go
@@ -29,6 +29,8 @@
 	throttle *throttle.Throttle
 	peers    *entryinstance.Pool
 	metrics  *telemetry.Metrics
+	// maxWait is maxPermitWait, or longer in tests.
+	maxWait time.Duration
 	// changed is called when a limit in force has changed.
 	changed func()
 	// failed is called when a call to an allocator has failed.
@@ -36,22 +38,23 @@
 }
 
 // obtain takes a permit for one request to the upstream and reports whether there is one.
-// It waits up to maxPermitWait for the allocator of the upstream.
-func (p *permits) obtain(ctx context.Context, upstream string) bool {
+// It waits up to maxWait for the allocator of the upstream; waited reports whether it
+// has asked it.
+func (p *permits) obtain(ctx context.Context, upstream string) (granted, waited bool) {
 	verdict, allocator := p.throttle.Take(time.Now(), upstream)
-	granted := verdict == throttle.Allowed
-	if verdict == throttle.Ask {
+	granted, waited = verdict == throttle.Allowed, verdict == throttle.Ask
+	if waited {
 		granted = p.ask(ctx, upstream, allocator)
 	}
 	if !granted {
 		p.metrics.Counter("ferry_permits_denied_total").Inc()
 	}
-	return granted
+	return granted, waited
 }
 
 // ask requests a permit from the allocator.
 func (p *permits) ask(ctx context.Context, upstream, allocator string) bool {
-	callCtx, cancel := context.WithTimeout(ctx, maxPermitWait)
+	callCtx, cancel := context.WithTimeout(ctx, p.maxWait)
 	defer cancel()
 	response, err := p.call(callCtx, upstream, allocator)
 	now := time.Now()
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -326,6 +326,17 @@
 	return &Lease{pool: p, service: s, target: chosen, Upstream: chosen.endpoint, acquiredAt: now, cold: cold, Utilization: p.load(now, s, chosen) / float64(chosen.upstream.Slots)}, Chosen
 }
 
+// Allows reports whether the request may still be sent to the upstream of the lease: that has
+// not left or been replaced since, and fits the query. Its load and limits do not matter, since
+// the lease has taken the capacity.
+func (p *Pool) Allows(l *Lease, q Query) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := l.target
+	return p.targets[t.upstream.ID] == t && t.upstream.Service == q.Service &&
+		t.upstream.State == registry.Ready && p.allows(t, q)
+}
+
 // PreferredUpstream returns the name of the preferred upstream of the object and its
 // estimated number of requests per slot, to explain a refusal. The name is empty when
 // there is none.
