edge: tests of the work of a change repeat and are quick

TestTheWorkOfAChangeDoesNotGrowWithTheUpstreams failed once in a whole run of the package under load (-race): it counts the allocations of the process, and goroutines of earlier tests allocate too. It now measures in a process of its own, with the same bounds.

--- a/edge/recordset_test.go
+++ b/edge/recordset_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -32,8 +33,8 @@
 				set.put(entry)
 				model[key] = entry
 			}
-			assert.DeepEqual(t, set.get(key), model[key])
-			assert.DeepEqual(t, sorted(slices.Collect(set.all())), sorted(slices.Collect(maps.Values(model))))
+			assert.Assert(t, equalEntries([]platform.Entry{set.get(key)}, []platform.Entry{model[key]}))
+			assert.Assert(t, equalEntries(sorted(slices.Collect(set.all())), sorted(slices.Collect(maps.Values(model)))))
 			after := platform.Revision(random.IntN(n + 25))
 			var newer, withPrefix []platform.Entry
 			prefix := prefixes[random.IntN(len(prefixes))]
@@ -47,13 +48,16 @@
 			}
 			got := slices.Collect(set.after(after))
 			assert.Assert(t, slices.IsSortedFunc(got, func(a, b platform.Entry) int { return int(a.Revision - b.Revision) }))
-			assert.DeepEqual(t, sorted(got), sorted(newer))
-			assert.DeepEqual(t, sorted(slices.Collect(set.withPrefix(prefix))), sorted(withPrefix))
+			assert.Assert(t, equalEntries(sorted(got), sorted(newer)))
+			assert.Assert(t, equalEntries(sorted(slices.Collect(set.withPrefix(prefix))), sorted(withPrefix)))
 			assert.Assert(t, len(set.changes) <= max(2*len(model), minCompactedChanges), "%d changes of %d records", len(set.changes), len(model))
 		}
 	}
 }
 
+// equalEntries compares all fields. It is much faster than assert.DeepEqual.
+func equalEntries(a, b []platform.Entry) bool { return reflect.DeepEqual(a, b) || len(a)+len(b) == 0 }
+
 // TestAPullLooksAtWhatHasChanged guards against a configuration that waits behind the pulls of
 // peers (CONFIG): each looked at all records.
 func TestAPullLooksAtWhatHasChanged(t *testing.T) {
--- a/edge/upstreams_test.go
+++ b/edge/upstreams_test.go
@@ -2,7 +2,8 @@
 
 import (
 	"fmt"
-	"math"
+	"os"
+	"os/exec"
 	"runtime"
 	"testing"
 	"time"
@@ -116,37 +117,45 @@
 	}
 }
 
+// ownProcess is the environment variable that is set in the process in which
+// TestTheWorkOfAChangeDoesNotGrowWithTheUpstreams measures.
+const ownProcess = "FERRY_TEST_OWN_PROCESS"
+
 // TestTheWorkOfAChangeDoesNotGrowWithTheUpstreams guards against a configuration that waits behind
 // the changes of upstreams (CONFIG): the work of each change grew with the number of all upstreams.
+// It measures in a process of its own, since goroutines that other tests left behind allocate.
 func TestTheWorkOfAChangeDoesNotGrowWithTheUpstreams(t *testing.T) {
+	if os.Getenv(ownProcess) == "" {
+		alone := exec.Command(os.Args[0], "-test.run=^"+t.Name()+"$", "-test.count=1", "-test.v")
+		alone.Env = append(os.Environ(), ownProcess+"=1")
+		output, err := alone.CombinedOutput()
+		assert.NilError(t, err, "%s", output)
+		return
+	}
 	// maxGrowth bounds the factor by which 11 times the upstreams may raise the work.
 	const maxGrowth = 1.3
 	for name, change := range upstreamChanges {
 		t.Run(name, func(t *testing.T) {
 			smallCount, smallBytes := allocations(newUpstreamFleet(t, 100), change)
 			largeCount, largeBytes := allocations(newUpstreamFleet(t, 1100), change)
-			assert.Check(t, largeCount <= maxGrowth*smallCount, "%.0f allocations with 100 upstreams, %.0f with 1,100", smallCount, largeCount)
-			assert.Check(t, largeBytes <= maxGrowth*smallBytes, "%.0f bytes with 100 upstreams, %.0f with 1,100", smallBytes, largeBytes)
+			t.Logf("%.0f allocations and %.0f bytes with 100 upstreams, %.0f and %.0f with 1,100", smallCount, smallBytes, largeCount, largeBytes)
+			assert.Check(t, largeCount <= maxGrowth*smallCount)
+			assert.Check(t, largeBytes <= maxGrowth*smallBytes)
 		})
 	}
 }
 
-// allocations returns the mean number of allocations and of bytes that a change allocates: the
-// lowest of several measurements, since goroutines that earlier tests left behind allocate as well.
+// allocations returns the mean number of allocations and of bytes that a change allocates.
 func allocations(f *upstreamFleet, change func(f *upstreamFleet)) (count, bytes float64) {
-	const runs, measurements = 50, 5
-	count, bytes = math.Inf(1), math.Inf(1)
-	for range measurements {
-		count = min(count, testing.AllocsPerRun(runs, func() { change(f) }))
-		var before, after runtime.MemStats
-		runtime.ReadMemStats(&before)
-		for range runs {
-			change(f)
-		}
-		runtime.ReadMemStats(&after)
-		bytes = min(bytes, float64(after.TotalAlloc-before.TotalAlloc)/runs)
+	const runs = 50
+	count = testing.AllocsPerRun(runs, func() { change(f) })
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range runs {
+		change(f)
 	}
-	return count, bytes
+	runtime.ReadMemStats(&after)
+	return count, float64(after.TotalAlloc-before.TotalAlloc) / runs
 }
 
 // BenchmarkAChangeOfAnUpstream measures the time for which one changed record of an upstream
