placement, edge: no requests to an upstream whose response states that it leaves

Until now only the store's entry counted. With the store away and the entry ready, TestAnUpstreamThatStatesThatItLeavesGetsNoRequests (edge) failed before: 35 requests reached the upstream after its statement (5 where it refused them). TestARetryAvoidsAnUpstreamThatLeaves got a 200 of the leaving upstream; TestNoRequestsWhileAllUpstreamsLeave delivered the header to the caller. The tests of placement failed with target.accepts as it was (no statement consulted).

The statement holds for the start of the lease that got it, until an entry has a later start or another address, and is kept while the entry lapses. A request that waited for a permit asks once more before it is sent.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -87,6 +87,7 @@
 	response, err := x.deps.upstreams.Send(ctx, lease.Upstream, x.service, x.request)
 	if err == nil {
 		x.observeLimit(lease.Upstream, sent, response.Header)
+		x.observeLeaving(lease, response.Header)
 		var got *upstreamResponse
 		got, err = readResponse(response, lease)
 		if err == nil {
@@ -103,8 +104,11 @@
 	if upstream.MayHaveRun(err) {
 		x.ran++
 	}
-	if _, header := upstream.ShedResponse(err); header != nil {
+	if status, header := upstream.ShedResponse(err); header != nil {
 		x.observeLimit(lease.Upstream, sent, header)
+		if !headers.IsMisdirected(status) {
+			x.observeLeaving(lease, header)
+		}
 	}
 	x.failAttempt(ctx, lease, err)
 	x.deps.log.Info("attempt failed",
@@ -143,12 +147,12 @@
 }
 
 // acquireObject takes a slot at an upstream for the object. It passes over upstreams
-// that limit their rate and have no permit for the request.
+// that limit their rate and have no permit for the request, or leave meanwhile.
 func (x *exchange) acquireObject(ctx context.Context, object uint64, allows func(version string) bool) (*placement.Lease, placement.Refusal) {
 	q := x.placementQuery(object, allows)
 	for {
 		lease, refusal := x.deps.pool.Acquire(time.Now(), q)
-		if lease == nil || x.deps.permits.obtain(ctx, lease.Upstream.Name) {
+		if lease == nil || x.deps.permits.obtain(ctx, lease.Upstream.Name) && lease.MaySend() {
 			return lease, refusal
 		}
 		lease.Cancel()
@@ -313,6 +317,7 @@
 // deliver writes the response to the caller.
 func (x *exchange) deliver(ctx context.Context, got *upstreamResponse) error {
 	x.deps.retries.forService(x.service.Name).Succeed()
+	headers.PrepareDelivered(got.Status, got.Header)
 	out := x.w.Header()
 	for name, values := range got.Header {
 		out[name] = values
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -50,11 +50,13 @@
 	rates    map[string]float64
 	targets  map[string]*target
 	services map[string]*service
+	// departures holds the statements of upstreams that they leave, by id.
+	departures map[string]departure
 }
 
 // NewPool returns a pool without upstreams.
 func NewPool(self Location) *Pool {
-	return &Pool{self: self, cold: map[string]ColdLimit{}, targets: map[string]*target{}, services: map[string]*service{}}
+	return &Pool{self: self, cold: map[string]ColdLimit{}, targets: map[string]*target{}, services: map[string]*service{}, departures: map[string]departure{}}
 }
 
 // Settings are the inputs of the pool besides the upstreams and their limits.
@@ -115,6 +117,7 @@
 		}
 		if t == nil || t.upstream.Started != u.Started || t.upstream.Address != u.Address {
 			t = newTarget(u, p.settings)
+			t.leaving = p.departed(u)
 		}
 		t.upstream = u
 		t.setEndpoint(endpointOf(u, p.settings))
@@ -350,7 +353,7 @@
 func (p *Pool) candidates(now time.Time, s *service, q Query) []*target {
 	var ready, usable []*target
 	for _, t := range s.targets {
-		if t.upstream.State != registry.Ready || !p.allows(t, q) {
+		if !t.accepts() || !p.allows(t, q) {
 			continue
 		}
 		ready = append(ready, t)
--- a/placement/target.go
+++ b/placement/target.go
@@ -46,7 +46,9 @@
 	consecutiveEjections int
 	ejectedUntil         time.Time
 	shedUntil            time.Time
-	cold                 coldLimiter
+	// leaving is set once the upstream has stated in a response that it leaves.
+	leaving bool
+	cold    coldLimiter
 }
 
 func newTarget(u *registry.Upstream, settings Settings) *target {
@@ -91,10 +93,11 @@
 	return float64(inFlight) / float64(max(upstreams, 1))
 }
 
-// usable reports whether the upstream is ready and not ejected.
-func (t *target) usable(now time.Time) bool {
-	return t.upstream.State == registry.Ready && !now.Before(t.ejectedUntil)
-}
+// accepts reports whether the upstream is ready and has not stated that it leaves.
+func (t *target) accepts() bool { return t.upstream.State == registry.Ready && !t.leaving }
+
+// usable reports whether the upstream accepts requests and is not ejected.
+func (t *target) usable(now time.Time) bool { return t.accepts() && !now.Before(t.ejectedUntil) }
 
 // withoutConnection reports whether the requests in flight use all connections to the
 // upstream: another request would be decided now and sent only after a wait.
