placement, edge: an upstream that refuses gets no request before its Retry-After

An upstream was passed over for 100 ms whatever its refusal stated, and callers were told 0.3 s.

The pause is bounded by placement.maxPause and never shorter than shedPause. A refused caller gets the time until the first upstream of its object may be asked. A request that waited for a permit asks once more.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -25,7 +25,7 @@
 	// maxBufferedResponse is the largest response body in bytes that is read whole
 	// before its header is sent, so that a truncated response can be retried.
 	maxBufferedResponse = 256 << 10
-	// refusalRetryAfter is the Retry-After delay sent to a refused caller.
+	// refusalRetryAfter is the Retry-After delay sent to a refused caller, at least.
 	refusalRetryAfter = 300 * time.Millisecond
 	// maxTriedUpstreams bounds the upstreams that one request is sent to.
 	maxTriedUpstreams = 4
@@ -108,6 +108,7 @@
 		x.observeLimit(lease.Upstream, sent, header)
 		if !headers.IsMisdirected(status) {
 			x.observeLeaving(lease, header)
+			observePause(lease, header)
 		}
 	}
 	x.failAttempt(ctx, lease, err)
@@ -152,7 +153,7 @@
 	q := x.placementQuery(object, allows)
 	for {
 		lease, refusal := x.deps.pool.Acquire(time.Now(), q)
-		if lease == nil || x.deps.permits.obtain(ctx, lease.Upstream.Name) && lease.MaySend() {
+		if lease == nil || x.deps.permits.obtain(ctx, lease.Upstream.Name) && lease.MaySend(time.Now()) {
 			return lease, refusal
 		}
 		lease.Cancel()
@@ -308,7 +309,7 @@
 		return errkind.Wrap(err, errkind.UpstreamFailed, "")
 	case kind == errkind.DeadlineExceeded, kind == errkind.NoUpstream, kind == errkind.Overloaded:
 		refusal := errkind.Wrap(err, errkind.Overloaded, "")
-		refusal.RetryAfter = refusalRetryAfter
+		refusal.RetryAfter = max(refusalRetryAfter, x.pauseLeft())
 		return refusal
 	}
 	return err
--- a/placement/departure.go
+++ b/placement/departure.go
@@ -47,12 +47,12 @@
 	return true
 }
 
-// MaySend reports whether the upstream still accepts requests: it may have become known to
-// leave since the lease was acquired.
-func (l *Lease) MaySend() bool {
+// MaySend reports whether the upstream still accepts requests: since the lease was acquired,
+// it may have become known to leave, or have refused another request.
+func (l *Lease) MaySend(now time.Time) bool {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
-	return l.target.accepts()
+	return l.target.accepts() && !now.Before(l.target.shedUntil)
 }
 
 // departed reports whether the upstream has stated that it leaves. An entry that takes the
--- a/placement/departure_test.go
+++ b/placement/departure_test.go
@@ -69,10 +69,10 @@
 	for object := range uint64(200) {
 		lease, name := acquire(p, 1, object)
 		if name == id {
-			assert.Assert(t, lease.MaySend())
+			assert.Assert(t, lease.MaySend(at(1)))
 			assert.Assert(t, lease.RecordLeaving(at(1)), "it was not known")
 			assert.Assert(t, !lease.RecordLeaving(at(1)), "it is known")
-			assert.Assert(t, !lease.MaySend())
+			assert.Assert(t, !lease.MaySend(at(1)))
 		}
 		lease.Release(at(1), Answered, Load{})
 		if name == id {
--- a/placement/lease.go
+++ b/placement/lease.go
@@ -86,7 +86,7 @@
 			t.recordFailure(now)
 		}
 	case Shed:
-		t.shedUntil = now.Add(shedPause)
+		t.pauseFor(now, shedPause)
 	case Replaced:
 		t.ejectedUntil = now.Add(maxEjection)
 	case Inconclusive:
@@ -104,6 +104,14 @@
 	}
 }
 
+// PauseFor records the time for which the upstream, which has refused the request, states
+// to take no other one. The upstream gets no request until then, but maxPause at most.
+func (l *Lease) PauseFor(now time.Time, pause time.Duration) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	l.target.pauseFor(now, min(pause, maxPause))
+}
+
 // RecordLoad records a load that the upstream has reported while the request still holds
 // the lease.
 func (l *Lease) RecordLoad(now time.Time, load Load) {
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -348,6 +348,38 @@
 	return preferred.upstream.ID, p.load(now, s, preferred) / float64(preferred.upstream.Slots)
 }
 
+// PauseLeft returns the time until the first of the upstreams of the request's object may get
+// a request again after a refusal. It returns 0 when one of them has no pause, or there is none.
+func (p *Pool) PauseLeft(now time.Time, q Query) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.services[q.Service]
+	if s == nil {
+		return 0
+	}
+	candidates := p.candidates(now, s, q)
+	s.order(candidates, q.Object)
+	var shortest time.Duration
+	eligible := 0
+	for _, t := range candidates {
+		if !p.withinColdLimit(now, t) || !q.admits(t.upstream.ID) {
+			continue
+		}
+		eligible++
+		if eligible > upstreamsPerObject {
+			break
+		}
+		left := t.shedUntil.Sub(now)
+		if left <= 0 {
+			return 0
+		}
+		if eligible == 1 || left < shortest {
+			shortest = left
+		}
+	}
+	return shortest
+}
+
 // candidates returns the usable upstreams that may serve the request. It includes the
 // ejected ones when fewer than 1/minUsableDivisor of them are usable.
 func (p *Pool) candidates(now time.Time, s *service, q Query) []*target {
--- a/placement/target.go
+++ b/placement/target.go
@@ -17,8 +17,10 @@
 	// each consecutive ejection until a successful response arrives.
 	minEjection = 1 * time.Second
 	maxEjection = 8 * time.Second
-	// shedPause is how long an upstream is skipped after it shed a request.
+	// shedPause is how long an upstream is skipped after it shed a request, at least.
 	shedPause = 100 * time.Millisecond
+	// maxPause bounds the pause that an upstream states with a refusal.
+	maxPause = 30 * time.Second
 	// maxReportAge is the age after which a load report is ignored.
 	maxReportAge = 3 * time.Second
 	// serviceTimeSmoothing is the weight of a new sample in the average service time.
@@ -118,6 +120,13 @@
 	t.ejectedUntil = now.Add(ejection)
 }
 
+// pauseFor makes the upstream get no request until the pause is over.
+func (t *target) pauseFor(now time.Time, pause time.Duration) {
+	if until := now.Add(pause); until.After(t.shedUntil) {
+		t.shedUntil = until
+	}
+}
+
 func (t *target) recordSuccess() {
 	t.consecutiveFailures = 0
 	t.consecutiveEjections = 0
