--- a/standin/upstream/faults.go
+++ b/standin/upstream/faults.go
@@ -79,6 +79,10 @@
 	// RateLimit is the rate that the responses state, in requests per second from all
 	// entry instances together. 0 states none.
 	RateLimit float64 `json:"rate_limit,omitempty"`
+	// StatesLeaving makes the responses state while the stand-in drains that it leaves.
+	StatesLeaving bool `json:"states_leaving,omitempty"`
+	// RetryAfter is the time that refusals state until the next request. 0 states none.
+	RetryAfter units.Duration `json:"retry_after,omitempty"`
 }
 
 // activeFaults holds the faults that apply to one request.
@@ -126,13 +130,25 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// stateRateLimit sets the header that states Faults.RateLimit.
-func (u *Upstream) stateRateLimit(h http.Header) {
+// stateConditions sets the headers that state Faults.RateLimit and that the stand-in leaves.
+func (u *Upstream) stateConditions(h http.Header) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.faults.RateLimit > 0 {
 		h.Set(headers.RateLimit, strconv.FormatFloat(u.faults.RateLimit, 'f', -1, 64))
 	}
+	if u.draining && u.faults.StatesLeaving {
+		h.Set(headers.Leaving, "1")
+	}
+}
+
+// stateRetryAfter sets the header that states Faults.RetryAfter.
+func (u *Upstream) stateRetryAfter(h http.Header) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.faults.RetryAfter > 0 {
+		h.Set(headers.RetryAfter, strconv.FormatFloat(u.faults.RetryAfter.Std().Seconds(), 'f', -1, 64))
+	}
 }
 
 // faultsFor counts the request for each fault that it matches and returns the faults
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -105,7 +105,7 @@
 
 func (u *Upstream) serveRequest(w http.ResponseWriter, r *http.Request) {
 	u.ledger.recordArrival(r)
-	u.stateRateLimit(w.Header())
+	u.stateConditions(w.Header())
 	faults := u.faultsFor(r)
 	if faults.has(FaultSilent) {
 		// The server detects a closed connection only after the body has been read.
@@ -215,6 +215,7 @@
 	u.ledger.recordShed()
 	w.Header().Set(dispatch.HeaderRequestID, r.Header.Get(dispatch.HeaderRequestID))
 	w.Header().Set(peer.HeaderShed, peer.ShedNotRun)
+	u.stateRetryAfter(w.Header())
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
