--- a/edge/leaving_test.go
+++ b/edge/leaving_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -159,3 +162,37 @@
 	assert.Equal(t, got.header.Get(headers.RetryAfter), "0.30")
 	assert.Equal(t, len(b.requests()), 1)
 }
+
+// Guards against idle connections that an upstream which leaves has to keep or to close itself.
+func TestIdleConnectionsToAnUpstreamThatLeavesAreClosed(t *testing.T) {
+	var open atomic.Int64
+	var leaves atomic.Bool
+	b := &fakeUpstream{id: "i-1"}
+	b.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headers.AttemptID, r.Header.Get(headers.AttemptID))
+		if leaves.Load() {
+			w.Header().Set(headers.Leaving, "1")
+		}
+	}))
+	b.server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			open.Add(1)
+		case http.StateClosed:
+			open.Add(-1)
+		}
+	}
+	b.server.Start()
+	defer b.server.Close()
+	s := newSystem(t)
+	s.configure(1, "k1")
+	s.register(b, "v1", "ready")
+	i := s.start("e1")
+	defer i.stop()
+	i.waitReady(1)
+	assert.Equal(t, i.send(http.MethodGet, "/read/7", "k1").status, http.StatusOK)
+	assert.Equal(t, open.Load(), int64(1))
+	leaves.Store(true)
+	assert.Equal(t, i.send(http.MethodGet, "/read/7", "k1").status, http.StatusOK)
+	eventually(t, "the connection is closed", func() bool { return open.Load() == 0 })
+}
