soak: upstreams state that they leave, or refuse with a Retry-After

At the end of a soak one upstream refuses, and one states that it leaves while the store is unavailable; an instance that was told and sends is a violation.

--- a/soak/doc.go
+++ b/soak/doc.go
@@ -16,6 +16,9 @@
 //   - A successful response is complete and belongs to its request.
 //   - Upstreams receive the customer's name and never the API key.
 //   - A request runs only where some configuration allows it.
+//   - An instance that got a response of an upstream which states that it leaves sends it
+//     nothing more, also while the store is unavailable.
+//   - An instance that an upstream has refused sends it nothing before its Retry-After.
 //   - Once all faults have ended, nearly all requests are served.
 //
 // # Limits
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -30,6 +30,8 @@
 	{"upstream fails", failUpstream},
 	{"upstream loses answers", abortUpstreamResponses},
 	{"upstream limits its rate", limitUpstream},
+	{"upstream leaves", leaveUpstream},
+	{"upstream refuses", refuseAtUpstream},
 	{"upstream replaced", replaceUpstream},
 	{"configuration", changeConfiguration},
 	{"store", faultStore},
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -17,7 +17,9 @@
 
 type attempt struct {
 	atMostOnce bool
-	runs       int
+	// instance is the address of the instance that got it.
+	instance string
+	runs     int
 	// notRunStatus is the status of the response that stated that the attempt has not
 	// run; 0 when there was none.
 	notRunStatus int
@@ -34,6 +36,24 @@
 	l.sent++
 }
 
+// RecordInstance records the instance to which an attempt is sent.
+func (l *Ledger) RecordInstance(id, address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.attempts[id].instance = address
+}
+
+// instanceOf returns the address of the instance that got the attempt, or an empty string
+// for an unknown one.
+func (l *Ledger) instanceOf(id string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a := l.attempts[id]; a != nil {
+		return a.instance
+	}
+	return ""
+}
+
 // RecordRun records that an upstream starts to run an attempt.
 func (l *Ledger) RecordRun(id, upstream string) {
 	l.mu.Lock()
--- a/soak/system.go
+++ b/soak/system.go
@@ -176,6 +176,11 @@
 func (s *system) replace(id string) error {
 	s.mu.Lock()
 	u := s.upstreams[id]
+	if u == nil {
+		// Another fault has replaced it.
+		s.mu.Unlock()
+		return nil
+	}
 	delete(s.upstreams, id)
 	s.removed = append(s.removed, u)
 	s.mu.Unlock()
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -42,6 +42,7 @@
 	abortPermille atomic.Int64
 	requests      atomic.Int64
 	rate          rateCheck
+	statements    statementCheck
 }
 
 func newUpstream(id, service string, ledger *Ledger) (*Upstream, error) {
@@ -78,6 +79,13 @@
 		return
 	}
 	u.rate.recordArrival(w.Header(), time.Now())
+	instance := u.ledger.instanceOf(id)
+	stated := u.statements.recordArrival(w.Header(), instance, id, time.Now())
+	if stated.pause > 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		u.statements.recordResponse(instance, stated, time.Now())
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		// The body is incomplete; the request does not run.
@@ -93,13 +101,14 @@
 	// A step that is coprime to the modulus spreads failures and aborts evenly.
 	const step, modulus = 377, 1000
 	position := u.requests.Add(1) * step % modulus
+	if modulus-position <= u.abortPermille.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	u.statements.recordResponse(instance, stated, time.Now())
 	if position < u.failPermille.Load() {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if modulus-position <= u.abortPermille.Load() {
-		panic(http.ErrAbortHandler)
-	}
 	_, _ = fmt.Fprintf(w, "%s %s %s", id, r.URL.Path, body)
 }
 
@@ -157,7 +166,8 @@
 	defer cancel()
 	// The body cannot be re-read, so the transport never sends a request twice.
 	body := io.NopCloser(strings.NewReader(id))
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.entries[c.sent%len(c.entries)]+path, body)
+	entry := c.entries[c.sent%len(c.entries)]
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+entry+path, body)
 	if err != nil {
 		c.ledger.RecordViolation("caller %s: %v", c.name, err)
 		return
@@ -169,6 +179,7 @@
 	request.Header.Set(headers.DeadlineMillis, fmt.Sprint(callerDeadline.Milliseconds()))
 	request.Header.Set("Authorization", "Bearer "+apiKey)
 	c.ledger.RecordSent(id, atMostOnce)
+	c.ledger.RecordInstance(id, entry)
 	c.exchange(id, path, request)
 }
 
