--- a/placement/doc.go
+++ b/placement/doc.go
@@ -37,7 +37,12 @@
 // An upstream that fails several times in a row is ejected for a time that grows
 // with each ejection. At least half of the candidates of a service stay in use, even
 // if all of them fail. An upstream that sheds a request, refusing it without running
-// it, is skipped for a short time.
+// it, is skipped for the time that it states, within bounds, and for a short time if it
+// states none.
+//
+// An upstream whose response states that it leaves is treated as draining, whatever its entry
+// says. The statement holds for one start at one address, also while the entry has lapsed. When
+// all upstreams of a service leave, its requests are refused.
 //
 // The package does no I/O and takes the time as an argument.
 package placement
