--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -25,7 +25,7 @@
 	// maxBufferedResponse is the largest response body in bytes that is read whole
 	// before its header is sent, so that a truncated response can be retried.
 	maxBufferedResponse = 256 << 10
-	// refusalRetryAfter is the Retry-After delay sent to a refused caller.
+	// refusalRetryAfter is the Retry-After delay sent to a refused caller, at least.
 	refusalRetryAfter = 300 * time.Millisecond
 	// maxTriedUpstreams bounds the upstreams that one request is sent to.
 	maxTriedUpstreams = 4
@@ -87,6 +87,7 @@
 	response, err := x.deps.upstreams.Send(ctx, lease.Upstream, x.service, x.request)
 	if err == nil {
 		x.observeLimit(lease.Upstream, sent, response.Header)
+		x.observeLeaving(lease, response.Header)
 		var got *upstreamResponse
 		got, err = readResponse(response, lease)
 		if err == nil {
@@ -103,8 +104,12 @@
 	if upstream.MayHaveRun(err) {
 		x.ran++
 	}
-	if _, header := upstream.ShedResponse(err); header != nil {
+	if status, header := upstream.ShedResponse(err); header != nil {
 		x.observeLimit(lease.Upstream, sent, header)
+		if !headers.IsMisdirected(status) {
+			x.observeLeaving(lease, header)
+			observePause(lease, header)
+		}
 	}
 	x.failAttempt(ctx, lease, err)
 	x.deps.log.Info("attempt failed",
@@ -134,7 +139,7 @@
 		if waited {
 			waits++
 			err = x.decideAgain(ctx)
-			granted = granted && err == nil && x.allowsStill(lease, fallback)
+			granted = granted && err == nil && x.allowsStill(lease, fallback) && lease.MaySend(time.Now())
 		}
 		if granted {
 			return lease, nil
@@ -358,7 +363,7 @@
 		return errkind.Wrap(err, errkind.UpstreamFailed, "")
 	case kind == errkind.DeadlineExceeded, kind == errkind.NoUpstream, kind == errkind.Overloaded:
 		refusal := errkind.Wrap(err, errkind.Overloaded, "")
-		refusal.RetryAfter = refusalRetryAfter
+		refusal.RetryAfter = max(refusalRetryAfter, x.pauseLeft())
 		return refusal
 	}
 	return err
@@ -367,6 +372,7 @@
 // deliver writes the response to the caller.
 func (x *exchange) deliver(ctx context.Context, got *upstreamResponse) error {
 	x.deps.retries.forService(x.service.Name).Succeed()
+	headers.PrepareDelivered(got.Status, got.Header)
 	out := x.w.Header()
 	for name, values := range got.Header {
 		out[name] = values
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -50,11 +50,13 @@
 	rates    map[string]float64
 	targets  map[string]*target
 	services map[string]*service
+	// departures holds the statements of upstreams that they leave, by id.
+	departures map[string]departure
 }
 
 // NewPool returns a pool without upstreams.
 func NewPool(self Location) *Pool {
-	return &Pool{self: self, cold: map[string]ColdLimit{}, targets: map[string]*target{}, services: map[string]*service{}}
+	return &Pool{self: self, cold: map[string]ColdLimit{}, targets: map[string]*target{}, services: map[string]*service{}, departures: map[string]departure{}}
 }
 
 // Settings are the inputs of the pool besides the upstreams and their limits.
@@ -115,6 +117,7 @@
 		}
 		if t == nil || t.upstream.Started != u.Started || t.upstream.Address != u.Address {
 			t = newTarget(u, p.settings)
+			t.leaving = p.departed(u)
 		}
 		t.upstream = u
 		t.setEndpoint(endpointOf(u, p.settings))
@@ -333,8 +336,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := l.target
-	return p.targets[t.upstream.ID] == t && t.upstream.Service == q.Service &&
-		t.upstream.State == registry.Ready && p.allows(t, q)
+	return p.targets[t.upstream.ID] == t && t.upstream.Service == q.Service && t.accepts() && p.allows(t, q)
 }
 
 // PreferredUpstream returns the name of the preferred upstream of the object and its
@@ -356,12 +358,44 @@
 	return preferred.upstream.ID, p.load(now, s, preferred) / float64(preferred.upstream.Slots)
 }
 
+// PauseLeft returns the time until the first of the upstreams of the request's object may get
+// a request again after a refusal. It returns 0 when one of them has no pause, or there is none.
+func (p *Pool) PauseLeft(now time.Time, q Query) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.services[q.Service]
+	if s == nil {
+		return 0
+	}
+	candidates := p.candidates(now, s, q)
+	s.order(candidates, q.Object)
+	var shortest time.Duration
+	eligible := 0
+	for _, t := range candidates {
+		if !p.withinColdLimit(now, t) || !q.admits(t.upstream.ID) {
+			continue
+		}
+		eligible++
+		if eligible > upstreamsPerObject {
+			break
+		}
+		left := t.shedUntil.Sub(now)
+		if left <= 0 {
+			return 0
+		}
+		if eligible == 1 || left < shortest {
+			shortest = left
+		}
+	}
+	return shortest
+}
+
 // candidates returns the usable upstreams that may serve the request. It includes the
 // ejected ones when fewer than 1/minUsableDivisor of them are usable.
 func (p *Pool) candidates(now time.Time, s *service, q Query) []*target {
 	var ready, usable []*target
 	for _, t := range s.targets {
-		if t.upstream.State != registry.Ready || !p.allows(t, q) {
+		if !t.accepts() || !p.allows(t, q) {
 			continue
 		}
 		ready = append(ready, t)
