--- a/placement/target.go
+++ b/placement/target.go
@@ -17,8 +17,10 @@
 	// each consecutive ejection until a successful response arrives.
 	minEjection = 1 * time.Second
 	maxEjection = 8 * time.Second
-	// shedPause is how long an upstream is skipped after it shed a request.
+	// shedPause is how long an upstream is skipped after it shed a request, at least.
 	shedPause = 100 * time.Millisecond
+	// maxPause bounds the pause that an upstream states with a refusal.
+	maxPause = 30 * time.Second
 	// maxReportAge is the age after which a load report is ignored.
 	maxReportAge = 3 * time.Second
 	// serviceTimeSmoothing is the weight of a new sample in the average service time.
@@ -46,7 +48,9 @@
 	consecutiveEjections int
 	ejectedUntil         time.Time
 	shedUntil            time.Time
-	cold                 coldLimiter
+	// leaving is set once the upstream has stated in a response that it leaves.
+	leaving bool
+	cold    coldLimiter
 }
 
 func newTarget(u *registry.Upstream, settings Settings) *target {
@@ -91,10 +95,11 @@
 	return float64(inFlight) / float64(max(upstreams, 1))
 }
 
-// usable reports whether the upstream is ready and not ejected.
-func (t *target) usable(now time.Time) bool {
-	return t.upstream.State == registry.Ready && !now.Before(t.ejectedUntil)
-}
+// accepts reports whether the upstream is ready and has not stated that it leaves.
+func (t *target) accepts() bool { return t.upstream.State == registry.Ready && !t.leaving }
+
+// usable reports whether the upstream accepts requests and is not ejected.
+func (t *target) usable(now time.Time) bool { return t.accepts() && !now.Before(t.ejectedUntil) }
 
 // withoutConnection reports whether the requests in flight use all connections to the
 // upstream: another request would be decided now and sent only after a wait.
@@ -115,6 +120,13 @@
 	t.ejectedUntil = now.Add(ejection)
 }
 
+// pauseFor makes the upstream get no request until the pause is over.
+func (t *target) pauseFor(now time.Time, pause time.Duration) {
+	if until := now.Add(pause); until.After(t.shedUntil) {
+		t.shedUntil = until
+	}
+}
+
 func (t *target) recordSuccess() {
 	t.consecutiveFailures = 0
 	t.consecutiveEjections = 0
