--- a/placement/departure.go
+++ b/placement/departure.go
@@ -66,7 +66,7 @@
 	return ok
 }
 
-// forgetDepartures forgets old statements of upstreams that the pool no longer has.
+// forgetDepartures removes old statements of upstreams that the pool no longer has.
 func (p *Pool) forgetDepartures(now time.Time) {
 	for id, d := range p.departures {
 		if p.targets[id] == nil && now.Sub(d.statedAt) > departureMemory {
--- a/propagation/follower.go
+++ b/propagation/follower.go
@@ -99,7 +99,7 @@
 	f.dropSources(func(s *source) bool { return s.revision <= f.covered })
 }
 
-// dropSources forgets the peers of which drop returns true.
+// dropSources removes the peers of which drop returns true.
 func (f *Follower) dropSources(drop func(s *source) bool) {
 	f.behindSince = time.Time{}
 	for name, s := range f.peers {
@@ -148,7 +148,7 @@
 	return name, true
 }
 
-// nearest returns a peer of the smallest distance, chosen at random, or nil. Peers of other
+// nearest returns a peer of the smallest distance, any of several, or nil. Peers of other
 // failure domains are asked once those of the own one had time to respond.
 func (f *Follower) nearest(now time.Time, waited time.Duration) (string, *source) {
 	var name string
--- a/propagation/follower_test.go
+++ b/propagation/follower_test.go
@@ -106,9 +106,9 @@
 // has made up.
 func TestWhatTheStoreDoesNotHaveIsForgotten(t *testing.T) {
 	f := newTestFollower()
-	f.Announced(testNow, "liar", SameDomain, 1<<30)
+	f.Announced(testNow, "faulty", SameDomain, 1<<30)
 	_, _ = f.Next(testNow, false)
-	f.Done(testNow, "liar", testNow, errTest)
+	f.Done(testNow, "faulty", testNow, errTest)
 	later := testNow.Add(NewBudget(testBound).StoreAfter())
 	source, due := f.Next(later, false)
 	assert.Assert(t, due)
@@ -176,7 +176,7 @@
 				}
 				reads = nil
 				if tick%10 == 0 {
-					f.Announced(now, "liar", SameDomain, revision)
+					f.Announced(now, "faulty", SameDomain, revision)
 					if grows {
 						revision++
 					}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -292,7 +292,7 @@
 	r.removals = append(r.removals, last)
 }
 
-// forgetRemovals forgets the removals that are older than removalMemory.
+// forgetRemovals deletes the removals that are older than removalMemory.
 func (r *Registry) forgetRemovals(now time.Time) {
 	for len(r.removals) > 0 && now.Sub(r.removals[0].at) > removalMemory {
 		oldest := r.removals[0]
--- a/soak/leaving.go
+++ b/soak/leaving.go
@@ -45,7 +45,7 @@
 	late []string
 }
 
-// state replaces the statement and forgets what was found.
+// state replaces the statement and clears what was found.
 func (c *statementCheck) state(s statement) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/standin/upstream/faults.go
+++ b/standin/upstream/faults.go
@@ -79,7 +79,7 @@
 	// RateLimit is the rate that the responses state, in requests per second from all
 	// entry instances together. 0 states none.
 	RateLimit float64 `json:"rate_limit,omitempty"`
-	// StatesLeaving makes the responses state while the stand-in drains that it leaves.
+	// StatesLeaving makes the responses carry Server-Leaving while the stand-in drains.
 	StatesLeaving bool `json:"states_leaving,omitempty"`
 	// RetryAfter is the time that refusals state until the next request. 0 states none.
 	RetryAfter units.Duration `json:"retry_after,omitempty"`
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -182,7 +182,7 @@
 	}
 }
 
-// Drop closes the idle connections to the upstreams with the names and forgets those
+// Drop closes the idle connections to the upstreams with the names and removes those
 // upstreams.
 func (c *Client) Drop(names ...string) {
 	c.mu.Lock()
