edge: count and log requests whose callers have left

The connection of a caller is now known to its requests. Counted are callers gone by stage, attempts begun after the close, and the time of work after it was found. No decision changes.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -84,6 +84,10 @@
 		x.deps.metrics.Histogram("ferry_attempt_seconds", "service", x.service.Name).UpdateDuration(sent)
 	}()
 	x.countLimited(lease.Upstream)
+	if x.callerClosed() {
+		x.sentAfterClose++
+		x.deps.metrics.Counter("ferry_sent_after_close_total").Inc()
+	}
 	response, err := x.deps.upstreams.Send(ctx, lease.Upstream, x.service, x.request)
 	if err == nil {
 		x.observeLimit(lease.Upstream, sent, response.Header)
--- /dev/null
+++ b/edge/gone.go
@@ -0,0 +1,62 @@
+package edge
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// goneStage is how far a request had come when its caller closed the connection, as far as the
+// instance knows.
+type goneStage string
+
+const (
+	// goneUnread is a close that came before the request was read.
+	goneUnread goneStage = "unread"
+	// goneUnsent is a close before the request was sent to an upstream.
+	goneUnsent goneStage = "unsent"
+	// goneSent is a close after the request was sent to an upstream.
+	goneSent goneStage = "sent"
+	// goneUnnoticed is a close that was found only when the work on the request was over.
+	goneUnnoticed goneStage = "unnoticed"
+)
+
+// callerClosed reports whether the caller has closed its connection.
+func (x *exchange) callerClosed() bool { return x.conn != nil && x.conn.closedByCaller() }
+
+// goneStage returns the stage at which the caller left, or an empty string if it has not.
+func (x *exchange) goneStage() goneStage {
+	noticed := x.r.Context().Err() != nil
+	switch {
+	case x.readAfterClose:
+		return goneUnread
+	case noticed && len(x.tried) == 0:
+		return goneUnsent
+	case noticed:
+		return goneSent
+	case x.callerClosed():
+		return goneUnnoticed
+	}
+	return ""
+}
+
+// observeGone counts and logs a caller that has left before the end of the work on its request.
+func (x *exchange) observeGone() {
+	stage := x.goneStage()
+	if stage == "" {
+		return
+	}
+	x.deps.metrics.Counter("ferry_callers_gone_total", "stage", string(stage)).Inc()
+	fields := []zap.Field{
+		zap.String("request_id", x.caller.AttemptID),
+		zap.String("stage", string(stage)),
+		zap.Strings("tried", x.tried),
+		zap.Int("sent_after_close", x.sentAfterClose),
+		zap.Duration("age", time.Since(x.started)),
+	}
+	if noticed, ok := x.conn.endedSince(); ok {
+		x.deps.metrics.Histogram("ferry_caller_gone_work_seconds").Update(noticed.Seconds())
+		fields = append(fields, zap.Duration("work_after", noticed))
+	}
+	x.deps.log.Info("caller gone", fields...)
+}
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -80,10 +80,12 @@
 	s := i.deps.settings
 	i.callerServer = i.server(&traffic{deps: i.deps})
 	i.callerServer.ConnState = i.deps.callerConns.observe
-	err := i.serve(s.Listen, i.callerServer)
+	i.callerServer.ConnContext = withCallerConn
+	listener, err := i.listen(s.Listen)
 	if err != nil {
 		return err
 	}
+	i.serveOn(callerListener{listener}, i.callerServer)
 	mux := http.NewServeMux()
 	mux.Handle("GET "+headers.PathDirectory, &directory{deps: i.deps})
 	err = i.serve(s.DirectoryListen, i.server(mux))
@@ -143,19 +145,29 @@
 
 // serve listens on the address and serves it in the background.
 func (i *Instance) serve(address string, server *http.Server) error {
-	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 3}}
-	listener, err := config.Listen(i.ctx, "tcp", address)
+	listener, err := i.listen(address)
 	if err != nil {
-		return errors.Wrap(err, "listen")
+		return err
 	}
+	i.serveOn(listener, server)
+	return nil
+}
+
+func (i *Instance) listen(address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 3}}
+	listener, err := config.Listen(i.ctx, "tcp", address)
+	return listener, errors.Wrap(err, "listen")
+}
+
+// serveOn serves the listener in the background until the instance stops.
+func (i *Instance) serveOn(listener net.Listener, server *http.Server) {
 	i.servers = append(i.servers, server)
 	go func() {
 		err := server.Serve(listener)
 		if !errors.Is(err, http.ErrServerClosed) {
-			i.deps.log.Error("listener failed", zap.String("address", address), zap.Error(err))
+			i.deps.log.Error("listener failed", zap.Stringer("address", listener.Addr()), zap.Error(err))
 		}
 	}()
-	return nil
 }
 
 func (i *Instance) serveMetrics() error {
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -27,11 +27,13 @@
 
 // ServeHTTP implements http.Handler.
 func (t *traffic) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{deps: t.deps, w: w, r: r, started: time.Now(), view: t.deps.views.load(), caller: headers.ParseCaller(r.Header)}
+	x := &exchange{deps: t.deps, w: w, r: r, conn: callerConnOf(r), started: time.Now(), view: t.deps.views.load(), caller: headers.ParseCaller(r.Header)}
 	if x.view.leaving {
 		w.Header().Set("Connection", "close")
 	}
+	x.readAfterClose = x.callerClosed()
 	err := x.serve()
+	x.observeGone()
 	if err != nil {
 		x.refuse(err)
 	}
@@ -42,6 +44,7 @@
 	deps     *dependencies
 	w        http.ResponseWriter
 	r        *http.Request
+	conn     *callerConn
 	started  time.Time
 	view     *view
 	caller   headers.Caller
@@ -62,6 +65,10 @@
 	tried []string
 	// ran counts the attempts that may have run the request.
 	ran int
+	// readAfterClose is set when the caller had closed its connection before its request was
+	// read; sentAfterClose counts the attempts that began after it had.
+	readAfterClose bool
+	sentAfterClose int
 }
 
 func (x *exchange) serve() error {
