edge, upstream: a request of a caller that has left is not sent

Callers saw nothing; upstreams worked for callers that had closed their connection before the request was read (GONE). An instance without processor time reads a request late, and a caller whose request is not read in time gives up.

Cause: the only thing that ended a request was net/http's watch of the connection, a goroutine of its own that starts with the handler. Sending did not wait for it, so a request whose close had been in the kernel for any time was sent if its own goroutine came first. Class: a decision by state that another goroutine has yet to find out.

lifetime is now the context of a request, and the only owner of its end. Its Err asks the kernel. upstream asks Err before each write of a request, edge once the request has been read, before each retry and after each wait. So how long the instance waits for processor time does not matter: the state of the connection is that of the moment of sending.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -50,7 +50,7 @@
 
 // sendWithRetries sends the request to one upstream after another until one responds or
 // no further retry is allowed.
-func (x *exchange) sendWithRetries(ctx context.Context) error {
+func (x *exchange) sendWithRetries(ctx *lifetime) error {
 	var last *upstreamResponse
 	for {
 		got, err := x.attempt(ctx)
@@ -72,7 +72,7 @@
 }
 
 // attempt sends the request to one upstream and reads the response.
-func (x *exchange) attempt(ctx context.Context) (*upstreamResponse, error) {
+func (x *exchange) attempt(ctx *lifetime) (*upstreamResponse, error) {
 	lease, err := x.acquire(ctx)
 	if err != nil {
 		return nil, err
@@ -84,10 +84,6 @@
 		x.deps.metrics.Histogram("ferry_attempt_seconds", "service", x.service.Name).UpdateDuration(sent)
 	}()
 	x.countLimited(lease.Upstream)
-	if x.callerClosed() {
-		x.sentAfterClose++
-		x.deps.metrics.Counter("ferry_sent_after_close_total").Inc()
-	}
 	response, err := x.deps.upstreams.Send(ctx, lease.Upstream, x.service, x.request)
 	if err == nil {
 		x.observeLimit(lease.Upstream, sent, response.Header)
@@ -132,7 +128,7 @@
 // acquire takes a slot at an upstream, with a permit if the upstream limits its rate. What
 // was decided before a wait for a permit is decided again after it. Such waits count like
 // upstreams tried, which bounds them.
-func (x *exchange) acquire(ctx context.Context) (*placement.Lease, error) {
+func (x *exchange) acquire(ctx *lifetime) (*placement.Lease, error) {
 	var denied []string
 	for waits := len(x.tried); ; {
 		lease, fallback, err := x.choose(denied)
@@ -193,14 +189,12 @@
 // decideAgain resolves the request after a wait. An error means that it must not be sent,
 // also because of an attempt that may have run it: by the newest configuration the route may
 // be at-most-once or have fewer attempts.
-func (x *exchange) decideAgain(ctx context.Context) error {
-	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
-		return errkind.Wrap(ctx.Err(), errkind.CallerGone, "")
-	case ctx.Err() != nil:
-		return errkind.Wrap(ctx.Err(), errkind.DeadlineExceeded, "")
+func (x *exchange) decideAgain(ctx *lifetime) error {
+	err := ctx.end()
+	if err != nil {
+		return err
 	}
-	err := x.resolve()
+	err = x.resolve()
 	if err != nil {
 		return err
 	}
@@ -268,7 +262,7 @@
 
 // failAttempt records the outcome of an attempt without a complete response and releases
 // its slot.
-func (x *exchange) failAttempt(ctx context.Context, lease *placement.Lease, err error) {
+func (x *exchange) failAttempt(ctx *lifetime, lease *placement.Lease, err error) {
 	result := resultOf(ctx, err)
 	if result == placement.Failed || result == placement.Late {
 		x.recordVersion(lease.Upstream.Version, canary.LateResponse)
@@ -314,7 +308,7 @@
 
 // mayRetry reports whether the request may be sent to another upstream. If so, it has
 // counted the retry, and charged it to the retry budget unless the connection failed.
-func (x *exchange) mayRetry(ctx context.Context, err error) bool {
+func (x *exchange) mayRetry(ctx *lifetime, err error) bool {
 	if ctx.Err() != nil || x.resolve() != nil {
 		return false
 	}
@@ -374,7 +368,7 @@
 }
 
 // deliver writes the response to the caller.
-func (x *exchange) deliver(ctx context.Context, got *upstreamResponse) error {
+func (x *exchange) deliver(ctx *lifetime, got *upstreamResponse) error {
 	x.deps.retries.forService(x.service.Name).Succeed()
 	headers.PrepareDelivered(got.Status, got.Header)
 	out := x.w.Header()
@@ -401,7 +395,7 @@
 
 // stream writes a body that has not ended yet to the caller. The end of the body
 // completes the attempt.
-func (x *exchange) stream(ctx context.Context, got *upstreamResponse) error {
+func (x *exchange) stream(ctx *lifetime, got *upstreamResponse) error {
 	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(streamWriteGrace))
 	rest := &streamedBody{Reader: got.Body}
 	_, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(got.buffered), rest))
@@ -463,7 +457,7 @@
 }
 
 // resultOf returns what a failed attempt shows about its upstream.
-func resultOf(ctx context.Context, err error) placement.Result {
+func resultOf(ctx *lifetime, err error) placement.Result {
 	status, _ := upstream.ShedResponse(err)
 	switch {
 	case headers.IsMisdirected(status):
--- a/edge/gone.go
+++ b/edge/gone.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"samphireferry.example/ferry/errkind"
 )
 
 // goneStage is how far a request had come when its caller closed the connection, as far as the
@@ -13,7 +15,7 @@
 const (
 	// goneUnread is a close that came before the request was read.
 	goneUnread goneStage = "unread"
-	// goneUnsent is a close before the request was sent to an upstream.
+	// goneUnsent is a close before any upstream may have run the request.
 	goneUnsent goneStage = "unsent"
 	// goneSent is a close after the request was sent to an upstream.
 	goneSent goneStage = "sent"
@@ -21,28 +23,26 @@
 	goneUnnoticed goneStage = "unnoticed"
 )
 
-// callerClosed reports whether the caller has closed its connection.
-func (x *exchange) callerClosed() bool { return x.conn != nil && x.conn.closedByCaller() }
-
-// goneStage returns the stage at which the caller left, or an empty string if it has not.
-func (x *exchange) goneStage() goneStage {
-	noticed := x.r.Context().Err() != nil
+// goneStage returns the stage at which the caller left, or an empty string if it has not. The
+// error is the one that ended the work on the request.
+func (x *exchange) goneStage(err error) goneStage {
+	noticed := x.r.Context().Err() != nil || err != nil && errkind.Of(err) == errkind.CallerGone
 	switch {
 	case x.readAfterClose:
 		return goneUnread
-	case noticed && len(x.tried) == 0:
+	case noticed && x.ran == 0:
 		return goneUnsent
 	case noticed:
 		return goneSent
-	case x.callerClosed():
+	case x.conn != nil && x.conn.closedByCaller():
 		return goneUnnoticed
 	}
 	return ""
 }
 
 // observeGone counts and logs a caller that has left before the end of the work on its request.
-func (x *exchange) observeGone() {
-	stage := x.goneStage()
+func (x *exchange) observeGone(err error) {
+	stage := x.goneStage(err)
 	if stage == "" {
 		return
 	}
@@ -51,7 +51,6 @@
 		zap.String("request_id", x.caller.AttemptID),
 		zap.String("stage", string(stage)),
 		zap.Strings("tried", x.tried),
-		zap.Int("sent_after_close", x.sentAfterClose),
 		zap.Duration("age", time.Since(x.started)),
 	}
 	if noticed, ok := x.conn.endedSince(); ok {
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -31,9 +31,8 @@
 	if x.view.leaving {
 		w.Header().Set("Connection", "close")
 	}
-	x.readAfterClose = x.callerClosed()
 	err := x.serve()
-	x.observeGone()
+	x.observeGone(err)
 	if err != nil {
 		x.refuse(err)
 	}
@@ -66,9 +65,8 @@
 	// ran counts the attempts that may have run the request.
 	ran int
 	// readAfterClose is set when the caller had closed its connection before its request was
-	// read; sentAfterClose counts the attempts that began after it had.
+	// read.
 	readAfterClose bool
-	sentAfterClose int
 }
 
 func (x *exchange) serve() error {
@@ -82,8 +80,13 @@
 	}
 	x.chooseService()
 	x.setDeadline()
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
-	defer cancel()
+	ctx, release := newLifetime(x.r, x.conn, x.deadline)
+	defer release()
+	err = ctx.end()
+	if err != nil {
+		x.readAfterClose = errkind.Of(err) == errkind.CallerGone
+		return err
+	}
 	err = x.prepare()
 	if err != nil {
 		return err
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -148,7 +148,9 @@
 //
 // Send replaces req.Body with a ReplayBody, so that a later Send of the same
 // request can read it again. Cancelling ctx, also after Send has returned,
-// cancels the request at the upstream.
+// cancels the request at the upstream. The Err method of ctx is called before each
+// write, so a context whose Err looks for itself whether the request has ended keeps a
+// request from being sent before its Done channel is closed.
 func (c *Client) Send(ctx context.Context, target *routing.Upstream, service *routing.Service, req *dispatch.Request) (*dispatch.Response, error) {
 	body, err := prepareBody(req)
 	if err != nil {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -148,6 +149,8 @@
 
 // attempt tracks the connection and the writes of one request.
 type attempt struct {
+	// ctx is the context of the request. No byte is written once it has ended.
+	ctx context.Context
 	// deadline is the time after which no byte is written.
 	deadline time.Time
 
@@ -162,6 +165,10 @@
 	written         int64
 }
 
+func newAttempt(ctx context.Context, deadline time.Time) *attempt {
+	return &attempt{ctx: ctx, deadline: deadline}
+}
+
 // bind assigns the connection to the attempt. When usable is false, or after the
 // first byte has been written or the attempt has ended, the connection is
 // rejected and writes to it fail.
@@ -182,6 +189,9 @@
 // beginWrite marks a write as running, or returns why the attempt must not write
 // to the connection.
 func (a *attempt) beginWrite(c *conn, now time.Time) error {
+	if err := a.ctx.Err(); err != nil {
+		return err
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.sealed {
--- a/upstream/conn_test.go
+++ b/upstream/conn_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -42,6 +43,11 @@
 			a.bind(c, false, true)
 			assert.Assert(t, !a.seal())
 		}, errSealed},
+		// Guards against requests that are sent although their caller has left (GONE).
+		{"context that finds its end when it is asked", func(a *attempt, c *conn) {
+			a.ctx = endedContext{t.Context()}
+			a.bind(c, false, true)
+		}, context.Canceled},
 		{"second connection after a byte", func(a *attempt, c *conn) {
 			first := newConn(&recordingConn{}, now)
 			a.bind(first, true, true)
@@ -57,7 +63,7 @@
 	for _, tc := range cases {
 		inner := &recordingConn{}
 		c := newConn(inner, now)
-		a := &attempt{deadline: now.Add(time.Hour)}
+		a := newAttempt(t.Context(), now.Add(time.Hour))
 		tc.setUp(a, c)
 		_, err := c.Write([]byte("request"))
 		assert.Equal(t, err, tc.want, tc.name)
@@ -65,13 +71,19 @@
 	}
 }
 
+// endedContext is a context that reports its end before its Done channel is closed.
+type endedContext struct{ context.Context }
+
+// Err implements context.Context.
+func (endedContext) Err() error { return context.Canceled }
+
 // TestARefusalIsOwnedOnlyAfterAcceptedResponses guards against trusting an earlier refusal
 // without an id: a request may be given the connection before the response to the one before
 // it has been looked at.
 func TestARefusalIsOwnedOnlyAfterAcceptedResponses(t *testing.T) {
 	c := newConn(&recordingConn{}, time.Now())
 	bind := func() *attempt {
-		a := &attempt{}
+		a := newAttempt(t.Context(), time.Time{})
 		a.bind(c, true, true)
 		return a
 	}
--- a/upstream/doc.go
+++ b/upstream/doc.go
@@ -8,7 +8,8 @@
 // Every error of an attempt has an errkind.Kind. The kind has the outcome
 // errkind.NotRun only when no byte of the attempt was or will be handed to the
 // kernel, or when the upstream itself reported that it did not run the request
-// (HeaderShed). No byte is written after the deadline of the context.
+// (HeaderShed). No byte is written after the deadline of the context, or once its Err
+// reports that it has ended; Err is asked before each write.
 //
 // A pooled connection carries an at-most-once request only when the last
 // contact with the upstream on it lies within Options.MaxContactAge. An
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -60,7 +60,7 @@
 	e := &exchange{
 		client: c, host: h, target: target, service: service, req: req, body: body,
 		id: c.attemptID(req.ID), parent: ctx, started: now,
-		attempt: &attempt{deadline: deadline},
+		attempt: newAttempt(ctx, deadline),
 	}
 	e.ctx, e.cancel = context.WithDeadline(ctx, deadline)
 	return e
--- a/upstream/reset_test.go
+++ b/upstream/reset_test.go
@@ -35,7 +35,7 @@
 		t.Run(name, func(t *testing.T) {
 			now := time.Now()
 			c := newConn(resetPair(t, "half"), now)
-			a := &attempt{deadline: now.Add(time.Hour)}
+			a := newAttempt(t.Context(), now.Add(time.Hour))
 			a.bind(c, false, true)
 			for written {
 				if _, err := c.Write([]byte("body")); err != nil {
