edge: a close behind further bytes ends the request

A caller that had sent anything behind its request and then closed the connection was never noticed: its upstream worked on to the timeout of the route (GONE).

Cause: while a request is handled, net/http reads one byte to find the close. A byte that arrives ends that watch, as it may begin the next request. Class: a watch that ends without anybody being told. net/http documents it; nothing here made up for it.

callerConn now returns such a byte only once the caller has closed the connection, together with io.EOF, or once the server wants to read on. It waits for events of the socket and reads nothing ahead, so it costs no memory and no processor time. A caller that closes its side for writing counts as one that has left, as it did without such bytes.

--- a/edge/callerconn.go
+++ b/edge/callerconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -35,11 +36,20 @@
 	// ended is when a read first found the end of the connection, in nanoseconds since opened;
 	// 0 while none has.
 	ended atomic.Int64
+	// handling is set while a request of the connection is handled.
+	handling atomic.Bool
 }
 
 // Read implements net.Conn. It records when the end of the connection was found.
+//
+// While a request is handled, net/http reads one byte and takes an error for the close. A byte that
+// the caller has sent behind the request would end that watch, so such a read goes on to wait for the
+// close, and returns io.EOF together with the byte.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
+	if n == 1 && len(p) == 1 && err == nil && c.handling.Load() {
+		err = c.awaitClose()
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.ended.CompareAndSwap(0, int64(time.Since(c.opened)))
 	}
@@ -56,6 +66,24 @@
 	return time.Since(c.opened) - ended, ended != 0
 }
 
+// awaitClose waits until the caller closes the connection, which it returns as io.EOF, or until the
+// read deadline, for which it returns nil.
+func (c *callerConn) awaitClose() error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	// The function is called again after each event of the socket.
+	err = raw.Read(closedByPeer)
+	switch {
+	case err == nil:
+		return io.EOF
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil
+	}
+	return err
+}
+
 // closedByCaller reports whether the caller has closed or reset the connection, also if that
 // has not been read yet or comes after bytes that have not been read.
 func (c *callerConn) closedByCaller() bool {
@@ -64,14 +92,17 @@
 		return true
 	}
 	var closed bool
-	err = raw.Control(func(fd uintptr) {
-		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(poll, 0)
-		closed = err == nil && n > 0
-	})
+	err = raw.Control(func(fd uintptr) { closed = closedByPeer(fd) })
 	return err != nil || closed
 }
 
+// closedByPeer reports whether the peer of the socket has closed or reset the connection.
+func closedByPeer(fd uintptr) bool {
+	poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(poll, 0)
+	return err == nil && n > 0
+}
+
 type callerConnKey struct{}
 
 // withCallerConn is the ConnContext hook of http.Server that makes the connection known to the
