edge, shutdown: one budget for a planned stop

Cause: the stop was a row of waits, each with a bound of its own or none: the renewal of the registration, its removal (1.5 s at a silent store), 1.5 s until the listener closes, then the running requests with what was left. Nothing compared what a request may take with what was left.

A request is taken, or tried once more, only if its deadline lies in the part for requests; otherwise it is refused at once as not run. What still runs at the end of that part is ended with a response (504, or 503 if it was not sent). The lifetime of a request ends with the stop too. Neither the queue of the control goroutine nor the store delays the close of the listener, and the readiness check follows the stop itself.

TestStopCutsNoRequestThatCameInTheGracePeriod, TestStopAnswersRequestsThatItEnds and TestASilentStoreDoesNotDelayTheStop failed before, and pass 5 times with the race detector.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -190,7 +190,7 @@
 // also because of an attempt that may have run it: by the newest configuration the route may
 // be at-most-once or have fewer attempts.
 func (x *exchange) decideAgain(ctx *lifetime) error {
-	err := ctx.end()
+	err := ctx.mayBegin()
 	if err != nil {
 		return err
 	}
@@ -309,7 +309,7 @@
 // mayRetry reports whether the request may be sent to another upstream. If so, it has
 // counted the retry, and charged it to the retry budget unless the connection failed.
 func (x *exchange) mayRetry(ctx *lifetime, err error) bool {
-	if ctx.Err() != nil || x.resolve() != nil {
+	if ctx.mayBegin() != nil || x.resolve() != nil {
 		return false
 	}
 	limit := x.route.MaxAttempts
--- a/edge/connections.go
+++ b/edge/connections.go
@@ -67,6 +67,13 @@
 	return float64(len(c.open)) > nearLimitFraction*float64(c.limit)
 }
 
+// busy returns the number of connections that are not idle.
+func (c *connections) busy() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open) - len(c.idle)
+}
+
 // sweep closes the longest idle connections beyond sweepFraction. The caller holds the
 // mutex.
 func (c *connections) sweep(now time.Time) {
--- a/edge/control.go
+++ b/edge/control.go
@@ -47,7 +47,7 @@
 }
 
 // urgentEvent is an event that may go before all others: one that brings what the operator
-// has ordered, and whose work depends on that change only.
+// has ordered, or that the instance leaves, and whose work depends on that change only.
 type urgentEvent interface {
 	event
 	urgent() bool
@@ -277,6 +277,9 @@
 // leave marks the instance as leaving and notifies peers at once.
 type leave struct{}
 
+// urgent implements urgentEvent.
+func (leave) urgent() bool { return true }
+
 func (leave) apply(c *control, now time.Time) {
 	c.leaving = true
 	c.viewDirty = true
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -88,7 +88,7 @@
 // leaving, otherwise with 503.
 func (s *ready) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	v := s.deps.views.load()
-	if v.table == nil || v.leaving {
+	if v.table == nil || s.deps.stopping.begun() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/edge/gone.go
+++ b/edge/gone.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,7 +27,8 @@
 // goneStage returns the stage at which the caller left, or an empty string if it has not. The
 // error is the one that ended the work on the request.
 func (x *exchange) goneStage(err error) goneStage {
-	noticed := x.r.Context().Err() != nil || err != nil && errkind.Of(err) == errkind.CallerGone
+	cancelled := x.r.Context().Err() != nil && errkind.Of(context.Cause(x.r.Context())) != errkind.Leaving
+	noticed := cancelled || err != nil && errkind.Of(err) == errkind.CallerGone
 	switch {
 	case x.readAfterClose:
 		return goneUnread
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -17,15 +17,6 @@
 	"samphireferry.example/ferry/telemetry"
 )
 
-const (
-	// leaveDelay is the time between announcing that the instance is leaving and
-	// closing the listener: callers keep using their list of entry instances for that
-	// long.
-	leaveDelay = 1500 * time.Millisecond
-	// stopReserve is the part of the grace period reserved for ending the process.
-	stopReserve = 300 * time.Millisecond
-)
-
 // Instance is one entry instance: its listeners, control goroutine and registration.
 type Instance struct {
 	deps         *dependencies
@@ -36,6 +27,8 @@
 	callerServer *http.Server
 	ctx          context.Context
 	cancel       context.CancelFunc
+	// endRequests ends the requests that are running, with a cause.
+	endRequests context.CancelCauseFunc
 	// stopRegistrar ends the renewal of the registration before the entry is removed.
 	stopRegistrar context.CancelFunc
 	registrarDone chan struct{}
@@ -81,6 +74,9 @@
 	i.callerServer = i.server(&traffic{deps: i.deps})
 	i.callerServer.ConnState = i.deps.callerConns.observe
 	i.callerServer.ConnContext = withCallerConn
+	requests, endRequests := context.WithCancelCause(context.Background())
+	i.callerServer.BaseContext = func(net.Listener) context.Context { return requests }
+	i.endRequests = endRequests
 	listener, err := i.listen(s.Listen)
 	if err != nil {
 		return err
@@ -192,26 +188,3 @@
 	}()
 	return nil
 }
-
-// Stop shuts the instance down within the deadline of the context and the grace period:
-// it announces that the instance is leaving, then closes the listener and waits for
-// running requests.
-func (i *Instance) Stop(ctx context.Context) {
-	i.control.post(leave{})
-	i.stopRegistrar()
-	<-i.registrarDone
-	ctx, cancel := context.WithTimeout(ctx, i.deps.settings.Grace-stopReserve)
-	defer cancel()
-	i.registrar.leave(ctx)
-	sleep(ctx, leaveDelay)
-	err := i.callerServer.Shutdown(ctx)
-	if err != nil {
-		i.deps.log.Warn("requests were still running at the shutdown deadline", zap.Error(err))
-	}
-	i.rpc.Close()
-	for _, server := range i.servers {
-		_ = server.Close()
-	}
-	i.cancel()
-	i.deps.log.Info("stopped")
-}
--- a/edge/lifetime.go
+++ b/edge/lifetime.go
@@ -15,26 +15,31 @@
 
 // lifetime is the context of one request. Every wait for the request and every write of it to an
 // upstream is under it, and nothing else ends them: the caller closes or resets its connection,
-// or the deadline passes.
+// the deadline passes, or the instance stops.
 type lifetime struct {
 	context.Context
-	conn   *callerConn
-	cancel context.CancelCauseFunc
+	conn     *callerConn
+	deadline time.Time
+	stopping *stopping
+	cancel   context.CancelCauseFunc
 }
 
 // newLifetime returns the lifetime of the request and a function that releases it.
-func newLifetime(r *http.Request, conn *callerConn, deadline time.Time) (*lifetime, context.CancelFunc) {
+func newLifetime(r *http.Request, conn *callerConn, deadline time.Time, s *stopping) (*lifetime, context.CancelFunc) {
 	ctx, release := context.WithDeadline(r.Context(), deadline)
 	ctx, cancel := context.WithCancelCause(ctx)
-	return &lifetime{Context: ctx, conn: conn, cancel: cancel}, release
+	return &lifetime{Context: ctx, conn: conn, deadline: deadline, stopping: s, cancel: cancel}, release
 }
 
-// end returns the error for a request whose lifetime has ended, or nil.
-func (l *lifetime) end() error {
+// mayBegin returns the error for a request of which no attempt may begin, or nil: its lifetime
+// has ended, or the instance may stop before its deadline.
+func (l *lifetime) mayBegin() error {
 	err := l.Err()
 	switch {
-	case err == nil:
+	case err == nil && l.stopping.allows(l.deadline):
 		return nil
+	case err == nil, errkind.Of(context.Cause(l)) == errkind.Leaving:
+		return errkind.Wrap(err, errkind.Leaving, "")
 	case errors.Is(err, context.Canceled):
 		return errkind.Wrap(err, errkind.CallerGone, "")
 	}
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -35,6 +35,7 @@
 	permits     *permits
 	limiter     *admission.Limiter
 	callerConns *connections
+	stopping    *stopping
 	// watchRole is that of the watch of all records, operatorWatchRole of the watch of the
 	// operator's records.
 	watchRole         *watchRoleState
--- /dev/null
+++ b/edge/stop_test.go
@@ -0,0 +1,148 @@
+package edge
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+	"gotest.tools/v3/assert"
+
+	standin "samphireferry.example/ferry/standin/platform"
+	"samphireferry.example/ferry/standin/records"
+)
+
+// configureStop publishes the at-most-once route /file/ with the timeout.
+func (s *system) configureStop(timeout time.Duration) {
+	s.write(records.Configuration{
+		Version:   1,
+		Routes:    []records.Route{{Name: "file", Host: "a.example", Prefix: "/file/", Service: "lookup", Timeout: timeout, Attempts: 2, AtMostOnce: true}},
+		Services:  []string{"lookup"},
+		Customers: []records.Customer{{Name: "acme", Keys: []string{"k1"}, Rate: 100, Burst: 100}},
+	})
+}
+
+// startAdmitting starts an instance with one upstream and returns once it serves requests.
+func (s *system) startAdmitting(b *fakeUpstream) *instance {
+	s.t.Helper()
+	s.register(b, "v1", "ready")
+	i := s.start("e1")
+	i.waitReady(1)
+	untilAdmitted(func() (clientResponse, int) {
+		got := i.send(http.MethodPost, "/file/7", "k1")
+		return got, got.status
+	})
+	return i
+}
+
+// Guards against at-most-once requests that come late in the grace period, are passed on, and are
+// cut without a response at its end (LOST).
+func TestStopCutsNoRequestThatCameInTheGracePeriod(t *testing.T) {
+	const (
+		work     = 1800 * time.Millisecond
+		requests = 8
+	)
+	s := newSystem(t)
+	s.configureStop(2 * time.Second)
+	b := newFakeUpstream(t, "i-1")
+	i := s.startAdmitting(b)
+	slow := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(work)
+		fmt.Fprint(w, "filed")
+	})
+	b.handler.Store(&slow)
+	before := len(b.requests())
+	var callers sync.WaitGroup
+	responses := make([]clientResponse, requests)
+	stopped := make(chan struct{})
+	go func() {
+		i.stop()
+		close(stopped)
+	}()
+	for n := range requests {
+		callers.Go(func() { responses[n] = i.send(http.MethodPost, "/file/7", "k1") })
+		time.Sleep(150 * time.Millisecond)
+	}
+	callers.Wait()
+	<-stopped
+	passedOn := len(b.requests()) - before
+	for n, got := range responses {
+		if got.err != nil {
+			// The listener was closed before the caller connected.
+			var refused *net.OpError
+			assert.Assert(t, errors.As(got.err, &refused) && refused.Op == "dial", "request %d was cut: %v", n, got.err)
+			continue
+		}
+		if got.status != http.StatusServiceUnavailable {
+			passedOn--
+		}
+	}
+	assert.Equal(t, passedOn, 0, "as many responses of the upstream as requests that reached it")
+}
+
+// Guards against a request that is cut without a response because it still runs at the end of the
+// grace period (LOST).
+func TestStopAnswersRequestsThatItEnds(t *testing.T) {
+	s := newSystem(t)
+	s.configureStop(time.Minute)
+	b := newFakeUpstream(t, "i-1")
+	i := s.startAdmitting(b)
+	before := len(b.requests())
+	closed := make(chan string, 1)
+	b.handler.Store(untilClosed(closed))
+	response := make(chan clientResponse, 1)
+	go func() { response <- i.send(http.MethodPost, "/file/7", "k1") }()
+	eventually(t, "the request is at the upstream", func() bool { return len(b.requests()) == before+1 })
+	i.stop()
+	got := <-response
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusGatewayTimeout, "the request may have run")
+	<-closed
+}
+
+// Guards against a stop that takes requests for longer because the store does not respond.
+func TestASilentStoreDoesNotDelayTheStop(t *testing.T) {
+	s := newSystem(t)
+	s.configureStop(time.Minute)
+	core, logs := observer.New(zap.WarnLevel)
+	b := newFakeUpstream(t, "i-1")
+	s.register(b, "v1", "ready")
+	i := s.startLogging("e1", zap.New(core))
+	i.waitReady(1)
+	eventually(t, "the instance is registered", func() bool {
+		_, err := s.store.Get(t.Context(), "ferry/instances/e1")
+		return err == nil
+	})
+	release := make(chan struct{})
+	b.handler.Store(succeedAfter(release))
+	running := make(chan clientResponse, 1)
+	go func() {
+		running <- untilAdmitted(func() (clientResponse, int) {
+			got := i.send(http.MethodPost, "/file/7", "k1")
+			return got, got.status
+		})
+	}()
+	eventually(t, "a request is at the upstream", func() bool { return len(b.requests()) == 1 })
+	s.store.SetFaults(standin.Faults{Outage: standin.OutageHang})
+	stopped := make(chan struct{})
+	go func() {
+		i.stop()
+		close(stopped)
+	}()
+	eventually(t, "the listener is closed", func() bool {
+		conn, err := net.Dial("tcp", i.deps.settings.Listen)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	})
+	assert.Equal(t, logs.FilterMessage("entry of this instance was not removed").Len(), 0, "the stop has waited for the store")
+	close(release)
+	assert.Equal(t, (<-running).status, http.StatusOK)
+	<-stopped
+}
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -28,7 +28,7 @@
 // ServeHTTP implements http.Handler.
 func (t *traffic) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{deps: t.deps, w: w, r: r, conn: callerConnOf(r), started: time.Now(), view: t.deps.views.load(), caller: headers.ParseCaller(r.Header)}
-	if x.view.leaving {
+	if t.deps.stopping.begun() {
 		w.Header().Set("Connection", "close")
 	}
 	err := x.serve()
@@ -80,9 +80,9 @@
 	}
 	x.chooseService()
 	x.setDeadline()
-	ctx, release := newLifetime(x.r, x.conn, x.deadline)
+	ctx, release := newLifetime(x.r, x.conn, x.deadline, x.deps.stopping)
 	defer release()
-	err = ctx.end()
+	err = ctx.mayBegin()
 	if err != nil {
 		x.readAfterClose = errkind.Of(err) == errkind.CallerGone
 		return err
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -105,6 +105,7 @@
 		retries:           newRetryBudgets(settings.EdgeBounds),
 		throttle:          throttle.New(),
 		callerConns:       newConnections(settings.MaxConnections),
+		stopping:          &stopping{},
 		watchRole:         newWatchRoleState(),
 		operatorWatchRole: newWatchRoleState(),
 		limiter:           admission.NewLimiter(admission.Settings{MaxWait: maxLoanWait, MessagesPerSecond: maxLoanMessagesPerSecond}, time.Now()),
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -92,13 +92,17 @@
 	return errkind.NoUpstream
 }
 
-// contextErrorKind returns the error kind of an attempt whose context has ended.
+// contextErrorKind returns the error kind of an attempt whose context has ended. A context that was
+// cancelled means that the caller has left, unless its cause says that the instance stops.
 func contextErrorKind(ctx context.Context, wrote bool) errkind.Kind {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	stops := errkind.Of(context.Cause(ctx)) == errkind.Leaving
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled) && !stops:
 		return errkind.CallerGone
-	}
-	if wrote {
+	case wrote:
 		return errkind.UpstreamTimeout
+	case stops:
+		return errkind.Leaving
 	}
 	return errkind.DeadlineExceeded
 }
