edge: a request body that does not arrive ends at the deadline

A caller that sent a part of its body and then nothing got no response, and its request held a goroutine and its memory for as long as the connection stood: the read of the body was the one wait of a request that was not under its end.

Reads of a body that is buffered end at the deadline of the request, and are refused as not sent (504). A body that is streamed was ended there, but net/http wrote the response only after the read had returned; it is ended now.

--- a/edge/callers_test.go
+++ b/edge/callers_test.go
@@ -245,3 +245,37 @@
 	defer c.mu.Unlock()
 	return len(c.open)
 }
+
+// Guards against a request that is held beyond its deadline because its body does not arrive.
+func TestABodyThatDoesNotArriveEndsAtTheDeadline(t *testing.T) {
+	for name, c := range map[string]struct {
+		framing, body string
+		// streamed is set when the body is sent to the upstream while it arrives.
+		streamed bool
+	}{
+		"length":  {"Content-Length: 12\r\n", "filing", false},
+		"chunked": {"Transfer-Encoding: chunked\r\n", "6\r\nfiling\r\n", false},
+		"long":    {"Content-Length: 1000000\r\n", "filing", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t)
+			s.configureStop(time.Second)
+			b := newFakeUpstream(t, "i-1")
+			i := s.startAdmitting(b)
+			defer i.stop()
+			before := len(b.requests())
+			conn, err := net.Dial("tcp", i.deps.settings.Listen)
+			assert.NilError(t, err)
+			defer conn.Close()
+			assert.NilError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+			_, err = conn.Write([]byte(rawRequest(http.MethodPost, "/file/7", "a", c.framing, c.body)))
+			assert.NilError(t, err)
+			status, _ := newResponseReader(conn).next(t)
+			assert.Equal(t, status, http.StatusGatewayTimeout)
+			assert.Assert(t, c.streamed || len(b.requests()) == before, "the request was sent")
+			for _, stage := range []goneStage{goneUnsent, goneSent} {
+				assert.Equal(t, i.deps.metrics.Counter("ferry_callers_gone_total", "stage", string(stage)).Get(), uint64(0))
+			}
+		})
+	}
+}
--- a/edge/gone.go
+++ b/edge/gone.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,10 +25,12 @@
 
 // goneStage returns the stage at which the caller left, or an empty string if it has not. The
 // error is the one that ended the work on the request.
-func (x *exchange) goneStage(err error) goneStage {
-	cancelled := x.r.Context().Err() != nil && errkind.Of(context.Cause(x.r.Context())) != errkind.Leaving
-	noticed := cancelled || err != nil && errkind.Of(err) == errkind.CallerGone
+func (x *exchange) goneStage(ctx *lifetime, err error) goneStage {
+	noticed := ctx.callerGone()
 	switch {
+	case errkind.Of(err) == errkind.DeadlineExceeded:
+		// The server cancels the request when a read of its body ends by the deadline.
+		return ""
 	case x.readAfterClose:
 		return goneUnread
 	case noticed && x.ran == 0:
@@ -43,8 +44,8 @@
 }
 
 // observeGone counts and logs a caller that has left before the end of the work on its request.
-func (x *exchange) observeGone(err error) {
-	stage := x.goneStage(err)
+func (x *exchange) observeGone(ctx *lifetime, err error) {
+	stage := x.goneStage(ctx, err)
 	if stage == "" {
 		return
 	}
--- a/edge/lifetime.go
+++ b/edge/lifetime.go
@@ -40,12 +40,17 @@
 		return nil
 	case err == nil, errkind.Of(context.Cause(l)) == errkind.Leaving:
 		return errkind.Wrap(err, errkind.Leaving, "")
-	case errors.Is(err, context.Canceled):
+	case l.callerGone():
 		return errkind.Wrap(err, errkind.CallerGone, "")
 	}
 	return errkind.Wrap(err, errkind.DeadlineExceeded, "")
 }
 
+// callerGone reports whether the lifetime has ended because the caller has left.
+func (l *lifetime) callerGone() bool {
+	return errors.Is(l.Context.Err(), context.Canceled) && errkind.Of(context.Cause(l)) != errkind.Leaving
+}
+
 // Err implements context.Context. It asks the kernel whether the caller has left: the goroutines
 // that notice it may not have run yet, and the request must not be sent then.
 func (l *lifetime) Err() error {
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -5,9 +5,11 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"samphireferry.example/ferry/dispatch"
@@ -32,7 +34,6 @@
 		w.Header().Set("Connection", "close")
 	}
 	err := x.serve()
-	x.observeGone(err)
 	if err != nil {
 		x.refuse(err)
 	}
@@ -58,6 +59,8 @@
 	// deadline is the earlier of the caller's deadline and the timeout of the route that
 	// matched on arrival.
 	deadline time.Time
+	// streamsBody is set when the request body is sent while it is read.
+	streamsBody bool
 	// responseStarted is set just before the header of the response is written.
 	responseStarted bool
 	// tried names the upstreams that the request was sent to.
@@ -82,7 +85,14 @@
 	x.setDeadline()
 	ctx, release := newLifetime(x.r, x.conn, x.deadline, x.deps.stopping)
 	defer release()
-	err = ctx.mayBegin()
+	err = x.serveWithin(ctx)
+	x.observeGone(ctx, err)
+	return err
+}
+
+// serveWithin serves the request until its lifetime ends.
+func (x *exchange) serveWithin(ctx *lifetime) error {
+	err := ctx.mayBegin()
 	if err != nil {
 		x.readAfterClose = errkind.Of(err) == errkind.CallerGone
 		return err
@@ -100,7 +110,21 @@
 	if err != nil {
 		return err
 	}
-	return x.sendWithRetries(ctx)
+	err = x.sendWithRetries(ctx)
+	if x.streamsBody && ctx.Err() != nil {
+		// The server writes no response while the body is being read.
+		x.setReadDeadline(time.Unix(0, 0))
+	}
+	return err
+}
+
+// setReadDeadline bounds the reads of the request body. The server lifts it once the body has
+// been read.
+func (x *exchange) setReadDeadline(deadline time.Time) {
+	err := http.NewResponseController(x.w).SetReadDeadline(deadline)
+	if err != nil {
+		x.deps.log.Warn("the reads of a request body are not bounded", zap.String("request_id", x.caller.AttemptID), zap.Error(err))
+	}
 }
 
 // admit charges the request to the customer's rate. When this instance has no token
@@ -135,14 +159,21 @@
 		return nil
 	}
 	if x.r.ContentLength > maxBufferedBody {
+		x.streamsBody = true
 		x.request.Body = x.r.Body
 		return nil
 	}
+	x.setReadDeadline(x.deadline)
 	body, err := io.ReadAll(io.LimitReader(x.r.Body, maxBufferedBody+1))
-	if err != nil {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errkind.Wrap(err, errkind.DeadlineExceeded, "the request body did not arrive")
+	case err != nil:
 		return errkind.Wrap(err, errkind.BodyIncomplete, "")
 	}
 	if len(body) > maxBufferedBody {
+		x.setReadDeadline(time.Time{})
+		x.streamsBody = true
 		x.request.Body = io.MultiReader(bytes.NewReader(body), x.r.Body)
 		return nil
 	}
