--- a/edge/callers_test.go
+++ b/edge/callers_test.go
@@ -95,7 +95,10 @@
 	status, _ := newResponseReader(last).next(t)
 	assert.Equal(t, status, http.StatusOK)
 	// Connections are accepted in order: those of all other callers are open or have ended.
-	eventually(t, "the connections of callers that left have ended", func() bool { return i.deps.callerConns.count() == 1 })
+	eventually(t, "the connections of callers that left have ended", func() bool {
+		unused, busy := i.deps.callerConns.count()
+		return unused+busy == 1
+	})
 	gone := i.deps.metrics.Counter("ferry_callers_gone_total", "stage", string(goneUnread)).Get()
 	assert.Assert(t, gone >= callers/2, "%d requests were read after the close", gone)
 	assert.Equal(t, len(b.requests())-before, 1, "requests of callers that had left reached the upstream")
@@ -239,13 +242,6 @@
 	return response.StatusCode, string(data)
 }
 
-// count returns the number of open connections.
-func (c *connections) count() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.open)
-}
-
 // Guards against a request that is held beyond its deadline because its body does not arrive.
 func TestABodyThatDoesNotArriveEndsAtTheDeadline(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/edge/connections.go
+++ b/edge/connections.go
@@ -26,8 +26,9 @@
 type connections struct {
 	limit int
 
-	mu        sync.Mutex
-	idle      map[net.Conn]time.Time
+	mu   sync.Mutex
+	idle map[net.Conn]time.Time
+	// open holds whether a request of the connection is handled.
 	open      map[net.Conn]bool
 	lastSweep time.Time
 }
@@ -47,11 +48,13 @@
 	defer c.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		c.open[conn] = true
+		c.open[conn] = false
 		c.sweep(now)
 	case http.StateActive:
+		c.open[conn] = true
 		delete(c.idle, conn)
 	case http.StateIdle:
+		c.open[conn] = false
 		c.idle[conn] = now
 	case http.StateClosed, http.StateHijacked:
 		delete(c.idle, conn)
@@ -67,11 +70,16 @@
 	return float64(len(c.open)) > nearLimitFraction*float64(c.limit)
 }
 
-// busy returns the number of connections that are not idle.
-func (c *connections) busy() int {
+// count returns the number of open connections without and with a request that is handled.
+func (c *connections) count() (unused, busy int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.open) - len(c.idle)
+	for _, used := range c.open {
+		if used {
+			busy++
+		}
+	}
+	return len(c.open) - busy, busy
 }
 
 // sweep closes the longest idle connections beyond sweepFraction. The caller holds the
--- a/edge/stopping.go
+++ b/edge/stopping.go
@@ -32,7 +32,8 @@
 // that the instance is leaving, closes the listener and waits for running requests. The end of the
 // context shortens it.
 func (i *Instance) Stop(ctx context.Context) {
-	plan := shutdown.NewPlan(time.Now(), i.deps.settings.Grace)
+	began := time.Now()
+	plan := shutdown.NewPlan(began, i.deps.settings.Grace)
 	i.deps.stopping.begin(plan)
 	ctx, cancel := context.WithDeadline(ctx, plan.CloseConnections())
 	defer cancel()
@@ -40,11 +41,13 @@
 	go i.control.post(leave{})
 	go i.unregister(ctx)
 	sleep(ctx, time.Until(plan.CloseListener()))
+	unused, busy := i.deps.callerConns.count()
+	i.deps.log.Info("listener closes", zap.Int("unused_connections", unused), zap.Int("busy_connections", busy))
 	ending := time.AfterFunc(time.Until(plan.EndRequests()), func() { i.endRequests(errStopping) })
 	defer ending.Stop()
 	// Shutdown looks for the end of the requests at intervals, so an error alone shows no cut.
 	err := i.callerServer.Shutdown(ctx)
-	if busy := i.deps.callerConns.busy(); err != nil && busy > 0 {
+	if _, busy = i.deps.callerConns.count(); err != nil && busy > 0 {
 		i.deps.log.Warn("requests were cut at the end of the grace period", zap.Int("connections", busy), zap.Error(err))
 	}
 	i.rpc.Close()
@@ -52,7 +55,7 @@
 		_ = server.Close()
 	}
 	i.cancel()
-	i.deps.log.Info("stopped")
+	i.deps.log.Info("stopped", zap.Duration("took", time.Since(began)))
 }
 
 // unregister ends the renewal of the registration, then removes it from the store.
