--- a/edge/callerconn.go
+++ b/edge/callerconn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,12 +27,18 @@
 	if !ok {
 		return conn, nil
 	}
-	return &callerConn{TCPConn: socket, opened: time.Now()}, nil
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		// An error of Accept would end the server. The connection is unusable, which it finds itself.
+		return conn, nil
+	}
+	return &callerConn{TCPConn: socket, raw: raw, opened: time.Now()}, nil
 }
 
 // callerConn is the connection of a caller.
 type callerConn struct {
 	*net.TCPConn
+	raw    syscall.RawConn
 	opened time.Time
 	// ended is when a read first found the end of the connection, in nanoseconds since opened;
 	// 0 while none has.
@@ -69,12 +76,8 @@
 // awaitClose waits until the caller closes the connection, which it returns as io.EOF, or until the
 // read deadline, for which it returns nil.
 func (c *callerConn) awaitClose() error {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return err
-	}
 	// The function is called again after each event of the socket.
-	err = raw.Read(closedByPeer)
+	err := c.raw.Read(closedByPeer)
 	switch {
 	case err == nil:
 		return io.EOF
@@ -87,12 +90,8 @@
 // closedByCaller reports whether the caller has closed or reset the connection, also if that
 // has not been read yet or comes after bytes that have not been read.
 func (c *callerConn) closedByCaller() bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return true
-	}
 	var closed bool
-	err = raw.Control(func(fd uintptr) { closed = closedByPeer(fd) })
+	err := c.raw.Control(func(fd uintptr) { closed = closedByPeer(fd) })
 	return err != nil || closed
 }
 
