shutdown: what is taken during a stop leaves time for its response

A request was taken if its deadline lay in the first nine tenths of the grace period, 0.3 s before all connections are closed with 6 s.

Deadlines lie in the first five sixths now, which leaves 0.7 s. Requests that were taken before the stop run to nine tenths as before. TestOnlyRequestsThatCanEndAreAllowed failed before.

--- a/shutdown/plan.go
+++ b/shutdown/plan.go
@@ -8,9 +8,11 @@
 // The parts of the grace period.
 const (
 	announceDivisor = 4
-	// The last tenth is left for the end of the instance, and half of it for that of the process.
-	endDivisor     = 10
-	processDivisor = 20
+	// The last sixth is for responses, the last tenth for the end of the instance, and half of that for
+	// the end of the process.
+	responseDivisor = 6
+	endDivisor      = 10
+	processDivisor  = 20
 )
 
 // Plan is the budget of one planned stop.
@@ -35,4 +37,6 @@
 func (p Plan) CloseConnections() time.Time { return p.began.Add(p.grace - p.grace/processDivisor) }
 
 // Allows reports whether a request with the deadline, or another attempt of it, may begin.
-func (p Plan) Allows(deadline time.Time) bool { return !deadline.After(p.EndRequests()) }
+func (p Plan) Allows(deadline time.Time) bool {
+	return !deadline.After(p.began.Add(p.grace - p.grace/responseDivisor))
+}
--- a/shutdown/plan_test.go
+++ b/shutdown/plan_test.go
@@ -24,13 +24,14 @@
 	}
 }
 
-// Guards against requests that are taken late in the grace period and cut at its end (LOST).
+// Guards against requests that are taken late in the grace period and cut at its end (LOST). The last
+// sixth of the grace period is for their responses, which an instance without processor time writes late.
 func TestOnlyRequestsThatCanEndAreAllowed(t *testing.T) {
 	began := time.Unix(1000, 0)
 	p := NewPlan(began, 6*time.Second)
 	for _, timeout := range []time.Duration{time.Millisecond, time.Second, 1500 * time.Millisecond, 4 * time.Second, 10 * time.Second} {
 		for at := time.Duration(0); at < 7*time.Second; at += 50 * time.Millisecond {
-			canEnd := at+timeout <= 5400*time.Millisecond
+			canEnd := at+timeout <= 5*time.Second
 			assert.Equal(t, p.Allows(began.Add(at+timeout)), canEnd, "%v for %v", at, timeout)
 		}
 	}
