--- a/edge/callers_test.go
+++ b/edge/callers_test.go
@@ -58,14 +58,8 @@
 	s := newSystem(t)
 	s.configurePatient()
 	b := newFakeUpstream(t, "i-1")
-	s.register(b, "v1", "ready")
-	i := s.start("e1")
+	i := s.startAdmitting(b)
 	defer i.stop()
-	i.waitReady(1)
-	untilAdmitted(func() (clientResponse, int) {
-		got := i.send(http.MethodGet, "/read/7", "k1")
-		return got, got.status
-	})
 	before := len(b.requests())
 
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -140,14 +134,8 @@
 			s := newSystem(t)
 			s.configurePatient()
 			b := newFakeUpstream(t, "i-1")
-			s.register(b, "v1", "ready")
-			i := s.start("e1")
+			i := s.startAdmitting(b)
 			defer i.stop()
-			i.waitReady(1)
-			untilAdmitted(func() (clientResponse, int) {
-				got := i.send(http.MethodGet, "/read/7", "k1")
-				return got, got.status
-			})
 			before := len(b.requests())
 			closed := make(chan string, 1)
 			b.handler.Store(untilClosed(closed))
@@ -186,14 +174,8 @@
 	b := newFakeUpstream(t, "i-1")
 	echo := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, r.URL.Path) })
 	b.handler.Store(&echo)
-	s.register(b, "v1", "ready")
-	i := s.start("e1")
+	i := s.startAdmitting(b)
 	defer i.stop()
-	i.waitReady(1)
-	untilAdmitted(func() (clientResponse, int) {
-		got := i.send(http.MethodGet, "/read/7", "k1")
-		return got, got.status
-	})
 	conn, err := net.Dial("tcp", i.deps.settings.Listen)
 	assert.NilError(t, err)
 	defer conn.Close()
