edge: a streamed body ends at the deadline whichever timer runs first

TestABodyThatDoesNotArriveEndsAtTheDeadline/long failed in 2 of about 10 runs beside other work: no response in 10 s. The attempt has a timer of its own for the same deadline; if it runs before that of the lifetime, the lifetime has not ended yet when the attempt fails, so the read of the body was not ended and net/http waited for it before it wrote the response. The deadline itself decides now.

96 runs of the test in 12 processes at once passed (two busy soaks beside them).

--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -111,8 +111,9 @@
 		return err
 	}
 	err = x.sendWithRetries(ctx)
-	if x.streamsBody && ctx.Err() != nil {
-		// The server writes no response while the body is being read.
+	if x.streamsBody && (ctx.Err() != nil || !time.Now().Before(x.deadline)) {
+		// The server writes no response while the body is being read. The timer of the attempt may
+		// run before that of the lifetime.
 		x.setReadDeadline(time.Unix(0, 0))
 	}
 	return err
