--- a/edge/lifetime.go
+++ b/edge/lifetime.go
@@ -13,9 +13,9 @@
 // errCallerGone is the cause of the end of a lifetime whose caller has closed its connection.
 var errCallerGone = errkind.New(errkind.CallerGone, "")
 
-// lifetime is the context of one request. Every wait for the request and every write of it to an
-// upstream is under it, and nothing else ends them: the caller closes or resets its connection,
-// the deadline passes, or the instance stops.
+// lifetime is the context of one request, and decides its end: the caller closes or resets its
+// connection, the deadline passes, or the instance stops. Waits and writes of the request are under
+// it; reads of its body, which take no context, end by a read deadline of the connection instead.
 type lifetime struct {
 	context.Context
 	conn     *callerConn
