--- a/membership/contacts.go
+++ b/membership/contacts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -69,14 +70,17 @@
 }
 
 // Interval returns the time between two heartbeats with a contact. It is at
-// least Config.Interval, and longer where ByteBudget requires it.
+// least Config.Interval, and longer where ByteBudget or MaxExchangesPerSecond
+// requires it.
 func (r *Registry) Interval() time.Duration {
 	exchanges := 0.0
 	for _, m := range r.contacts {
 		exchanges += 1 / float64(m.exchangeFactor)
 	}
-	seconds := exchanges * r.avgStateBytes / ByteBudget
-	return max(r.config.Interval, time.Duration(seconds*float64(time.Second)))
+	seconds := exchanges * max(r.avgStateBytes/ByteBudget, 1/MaxExchangesPerSecond)
+	step := r.config.Interval / intervalSteps
+	steps := math.Ceil(seconds * float64(time.Second) / float64(step))
+	return max(r.config.Interval, time.Duration(steps)*step)
 }
 
 // schedule sets the next exchange to last plus the interval times the member's
@@ -125,6 +129,9 @@
 		m.contactSince = now
 		m.nextExchange = now
 	}
+	if m.contact != (factor > 0) || m.healthFactor != factor {
+		r.touch(m)
+	}
 	m.contact = factor > 0
 	m.healthFactor = factor
 	m.exchangeFactor = factor
--- a/membership/doc.go
+++ b/membership/doc.go
@@ -46,9 +46,10 @@
 // one counts as much as sending one, so each pair exchanges once in an
 // interval, not twice. The interval grows with the number of contacts so that
 // heartbeats cost at most ByteBudget bytes per second in each direction, at the
-// average size of the received states: with n contacts and states of b bytes it
-// is max(Interval, n*b/ByteBudget). The times until Suspect and Silent grow
-// with it.
+// average size of the received states, and that there are at most
+// MaxExchangesPerSecond exchanges: with n contacts and states of b bytes it is
+// max(Interval, n*b/ByteBudget, n/MaxExchangesPerSecond). The times until Suspect
+// and Silent grow with it.
 //
 // Each failure domain has a leader: the usable instance whose name has the
 // lowest hash, where instances that reach the store precede those that don't.
--- a/membership/leads.go
+++ b/membership/leads.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -11,13 +12,22 @@
 // state with other domains. All instances with the same view of the peers choose
 // the same leader. While their views differ, a domain may have several
 // leaders, which costs additional calls but affects no result.
-func (p *Peers) Leader(domain string) *Peer { return p.leaders[domain] }
+func (p *Peers) Leader(domain string) *Peer {
+	name, ok := p.leaders[domain]
+	switch {
+	case !ok:
+		return nil
+	case name == p.Self.Name:
+		return &p.Self
+	}
+	return p.ByName(name)
+}
 
 // IsLeader reports whether this instance is the leader of its failure domain. It
 // also reports true if the domain has no leader.
 func (p *Peers) IsLeader() bool {
-	leader := p.leaders[p.Self.FailureDomain]
-	return leader == nil || leader.Name == p.Self.Name
+	leader, ok := p.leaders[p.Self.FailureDomain]
+	return !ok || leader == p.Self.Name
 }
 
 // LeaderCount returns the number of failure domains that have a leader.
@@ -36,7 +46,7 @@
 	}
 	before := 0
 	for _, peer := range p.All {
-		if peer.Usable() && p.leaders[peer.FailureDomain] != peer && compareLeaders(peer, &p.Self) < 0 {
+		if peer.Usable() && p.leaders[peer.FailureDomain] != peer.Name && compareLeaders(peer, &p.Self) < 0 {
 			before++
 		}
 	}
@@ -49,20 +59,30 @@
 // setLeaders sets the leader of each domain: the first usable instance in the
 // order of compareLeaders.
 func (p *Peers) setLeaders() {
-	p.leaders = map[string]*Peer{}
+	first := map[string]*Peer{}
 	self := &p.Self
 	if !self.Leaving {
-		p.leaders[self.FailureDomain] = self
+		first[self.FailureDomain] = self
 	}
 	for _, peer := range p.All {
 		if !peer.Usable() {
 			continue
 		}
-		best := p.leaders[peer.FailureDomain]
+		best := first[peer.FailureDomain]
 		if best == nil || compareLeaders(peer, best) < 0 {
-			p.leaders[peer.FailureDomain] = peer
+			first[peer.FailureDomain] = peer
 		}
 	}
+	p.leaders = make(map[string]string, len(first))
+	for domain, peer := range first {
+		p.leaders[domain] = peer.Name
+	}
+}
+
+// sameForLeaders reports whether the two states of a peer make no difference to
+// which instance leads its domain.
+func sameForLeaders(a, b *Peer) bool {
+	return a != nil && a.Usable() == b.Usable() && storeRank(a) == storeRank(b)
 }
 
 // compareLeaders orders instances that reach the store before those that do
@@ -86,17 +106,10 @@
 // updateLeaders stores the leaders of a new snapshot. If a leader has changed,
 // the contacts are chosen again, because the leaders are contacts of each other.
 func (r *Registry) updateLeaders(peers *Peers) {
-	same := len(r.leaders) == len(peers.leaders)
-	for domain, leader := range peers.leaders {
-		same = same && r.leaders[domain] == leader.Name
-	}
-	if same {
+	if maps.Equal(r.leaders, peers.leaders) {
 		return
 	}
-	r.leaders = make(map[string]string, len(peers.leaders))
-	for domain, leader := range peers.leaders {
-		r.leaders[domain] = leader.Name
-	}
+	r.leaders = peers.leaders
 	r.contactsDirty = true
 }
 
--- a/membership/learn.go
+++ b/membership/learn.go
@@ -67,6 +67,7 @@
 	}
 	r.setAddress(m, identity.GetRpcAddress())
 	m.update(state, now)
+	r.touch(m)
 	if recovered {
 		r.contactsDirty = true
 		r.scheduleRetries(m.domain, now)
--- a/membership/member.go
+++ b/membership/member.go
@@ -53,6 +53,8 @@
 	published *Peer
 	// position is the index of published in Peers.All.
 	position int
+	// touched is set while the member is among Registry.touched.
+	touched bool
 }
 
 // startIncarnation resets the state of the earlier incarnation.
@@ -123,6 +125,30 @@
 	}
 }
 
+// healthDue returns the time after which the health may be another one if nothing is learnt
+// of the peer until then, or the zero time if it stays as it is.
+func (m *member) healthDue(now, resumed time.Time, interval time.Duration) time.Time {
+	interval *= time.Duration(max(m.healthFactor, 1))
+	var due time.Time
+	at := func(t time.Time) {
+		if !t.Before(now) && (due.IsZero() || t.Before(due)) {
+			due = t
+		}
+	}
+	if !m.failedSince.IsZero() {
+		at(latest(m.failedSince, resumed).Add(SilentIntervals * interval))
+	}
+	if m.contact || !m.listed {
+		since := latest(m.lastSeen, resumed)
+		if m.contact {
+			since = latest(since, m.contactSince)
+		}
+		at(since.Add(SuspectIntervals * interval))
+		at(since.Add(SilentIntervals * interval))
+	}
+	return due
+}
+
 // peer returns the member as a Peer with the health.
 func (m *member) peer(health Health) Peer {
 	return Peer{
--- a/membership/peer.go
+++ b/membership/peer.go
@@ -92,13 +92,15 @@
 	All []*Peer
 
 	index index
-	// leaders maps a failure domain to its leader.
-	leaders map[string]*Peer
+	// leaders maps a failure domain to the name of its leader. Snapshots with the
+	// same leaders share it.
+	leaders map[string]string
 }
 
 // index maps keys to positions in Peers.All. Snapshots with the same instances,
 // incarnations and domains share its maps.
 type index struct {
+	generation    uint64
 	byName        map[string]int
 	byIncarnation map[string]int
 	byDomain      map[string]span
@@ -141,6 +143,10 @@
 	return cmp.Or(cmp.Compare(a.FailureDomain, b.FailureDomain), cmp.Compare(a.Name, b.Name))
 }
 
+// Generation returns a number that is the same in snapshots of one Registry that have the same
+// instances, incarnations and failure domains.
+func (p *Peers) Generation() uint64 { return p.index.generation }
+
 // ByName returns the peer with the name, or nil.
 func (p *Peers) ByName(name string) *Peer { return p.at(p.index.byName, name) }
 
--- a/membership/registry.go
+++ b/membership/registry.go
@@ -37,10 +37,16 @@
 	ForgetAfter = 10 * time.Minute
 	// ByteBudget bounds the bytes per second of heartbeats in each direction.
 	ByteBudget = 8 << 10
+	// MaxExchangesPerSecond bounds the heartbeats that an instance sends and receives
+	// per second, each of which costs processor time however few bytes it has.
+	MaxExchangesPerSecond = 20.0
 
 	defaultInterval = 500 * time.Millisecond
 	// seedInterval is the time between two heartbeats to a seed.
 	seedInterval = time.Second
+	// intervalSteps is the number of steps in Config.Interval by which the interval
+	// grows, so that the size of single states does not change it.
+	intervalSteps = 8
 	// exchangeJitter is the fraction by which the time between two exchanges
 	// varies in either direction.
 	exchangeJitter = 0.2
@@ -118,10 +124,20 @@
 	// indexDirty is set when the members, their incarnations or their domains
 	// differ from the snapshot; the next one then gets a new index.
 	indexDirty bool
+	// generation is the number of the newest index.
+	generation uint64
 	// ordered holds the members in the order of the index.
 	ordered []*member
 	// changed holds the members whose Peer the last publish replaced.
 	changed []*member
+	// touched holds the members of which something was learnt since the last publish.
+	touched []*member
+	// healthDue is when the health of a member may change without news of it; zero if it
+	// cannot. It holds for healthResumed and healthInterval, the values of resumed and
+	// Interval for which it was computed.
+	healthDue      time.Time
+	healthResumed  time.Time
+	healthInterval time.Duration
 }
 
 // NewRegistry returns a registry that knows the seeds only.
@@ -191,6 +207,7 @@
 	for name, m := range r.members {
 		if _, ok := listed[name]; !ok {
 			m.markUnlisted(now)
+			r.touch(m)
 		}
 	}
 	r.removeExpired(now)
@@ -216,6 +233,7 @@
 		m.region = r.regions[row.FailureDomain]
 	}
 	m.updateListState(row.State)
+	r.touch(m)
 }
 
 // HandleFailure records that a call to the RPC address got no response. The peer
@@ -229,6 +247,7 @@
 	}
 	m.failedSince = now
 	m.nextExchange = now
+	r.touch(m)
 	r.contactsDirty = r.contactsDirty || !m.contact
 }
 
--- a/membership/snapshot.go
+++ b/membership/snapshot.go
@@ -8,18 +8,30 @@
 )
 
 // Snapshot returns the current state of all peers. It returns the same pointer
-// as before if nothing has changed.
+// as before if nothing has changed. It looks only at the peers of which something was
+// learnt since the last call, and at all when the health of one may change.
 func (r *Registry) Snapshot(now time.Time) *Peers {
 	r.detectPause(now)
 	r.chooseContacts(now)
-	changed := r.publish(now) || r.selfChanged
+	leadersChanged := r.publish(now) || r.selfChanged
+	changed := len(r.changed) > 0 || r.selfChanged
 	r.selfChanged = false
-	if r.snapshot != nil && !changed && !r.indexDirty {
+	switch {
+	case r.snapshot == nil || r.indexDirty:
+		return r.setSnapshot(r.newSnapshot())
+	case !changed:
 		return r.snapshot
-	}
-	if r.snapshot != nil && !r.indexDirty {
+	case leadersChanged:
 		return r.setSnapshot(r.updatedSnapshot(r.snapshot))
 	}
+	next := r.updatedSnapshot(r.snapshot)
+	next.leaders = r.snapshot.leaders
+	r.snapshot = next
+	return next
+}
+
+// newSnapshot returns a snapshot with a new index.
+func (r *Registry) newSnapshot() *Peers {
 	all := make([]*Peer, 0, len(r.members))
 	for _, m := range r.members {
 		all = append(all, m.published)
@@ -27,7 +39,10 @@
 	slices.SortFunc(all, comparePeers)
 	r.setPositions(all)
 	r.indexDirty = false
-	return r.setSnapshot(&Peers{Self: r.self(), All: all, index: newIndex(all)})
+	r.generation++
+	x := newIndex(all)
+	x.generation = r.generation
+	return &Peers{Self: r.self(), All: all, index: x}
 }
 
 // setSnapshot sets the leaders of a new snapshot and makes it the current one.
@@ -59,31 +74,60 @@
 	}
 }
 
-// publish replaces the Peer of each member that has changed, and reports whether
-// any has.
+// publish replaces the Peer of each member that has changed and collects these
+// members in r.changed. It reports whether a change may concern the leaders.
 func (r *Registry) publish(now time.Time) bool {
-	interval := r.Interval()
 	r.changed = r.changed[:0]
-	if !r.indexDirty {
+	interval := r.Interval()
+	due := !r.healthDue.IsZero() && now.After(r.healthDue)
+	leaders := false
+	switch {
+	case r.indexDirty:
+		r.healthDue = time.Time{}
+		for _, m := range r.members {
+			leaders = r.publishMember(m, now, interval) || leaders
+		}
+	case due || r.healthResumed != r.resumed || r.healthInterval != interval:
+		r.healthDue = time.Time{}
 		for _, m := range r.ordered {
-			r.publishMember(m, now, interval)
+			leaders = r.publishMember(m, now, interval) || leaders
+		}
+	default:
+		for _, m := range r.touched {
+			leaders = r.publishMember(m, now, interval) || leaders
 		}
-		return len(r.changed) > 0
 	}
-	for _, m := range r.members {
-		r.publishMember(m, now, interval)
+	r.healthResumed, r.healthInterval = r.resumed, interval
+	for _, m := range r.touched {
+		m.touched = false
+	}
+	r.touched = r.touched[:0]
+	return leaders
+}
+
+// touch makes the next snapshot look at the member.
+func (r *Registry) touch(m *member) {
+	if !m.touched {
+		m.touched = true
+		r.touched = append(r.touched, m)
 	}
-	return len(r.changed) > 0
 }
 
-func (r *Registry) publishMember(m *member, now time.Time, interval time.Duration) {
+// publishMember replaces the Peer of the member if that has changed, and reports whether
+// the change may concern the leaders.
+func (r *Registry) publishMember(m *member, now time.Time, interval time.Duration) bool {
 	health := m.health(now, r.resumed, interval)
+	due := m.healthDue(now, r.resumed, interval)
+	if !due.IsZero() && (r.healthDue.IsZero() || due.Before(r.healthDue)) {
+		r.healthDue = due
+	}
 	if m.publishedIsCurrent(health) {
-		return
+		return false
 	}
-	peer := m.peer(health)
+	peer, old := m.peer(health), m.published
 	m.published = &peer
 	r.changed = append(r.changed, m)
+	return !sameForLeaders(old, &peer)
 }
 
 // SetSelf sets the state that this instance sends in its heartbeats.
