--- a/quota/demand.go
+++ b/quota/demand.go
@@ -6,6 +6,9 @@
 )
 
 const (
+	// ConvergenceInterval is the interval of heartbeats for which the convergence times hold.
+	// They are longer in proportion where heartbeats are.
+	ConvergenceInterval = time.Second
 	// DirectConvergence is the convergence time in a full mesh, where all instances
 	// exchange heartbeats directly: two heartbeats and their transit time.
 	DirectConvergence = 2500 * time.Millisecond
@@ -87,3 +90,13 @@
 	}
 	return s.samples[len(s.samples)-1].value
 }
+
+// zero reports whether the demand has been zero for the convergence time.
+func (s *series) zero() bool {
+	for _, x := range s.samples {
+		if x.value != 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/quota/divider.go
+++ b/quota/divider.go
@@ -96,11 +96,14 @@
 // use.
 type Divider struct {
 	customers map[string]*customer
+	byID      map[ID][]*customer
 	// demandBySource is the announced demand by source and customer.
 	demandBySource map[string]map[ID]*series
 	peers          Peers
-	sampledAt      time.Time
-	tickedAt       time.Time
+	// collected is set while the announcements of the customers are up to date.
+	collected bool
+	sampledAt time.Time
+	tickedAt  time.Time
 }
 
 // customer is the state of one customer in a Divider.
@@ -118,21 +121,38 @@
 	// countedDemand is this instance's demand as used in the division; it grows only
 	// while the demand of all peers is received.
 	countedDemand float64
+	// direct and domains are what the sources announce, as of the last collect.
+	direct, domains announcements
 	// domainDemand and countedDomainDemand are the same for this instance's failure
 	// domain; they are used where other failure domains are received as sums.
 	domainDemand        series
 	countedDomainDemand float64
 }
 
+// announcements is the demand that several sources announce for one customer.
+type announcements struct {
+	// newest is the sum of what they announced last.
+	newest float64
+	// high is the sum of their demand that may still be in force elsewhere.
+	high float64
+}
+
+func (a *announcements) add(s *series, withinRate bool) {
+	a.newest += s.newest()
+	a.high += s.convergedHigh(withinRate)
+}
+
 // New returns a divider without customers, for a system of one instance.
 func New() *Divider {
-	return &Divider{customers: map[string]*customer{}, demandBySource: map[string]map[ID]*series{}, peers: Peers{Instances: 1, Convergence: DirectConvergence}}
+	return &Divider{customers: map[string]*customer{}, byID: map[ID][]*customer{}, demandBySource: map[string]map[ID]*series{}, peers: Peers{Instances: 1, Convergence: DirectConvergence}}
 }
 
 // Configure replaces the customers. Those without a rate get no allocation.
 func (d *Divider) Configure(customers []Customer) {
+	d.collected = false
 	old := d.customers
 	d.customers = make(map[string]*customer, len(customers))
+	d.byID = make(map[ID][]*customer, len(customers))
 	for _, c := range customers {
 		if c.Rate <= 0 {
 			continue
@@ -143,6 +163,7 @@
 		}
 		known.Customer, known.id = c, IDOf(c.Name)
 		d.customers[c.Name] = known
+		d.byID[known.id] = append(d.byID[known.id], known)
 	}
 }
 
@@ -165,6 +186,7 @@
 // SetPeers replaces the peers and drops the demand of sources that are not among
 // them any more.
 func (d *Divider) SetPeers(peers Peers) {
+	d.collected = false
 	known := make(map[string]bool, len(peers.Direct)+len(peers.Domains))
 	for _, name := range peers.Direct {
 		known[name] = true
@@ -183,6 +205,7 @@
 // RecordDemand records the demand that a source announces. A customer that the
 // announcement lacks has no demand there.
 func (d *Divider) RecordDemand(now time.Time, source string, demand Demand) {
+	d.collected = false
 	received := d.demandBySource[source]
 	if received == nil {
 		received = map[ID]*series{}
@@ -195,8 +218,12 @@
 		received[id].add(now, value, d.peers.Convergence)
 	}
 	for id, values := range received {
-		if _, announced := demand[id]; !announced {
-			values.add(now, 0, d.peers.Convergence)
+		if _, announced := demand[id]; announced {
+			continue
+		}
+		values.add(now, 0, d.peers.Convergence)
+		if values.zero() {
+			delete(received, id)
 		}
 	}
 }
@@ -237,6 +264,7 @@
 	elapsed := now.Sub(d.sampledAt).Seconds()
 	first := d.sampledAt.IsZero()
 	d.sampledAt = now
+	d.collect()
 	for name, c := range d.customers {
 		count := arrivals(name)
 		arrived := float64(count - min(c.arrivals, count))
@@ -250,17 +278,20 @@
 		}
 		c.demand += smoothing * (arrived/elapsed - c.demand)
 		c.announced.add(now, c.demand, d.peers.Convergence)
-		total := d.totalDemand(c)
-		c.withinRate = total <= withinRateFraction*c.Rate
+		total := c.demand + c.direct.newest + c.domains.newest
+		withinRate := total <= withinRateFraction*c.Rate
+		d.collected = d.collected && withinRate == c.withinRate
+		c.withinRate = withinRate
 		c.oversubscribed = total > oversubscribedFactor*c.Rate
 		c.countedDemand = d.nextCounted(c.countedDemand, c.announced.convergedLow(c.withinRate))
-		c.domainDemand.add(now, c.demand+d.announcedTotal(c.id, d.peers.Direct), d.peers.Convergence)
+		c.domainDemand.add(now, c.demand+c.direct.newest, d.peers.Convergence)
 		c.countedDomainDemand = d.nextCounted(c.countedDomainDemand, c.domainDemand.convergedLow(c.withinRate))
 	}
 }
 
 // Allocations returns this instance's allocations, sorted by customer name.
 func (d *Divider) Allocations() []Allocation {
+	d.collect()
 	allocations := make([]Allocation, 0, len(d.customers))
 	for _, c := range d.customers {
 		fraction := d.fraction(c)
@@ -284,50 +315,54 @@
 	return counted
 }
 
+// collect adds up what the sources announce for each customer. Its cost depends on the
+// customers that have demand at a source, not on the product of customers and sources.
+func (d *Divider) collect() {
+	if d.collected {
+		return
+	}
+	d.collected = true
+	for _, c := range d.customers {
+		c.direct, c.domains = announcements{}, announcements{}
+	}
+	for _, source := range d.peers.Direct {
+		for id, s := range d.demandBySource[source] {
+			for _, c := range d.byID[id] {
+				c.direct.add(s, c.withinRate)
+			}
+		}
+	}
+	for _, source := range d.peers.Domains {
+		for id, s := range d.demandBySource[source] {
+			for _, c := range d.byID[id] {
+				c.domains.add(s, c.withinRate)
+			}
+		}
+	}
+}
+
 // fraction returns the fraction of a customer's rate that this instance may use.
 // Where other failure domains are received as sums, it is the fraction of this
 // failure domain times that of this instance within it.
 func (d *Divider) fraction(c *customer) float64 {
 	if len(d.peers.Domains) == 0 {
-		return d.fractionAmong(c, c.countedDemand, d.peers.Direct, 1/float64(d.peers.Instances))
+		return fractionAmong(c.countedDemand, c.direct, 1/float64(d.peers.Instances))
 	}
 	domainInstances := float64(len(d.peers.Direct) + 1)
-	domain := d.fractionAmong(c, c.countedDomainDemand, d.peers.Domains, domainInstances/float64(d.peers.Instances))
-	return domain * d.fractionAmong(c, c.countedDemand, d.peers.Direct, 1/domainInstances)
+	domain := fractionAmong(c.countedDomainDemand, c.domains, domainInstances/float64(d.peers.Instances))
+	return domain * fractionAmong(c.countedDemand, c.direct, 1/domainInstances)
 }
 
-// fractionAmong returns the fraction of a whole that a counted demand gets beside the
-// demand of the sources. Of the whole, equalFraction is divided equally and the rest
-// in proportion to demand, with the converged demand of the sources in the total.
-// What neither this side nor the sources claim is divided equally, too; equal is
+// fractionAmong returns the fraction of a whole that a counted demand gets beside what
+// the others announce. Of the whole, equalFraction is divided equally and the rest
+// in proportion to demand, with the converged demand of the others in the total.
+// What neither this side nor the others claim is divided equally, too; equal is
 // the fraction of an equal division.
-func (d *Divider) fractionAmong(c *customer, counted float64, sources []string, equal float64) float64 {
-	total, claimed := counted, counted+d.announcedTotal(c.id, sources)
-	for _, source := range sources {
-		if s := d.demandBySource[source][c.id]; s != nil {
-			total += s.convergedHigh(c.withinRate)
-		}
-	}
+func fractionAmong(counted float64, others announcements, equal float64) float64 {
+	total := counted + others.high
 	if total <= 0 {
 		return equal
 	}
-	unclaimed := 1 - claimed/total
+	unclaimed := 1 - (counted+others.newest)/total
 	return equalFraction*equal + (1-equalFraction)*(counted/total+unclaimed*equal)
 }
-
-// announcedTotal returns the sum of the newest demand that the sources announced.
-func (d *Divider) announcedTotal(id ID, sources []string) float64 {
-	total := 0.0
-	for _, source := range sources {
-		if s := d.demandBySource[source][id]; s != nil {
-			total += s.newest()
-		}
-	}
-	return total
-}
-
-// totalDemand returns this instance's demand plus the newest announced demand of
-// all peers, in requests per second.
-func (d *Divider) totalDemand(c *customer) float64 {
-	return c.demand + d.announcedTotal(c.id, d.peers.Direct) + d.announcedTotal(c.id, d.peers.Domains)
-}
