--- /dev/null
+++ b/buffers/doc.go
@@ -0,0 +1,14 @@
+// Package buffers bounds the memory in which an instance holds the bodies of requests and
+// responses.
+//
+// Each request that runs has a Holder. The sum of all holders is bounded, not only each of them:
+// many bodies that never end would otherwise fill the memory together, and the process that runs
+// out of it takes the requests of all other callers with it.
+//
+// When the sum exceeds the limit, the largest holders that can be interrupted are ended until it
+// fits again. Holders of up to Small bytes are never ended, so ordinary requests are served on.
+// From half of the limit on, Scarce asks for responses to be passed on while they are read.
+//
+// The package does no I/O. The memory of an ended holder is free once its reader has returned,
+// so the bound holds but for the bodies whose readers are about to return.
+package buffers
--- a/config/static/edge.go
+++ b/config/static/edge.go
@@ -67,6 +67,9 @@
 	MaxHeader units.Size
 	// MaxConnections bounds the connections of callers. Default 2000.
 	MaxConnections int
+	// Memory is the memory of the instance, a part of which holds the bodies of requests and
+	// responses. "0B" if it is not known. Default "0B".
+	Memory units.Size
 	// HeaderTimeout bounds the time to send a request header. Default "5s".
 	HeaderTimeout time.Duration
 	// IdleTimeout bounds how long an unused connection stays open. Default "60s".
@@ -128,6 +131,7 @@
 	s.MaxHeader = 32 << 10
 	fs.TextVar(&s.MaxHeader, "max-header", s.MaxHeader, "largest request header, with unit")
 	fs.IntVar(&s.MaxConnections, "max-connections", 2000, "largest number of connections of callers")
+	fs.TextVar(&s.Memory, "memory", s.Memory, "memory of the instance, with unit; 0B if it is not known")
 	fs.DurationVar(&s.HeaderTimeout, "header-timeout", 5*time.Second, "longest time to send a request header")
 	fs.DurationVar(&s.IdleTimeout, "idle-timeout", time.Minute, "longest time that an unused connection stays open")
 	fs.DurationVar(&s.HeartbeatInterval, "heartbeat-interval", time.Second, "time between two heartbeats to a peer")
@@ -163,6 +167,7 @@
 		checkAddress("rpc-listen", s.RPCListen),
 		checkPlatformURL(s.Platform),
 		checkRange("max-header", int64(s.MaxHeader), 1<<10, 1<<20),
+		checkMemory(s.Memory),
 		checkRange("max-connections", int64(s.MaxConnections), 1, 1_000_000),
 		checkDuration("header-timeout", s.HeaderTimeout, 100*time.Millisecond, time.Minute),
 		checkDuration("idle-timeout", s.IdleTimeout, time.Second, time.Hour),
@@ -197,6 +202,13 @@
 	return nil
 }
 
+func checkMemory(memory units.Size) error {
+	if memory == 0 {
+		return nil
+	}
+	return checkRange("memory", int64(memory), 32<<20, 1<<40)
+}
+
 func checkNotNegative(name string, value float64) error {
 	if value >= 0 {
 		return nil
--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -89,7 +89,7 @@
 		x.observeLimit(lease.Upstream, sent, response.Header)
 		x.observeLeaving(lease, response.Header)
 		var got *upstreamResponse
-		got, err = readResponse(response, lease)
+		got, err = x.readResponse(response, lease)
 		if err == nil {
 			x.ran++
 			got.took = time.Since(sent)
@@ -232,23 +232,42 @@
 	}
 }
 
-// readResponse reads up to maxBufferedResponse bytes of the body. It closes the body
-// when that is all of it or reading fails.
-func readResponse(response *dispatch.Response, lease *placement.Lease) (*upstreamResponse, error) {
+// readResponse reads up to maxBufferedResponse bytes of the body, or fewer if memory is scarce.
+// It closes the body when that is all of it or reading fails.
+func (x *exchange) readResponse(response *dispatch.Response, lease *placement.Lease) (*upstreamResponse, error) {
 	got := &upstreamResponse{Response: response, lease: lease}
-	read, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponse))
+	ended := false
+	body := &endedBody{Reader: response.Body, ended: &ended}
+	read, err := readHeld(body, response.ContentLength, maxBufferedResponse, x.held, func() { _ = response.Body.Close() }, x.deps.buffers.Scarce)
+	if errors.Is(err, errNoMemory) {
+		x.deps.metrics.Counter("ferry_bodies_ended_total", "body", "response").Inc()
+		err = errkind.Wrap(err, errkind.AnswerTruncated, "")
+	}
 	if err != nil {
 		_ = response.Body.Close()
 		return nil, err
 	}
 	got.buffered = read
-	got.complete = len(read) < maxBufferedResponse
+	got.complete = ended
 	if got.complete {
 		return got, response.Body.Close()
 	}
 	return got, nil
 }
 
+// endedBody records whether a body has ended.
+type endedBody struct {
+	io.Reader
+	ended *bool
+}
+
+// Read implements io.Reader.
+func (b *endedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	*b.ended = err == io.EOF
+	return n, err
+}
+
 // completeAttempt records the outcome of a response whose body has ended, or whose status
 // shows a failure whatever its body, and releases its slot.
 func (x *exchange) completeAttempt(got *upstreamResponse, load placement.Load) {
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"samphireferry.example/ferry/admission"
+	"samphireferry.example/ferry/buffers"
 	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/entryinstance"
 	"samphireferry.example/ferry/placement"
@@ -21,19 +22,21 @@
 	// settings are the settings at the start of the process.
 	settings *static.EdgeSettings
 	// bounds are the latest reloadable settings.
-	bounds      atomic.Pointer[static.EdgeBounds]
-	identity    *entrypb.Identity
-	log         *zap.Logger
-	metrics     *telemetry.Metrics
-	views       *views
-	store       platform.Store
-	peers       *entryinstance.Pool
-	upstreams   *upstream.Client
-	pool        *placement.Pool
-	retries     *retryBudgets
-	throttle    *throttle.Throttle
-	permits     *permits
-	limiter     *admission.Limiter
+	bounds    atomic.Pointer[static.EdgeBounds]
+	identity  *entrypb.Identity
+	log       *zap.Logger
+	metrics   *telemetry.Metrics
+	views     *views
+	store     platform.Store
+	peers     *entryinstance.Pool
+	upstreams *upstream.Client
+	pool      *placement.Pool
+	retries   *retryBudgets
+	throttle  *throttle.Throttle
+	permits   *permits
+	limiter   *admission.Limiter
+	// buffers is the memory for the bodies of requests and responses.
+	buffers     *buffers.Budget
 	callerConns *connections
 	stopping    *stopping
 	// watchRole is that of the watch of all records, operatorWatchRole of the watch of the
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"samphireferry.example/ferry/buffers"
 	"samphireferry.example/ferry/dispatch"
 	"samphireferry.example/ferry/errkind"
 	"samphireferry.example/ferry/platform/headers"
@@ -30,6 +31,8 @@
 // ServeHTTP implements http.Handler.
 func (t *traffic) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{deps: t.deps, w: w, r: r, conn: callerConnOf(r), started: time.Now(), view: t.deps.views.load(), caller: headers.ParseCaller(r.Header)}
+	x.held = t.deps.buffers.Hold()
+	defer x.held.Release()
 	if t.deps.stopping.begun() {
 		w.Header().Set("Connection", "close")
 	}
@@ -59,6 +62,8 @@
 	// deadline is the earlier of the caller's deadline and the timeout of the route that
 	// matched on arrival.
 	deadline time.Time
+	// held is the memory of the bodies of the request and its response.
+	held *buffers.Holder
 	// streamsBody is set when the request body is sent while it is read.
 	streamsBody bool
 	// responseStarted is set just before the header of the response is written.
@@ -165,8 +170,14 @@
 		return nil
 	}
 	x.setReadDeadline(x.deadline)
-	body, err := io.ReadAll(io.LimitReader(x.r.Body, maxBufferedBody+1))
+	interrupt := func() { x.setReadDeadline(time.Unix(0, 0)) }
+	body, err := readHeld(x.r.Body, x.r.ContentLength, maxBufferedBody+1, x.held, interrupt, neverStop)
 	switch {
+	case errors.Is(err, errNoMemory):
+		x.deps.metrics.Counter("ferry_bodies_ended_total", "body", "request").Inc()
+		refusal := errkind.Wrap(err, errkind.Overloaded, "")
+		refusal.RetryAfter = refusalRetryAfter
+		return refusal
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return errkind.Wrap(err, errkind.DeadlineExceeded, "the request body did not arrive")
 	case err != nil:
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -105,11 +105,16 @@
 		retries:           newRetryBudgets(settings.EdgeBounds),
 		throttle:          throttle.New(),
 		callerConns:       newConnections(settings.MaxConnections),
+		buffers:           newBuffers(int64(settings.Memory)),
 		stopping:          &stopping{},
 		watchRole:         newWatchRoleState(),
 		operatorWatchRole: newWatchRoleState(),
 		limiter:           admission.NewLimiter(admission.Settings{MaxWait: maxLoanWait, MessagesPerSecond: maxLoanMessagesPerSecond}, time.Now()),
 	}
 	deps.bounds.Store(&settings.EdgeBounds)
+	deps.metrics.Gauge("ferry_buffered_bytes", func() float64 {
+		held, _ := deps.buffers.Held()
+		return float64(held)
+	})
 	return deps, nil
 }
