--- a/edge/cold.go
+++ b/edge/cold.go
@@ -22,7 +22,10 @@
 
 // coldUpstreams holds the upstreams that have a limit because they are cold.
 type coldUpstreams struct {
-	ids map[string]bool
+	// until holds the end of the limit of each, by id.
+	until map[string]time.Time
+	// generation is that of the peers for which the limits were set.
+	generation uint64
 	// allDirty requests a look at all upstreams: the configuration has changed, or an
 	// evacuation has ended.
 	allDirty bool
@@ -46,8 +49,10 @@
 // removes the limits that are over.
 func (c *control) refreshCold(now time.Time) {
 	peers := c.members.Snapshot(now)
-	for id := range c.cold.ids {
-		if u := c.upstreams.Get(id); u != nil {
+	changed := peers.Generation() != c.cold.generation
+	c.cold.generation = peers.Generation()
+	for id, until := range c.cold.until {
+		if u := c.upstreams.Get(id); u != nil && (changed || !now.Before(until)) {
 			c.setCold(now, peers, u)
 		}
 	}
@@ -56,12 +61,13 @@
 // setCold sets the limit of an upstream if it is cold, or removes it.
 func (c *control) setCold(now time.Time, peers *membership.Peers, u *registry.Upstream) {
 	limit, cold := c.coldLimit(now, peers, u)
+	_, known := c.cold.until[u.ID]
 	switch {
 	case cold:
-		c.cold.ids[u.ID] = true
+		c.cold.until[u.ID] = limit.Until
 		c.deps.pool.SetCold(u.ID, limit)
-	case c.cold.ids[u.ID]:
-		delete(c.cold.ids, u.ID)
+	case known:
+		delete(c.cold.until, u.ID)
 		c.deps.pool.SetCold(u.ID, placement.ColdLimit{})
 	}
 }
--- a/edge/cold_test.go
+++ b/edge/cold_test.go
@@ -73,13 +73,13 @@
 			}
 			c.tick(f.now)
 			c.publish(f.now)
-			want := map[string]bool{}
+			want := map[string]time.Time{}
 			for u := range c.upstreams.Each() {
-				if _, cold := c.coldLimit(f.now, c.members.Snapshot(f.now), u); cold {
-					want[u.ID] = true
+				if limit, cold := c.coldLimit(f.now, c.members.Snapshot(f.now), u); cold {
+					want[u.ID] = limit.Until
 				}
 			}
-			assert.DeepEqual(t, c.cold.ids, want)
+			assert.DeepEqual(t, c.cold.until, want)
 			limited += len(want)
 		}
 	}
--- a/edge/control.go
+++ b/edge/control.go
@@ -33,6 +33,9 @@
 	maxCopyAge = time.Minute
 	// maxControlWait is the wait of an event from which it is logged.
 	maxControlWait = 250 * time.Millisecond
+	// watchSettleTime is the time after the start of the instance in which it does not watch the
+	// store, which it has read once.
+	watchSettleTime = time.Second
 	// minOperatorReaders is the number of instances that follow the operator's records in the
 	// store, where there are fewer failure domains.
 	minOperatorReaders = 3
@@ -61,8 +64,9 @@
 
 // control is the control state. Only the control goroutine accesses it.
 type control struct {
-	deps *dependencies
-	ctx  context.Context
+	deps      *dependencies
+	ctx       context.Context
+	startedAt time.Time
 	// urgent holds the events that are applied before all others.
 	urgent chan queuedEvent
 	events chan queuedEvent
@@ -97,6 +101,11 @@
 	rates     *quota.Divider
 	demand    *serviceDemand
 	sums      *domainSums
+	states    stateCache
+	// instances holds the entry instances that are registered in the store, by key.
+	instances map[string]platform.Instance
+	// dividedAt is when the customers' rates were last divided.
+	dividedAt time.Time
 	// evacuationEnded is when the last evacuation of a failure domain ended, by domain.
 	evacuationEnded map[string]time.Time
 	cold            coldUpstreams
@@ -109,6 +118,8 @@
 	// poolDirty and viewDirty request an update of the pool or the view.
 	poolDirty bool
 	viewDirty bool
+	// poolPeers is what the settings of the pool were last made from.
+	poolPeers poolPeers
 	splits    map[string]*split
 	pulls     *pulls
 	// lateReportedAt is when a long wait of an event was last logged.
@@ -119,6 +130,7 @@
 	c := &control{
 		deps:       deps,
 		ctx:        ctx,
+		startedAt:  now,
 		urgent:     make(chan queuedEvent, eventQueueSize),
 		events:     make(chan queuedEvent, eventQueueSize),
 		operator:   newOperatorState(deps.settings.ConfigBound),
@@ -133,8 +145,9 @@
 		rates:           quota.New(),
 		demand:          newServiceDemand(),
 		sums:            newDomainSums(deps.settings.FailureDomain),
+		instances:       map[string]platform.Instance{},
 		evacuationEnded: map[string]time.Time{},
-		cold:            coldUpstreams{ids: map[string]bool{}},
+		cold:            coldUpstreams{until: map[string]time.Time{}},
 		viewDirty:       true,
 		pulls:           newPulls(),
 	}
@@ -263,7 +276,7 @@
 	c.viewDirty = false
 	c.members.SetSelf(c.selfState())
 	peers := c.members.Snapshot(now)
-	c.updateWatchRole(peers)
+	c.updateWatchRole(now, peers)
 	c.deps.retries.setInstances(len(peers.All) + 1)
 	c.deps.views.store(&view{
 		table:    c.table,
@@ -302,17 +315,22 @@
 	c.viewDirty = true
 }
 
+// settled reports whether the instances that started together with this one have had the time to
+// register. Before that, each of them takes itself for a leader, and the watch of each would
+// return with each registration.
+func (c *control) settled(now time.Time) bool { return now.Sub(c.startedAt) >= watchSettleTime }
+
 // updateWatchRole makes the store watcher read the store while this instance leads its
 // failure domain.
-func (c *control) updateWatchRole(peers *membership.Peers) {
+func (c *control) updateWatchRole(now time.Time, peers *membership.Peers) {
 	if leads := peers.IsLeader(); leads != c.readsStore {
 		c.readsStore = leads
 		c.deps.log.Info("reading the store for the failure domain", zap.Bool("reads", leads), zap.Stringer("revision", c.revision))
 	}
-	role := watchRole{reads: c.readsStore, revision: c.revision, leaderCount: peers.LeaderCount()}
+	role := watchRole{reads: c.readsStore && c.settled(now), revision: c.revision, leaderCount: peers.LeaderCount()}
 	c.deps.watchRole.set(role)
 	// Until the first read of all records there is no revision to watch from.
-	role.reads = peers.IsReader(minOperatorReaders) && c.operator.revision != 0
+	role.reads = peers.IsReader(minOperatorReaders) && c.operator.revision != 0 && c.settled(now)
 	role.revision = c.operator.revision
 	role.leaderCount = max(role.leaderCount, minOperatorReaders)
 	c.deps.operatorWatchRole.set(role)
--- a/edge/heartbeat.go
+++ b/edge/heartbeat.go
@@ -32,26 +32,65 @@
 	return s
 }
 
-// stateFor builds the heartbeat for an instance of the failure domain. In a large
+// stateKind identifies heartbeats with the same contents.
+type stateKind struct {
+	// inDomain is set for an instance that gets what this one reports itself, sum for one that
+	// gets the sum of this failure domain.
+	inDomain, sum bool
+	// The rest are the parts of selfState that change.
+	leaving, away              bool
+	revision, operatorRevision platform.Revision
+	version                    uint64
+}
+
+// stateCache holds the heartbeats of the last controlTick, which must not be modified. What an
+// instance reports of its customers and its failure domain is the same for many peers.
+type stateCache struct {
+	builtAt time.Time
+	states  map[stateKind]*entrypb.State
+}
+
+// get returns the state of the kind, which build makes if there is none yet.
+func (s *stateCache) get(now time.Time, kind stateKind, build func() *entrypb.State) *entrypb.State {
+	if s.states == nil || now.Sub(s.builtAt) >= controlTick {
+		s.builtAt, s.states = now, map[stateKind]*entrypb.State{}
+	}
+	if s.states[kind] == nil {
+		s.states[kind] = build()
+	}
+	return s.states[kind]
+}
+
+// stateFor returns the heartbeat for an instance of the failure domain. In a large
 // fleet, the leader of a domain sends its sum to other domains; while it is quiet, the
 // other instances of the domain send it to the leaders of other domains. Within its domain,
 // a leader passes on the sums of the other domains.
 func (c *control) stateFor(now time.Time, peers *membership.Peers, domain string, toLeader bool) *entrypb.State {
-	s := c.selfState()
-	s.UpstreamLimits = c.upstreamLimits(now)
-	if peers.FullMesh() || domain == peers.Self.FailureDomain {
-		s.Demands = demandsMessage(c.rates.Demand())
-		s.Loads = c.serviceLoads()
-		s.VersionCounts = c.rollouts.counts()
-	}
-	switch {
-	case peers.FullMesh():
-	case domain != peers.Self.FailureDomain && (peers.IsLeader() || toLeader && c.leaderQuiet(now, peers)):
-		s.DomainSums = []*entrypb.DomainSum{c.localSum(peers)}
-	case domain == peers.Self.FailureDomain && peers.IsLeader():
-		s.DomainSums = c.sums.messages(now)
+	kind := stateKind{
+		inDomain: peers.FullMesh() || domain == peers.Self.FailureDomain,
+		leaving:  c.leaving, away: c.storeUnavailable,
+		revision: c.revision, operatorRevision: c.operator.newest,
 	}
-	return s
+	if c.table != nil {
+		kind.version = c.table.Version
+	}
+	kind.sum = !kind.inDomain && (peers.IsLeader() || toLeader && c.leaderQuiet(now, peers))
+	return c.states.get(now, kind, func() *entrypb.State {
+		s := c.selfState()
+		s.UpstreamLimits = c.upstreamLimits(now)
+		if kind.inDomain {
+			s.Demands = demandsMessage(c.rates.Demand())
+			s.Loads = c.serviceLoads()
+			s.VersionCounts = c.rollouts.counts()
+			if !peers.FullMesh() && peers.IsLeader() {
+				s.DomainSums = c.sums.messages(now)
+			}
+		}
+		if kind.sum {
+			s.DomainSums = []*entrypb.DomainSum{c.localSum(peers)}
+		}
+		return s
+	})
 }
 
 // leaderQuiet reports whether the leader of this instance's failure domain is late with its
@@ -153,6 +192,7 @@
 	if c.operator.lacks(state.GetOperatorRevision()) {
 		announcementOf(state).apply(c, now)
 	}
+	c.pulls.note(platform.Revision(state.GetStoreRevision()))
 	if state.GetStoreRevision() > uint64(c.revision) {
 		c.pullIfBehind(now)
 	}
--- a/edge/pull.go
+++ b/edge/pull.go
@@ -42,6 +42,8 @@
 	// announced holds the revisions that peers have announced since their last heartbeat, by
 	// name.
 	announced map[string]platform.Revision
+	// newest is the newest revision that a peer has reported or announced.
+	newest platform.Revision
 }
 
 func newPulls() *pulls {
@@ -51,8 +53,12 @@
 // announce records the revision that a peer has announced.
 func (p *pulls) announce(peer string, revision platform.Revision) {
 	p.announced[peer] = max(p.announced[peer], revision)
+	p.note(revision)
 }
 
+// note records that a peer has records of the revision.
+func (p *pulls) note(revision platform.Revision) { p.newest = max(p.newest, revision) }
+
 // forgetAnnounced drops the announcements up to the revision, which is known here.
 func (p *pulls) forgetAnnounced(revision platform.Revision) {
 	maps.DeleteFunc(p.announced, func(_ string, announced platform.Revision) bool { return announced <= revision })
@@ -124,8 +130,12 @@
 // pullIfBehind requests records from a peer that has newer ones. A leader first waits
 // pullDelay for its own watch.
 func (c *control) pullIfBehind(now time.Time) {
-	peers := c.members.Snapshot(now)
 	c.pulls.forgetAnnounced(c.revision)
+	if c.pulls.newest <= c.revision {
+		c.behindSince = time.Time{}
+		return
+	}
+	peers := c.members.Snapshot(now)
 	if !slices.ContainsFunc(peers.All, func(p *membership.Peer) bool { return c.pulls.hasNewer(p, c.revision) }) {
 		c.behindSince = time.Time{}
 		return
--- a/edge/rates.go
+++ b/edge/rates.go
@@ -27,14 +27,20 @@
 	c.applyRates(now)
 }
 
-// divideRates recomputes this instance's allocations from what the peers report.
+// divideInterval is the time between two divisions of the customers' rates. Peers report
+// their demand about once a second.
+const divideInterval = 250 * time.Millisecond
+
+// divideRates recomputes this instance's allocations from what the peers report, once in
+// divideInterval.
 func (c *control) divideRates(now time.Time) {
+	c.deps.limiter.Tick(now)
+	if now.Sub(c.dividedAt) < divideInterval {
+		return
+	}
+	c.dividedAt = now
 	peers := c.members.Snapshot(now)
 	sources, complete := c.sources(now, peers)
-	convergence := quota.RelayedConvergence
-	if peers.FullMesh() {
-		convergence = quota.DirectConvergence
-	}
 	direct, domains := lo.FilterReject(sources, func(s source, _ int) bool { return !s.domain })
 	name := func(s source, _ int) string { return s.name }
 	c.rates.SetPeers(quota.Peers{
@@ -42,14 +48,23 @@
 		Domains:     lo.Map(domains, name),
 		Instances:   len(peers.All) + 1,
 		Complete:    complete,
-		Convergence: convergence,
+		Convergence: c.convergence(peers),
 	})
 	c.rates.Tick(now, c.arrivals)
-	c.deps.limiter.Tick(now)
 	c.deps.limiter.SetPeers(lenders(peers))
 	c.applyRates(now)
 }
 
+// convergence returns the time after which every instance has received what one announces.
+func (c *control) convergence(peers *membership.Peers) time.Duration {
+	stretch := max(1, c.members.Interval().Seconds()/quota.ConvergenceInterval.Seconds())
+	convergence := quota.RelayedConvergence
+	if peers.FullMesh() {
+		convergence = quota.DirectConvergence
+	}
+	return time.Duration(stretch * float64(convergence))
+}
+
 // arrivals returns the cumulative number of requests of the customer at this instance.
 func (c *control) arrivals(name string) uint64 {
 	b := c.deps.limiter.Bucket(name)
--- a/edge/records.go
+++ b/edge/records.go
@@ -195,8 +195,8 @@
 
 // applyRecords puts changed records in force.
 func (c *control) applyRecords(now time.Time, changed []string, confirmed bool) {
-	var upstreams []string
-	var instances, evacuations, rollouts bool
+	var upstreams, instances []string
+	var evacuations, rollouts bool
 	for _, key := range changed {
 		switch {
 		case key == records.KeyConfig:
@@ -204,7 +204,7 @@
 		case strings.HasPrefix(key, records.PrefixUpstreams):
 			upstreams = append(upstreams, key)
 		case strings.HasPrefix(key, records.PrefixInstances):
-			instances = true
+			instances = append(instances, key)
 		case strings.HasPrefix(key, records.PrefixEvacuations):
 			evacuations = true
 		case strings.HasPrefix(key, records.PrefixRolloutOrders), strings.HasPrefix(key, records.PrefixRolloutStatus):
@@ -214,8 +214,8 @@
 	if len(upstreams) > 0 {
 		c.readUpstreams(now, upstreams, confirmed)
 	}
-	if instances {
-		c.readInstances(now)
+	if len(instances) > 0 {
+		c.readInstances(now, instances)
 	}
 	if evacuations {
 		c.readEvacuations(now)
@@ -331,30 +331,32 @@
 		c.poolDirty, c.viewDirty = true, true
 		c.deps.log.Info("upstreams changed", zap.Stringer("revision", c.revision), zap.Int("entries", len(keys)))
 	}
-	if c.upstreams.Apply(now, changed, missing, confirmed) {
-		c.poolDirty, c.viewDirty = true, true
-		c.deps.log.Info("upstreams changed", zap.Stringer("revision", c.revision), zap.Int("entries", len(keys)))
-	}
 }
 
-func (c *control) readInstances(now time.Time) {
-	var instances []platform.Instance
-	c.forEachRecord(records.PrefixInstances, func(entry platform.Entry) {
+// readInstances puts the changed records of entry instances in force.
+func (c *control) readInstances(now time.Time, keys []string) {
+	for _, key := range keys {
+		entry := c.records.get(key)
+		delete(c.instances, key)
+		if entry.Deleted {
+			continue
+		}
+		c.deps.metrics.Counter("ferry_records_decoded_total", "kind", "instance").Inc()
 		i, err := records.DecodeInstance(entry)
 		if err != nil {
 			c.reportUnreadable(entry, "entry of an instance cannot be read", err)
-			return
+			continue
 		}
-		instances = append(instances, platform.Instance{
+		c.instances[key] = platform.Instance{
 			Name:          i.Name,
 			Role:          membership.RoleEntry,
 			Address:       i.Address,
 			RPCAddress:    i.RPCAddress,
 			FailureDomain: i.FailureDomain,
 			State:         platform.InstanceLive,
-		})
-	})
-	c.members.SetInstances(instances, now)
+		}
+	}
+	c.members.SetInstances(lo.Values(c.instances), now)
 	c.viewDirty = true
 }
 
@@ -389,31 +391,42 @@
 // cold upstreams go first, so that none gets requests without its limit.
 func (c *control) updatePool(now time.Time) {
 	changed, gone := c.upstreams.TakeChanges()
-	c.deps.pool.Configure(c.poolSettings(now))
+	c.poolPeers = c.countPoolPeers(now)
+	c.deps.pool.Configure(c.poolSettings())
 	c.updateCold(now, changed)
 	c.deps.pool.Update(changed, gone)
 	for _, id := range gone {
-		delete(c.cold.ids, id)
+		delete(c.cold.until, id)
 	}
 	c.goneUpstreams.add(now, gone)
 	c.deps.upstreams.Drop(gone...)
 }
 
+// poolPeers is the number of instances that the settings of the pool depend on: all, and those of
+// the region that are usable.
+type poolPeers struct{ all, senders int }
+
+func (c *control) countPoolPeers(now time.Time) poolPeers {
+	peers := c.members.Snapshot(now)
+	return poolPeers{
+		all:     1 + len(peers.All),
+		senders: 1 + lo.CountBy(peers.All, func(p *membership.Peer) bool { return p.Usable() && p.Region == peers.Self.Region }),
+	}
+}
+
 // poolSettings returns the settings of the placement pool.
-func (c *control) poolSettings(now time.Time) placement.Settings {
+func (c *control) poolSettings() placement.Settings {
 	settings := placement.Settings{
 		Regions:        c.deps.settings.Domains,
 		Evacuated:      c.evacuated,
 		Connections:    map[string]int{},
 		MaxConnections: map[string]int{},
+		Senders:        c.poolPeers.senders,
 	}
-	peers := c.members.Snapshot(now)
-	settings.Senders = 1 + lo.CountBy(peers.All, func(p *membership.Peer) bool { return p.Usable() && p.Region == peers.Self.Region })
 	if c.table != nil {
-		instances := len(peers.All) + 1
 		for _, service := range c.table.Services {
 			settings.MaxConnections[service.Name] = service.Connections
-			settings.Connections[service.Name] = max(service.Connections/instances, 1)
+			settings.Connections[service.Name] = max(service.Connections/c.poolPeers.all, 1)
 		}
 	}
 	return settings
@@ -424,7 +437,7 @@
 	rates := c.upstreamRates()
 	c.deps.pool.SetRates(rates)
 	c.refreshCold(now)
-	c.poolDirty = c.poolDirty || len(c.cold.ids) > 0 || len(rates) > 0
+	c.poolDirty = c.poolDirty || c.countPoolPeers(now) != c.poolPeers
 	c.deps.upstreams.Drop(c.goneUpstreams.expired(now, c.upstreams.Has)...)
 }
 
--- a/edge/register.go
+++ b/edge/register.go
@@ -64,17 +64,17 @@
 	return err
 }
 
-// register writes the entry of this instance under a new lease.
+// register writes the entry of this instance under a new lease. There is an entry already
+// only if this instance has run before and its lease has not expired.
 func (r *registrar) register(ctx context.Context) error {
-	old, err := r.store.Get(ctx, r.key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return err
-	}
 	lease, err := r.store.GrantLease(ctx, leaseTTL)
 	if err != nil {
 		return err
 	}
-	_, err = r.store.CompareAndSwap(ctx, r.key, r.value, old.Revision, lease)
+	_, err = r.store.CompareAndSwap(ctx, r.key, r.value, 0, lease)
+	if errors.Is(err, platform.ErrConflict) {
+		err = r.replace(ctx, lease)
+	}
 	if err != nil {
 		return err
 	}
@@ -82,6 +82,16 @@
 	return nil
 }
 
+// replace writes the entry over the one that exists.
+func (r *registrar) replace(ctx context.Context, lease platform.LeaseID) error {
+	old, err := r.store.Get(ctx, r.key)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	_, err = r.store.CompareAndSwap(ctx, r.key, r.value, old.Revision, lease)
+	return err
+}
+
 // leave removes the entry by revoking its lease.
 func (r *registrar) leave(ctx context.Context) {
 	if r.lease == 0 {
--- a/edge/sums.go
+++ b/edge/sums.go
@@ -12,9 +12,14 @@
 	"samphireferry.example/ferry/rpc/entrypb"
 )
 
-// maxSumAge is the greatest age at which the sum of a failure domain counts as fresh.
-// It allows for two missed exchanges on the way.
-const maxSumAge = 5 * time.Second
+const (
+	// minMaxSumAge is the greatest age, at least, at which the sum of a failure domain counts
+	// as fresh.
+	minMaxSumAge = 5 * time.Second
+	// maxSumIntervals is that age in heartbeat intervals. It allows for two missed exchanges
+	// on the way.
+	maxSumIntervals = 5
+)
 
 // source is what one instance, or all instances of another failure domain together,
 // report of their callers.
@@ -166,12 +171,13 @@
 	if peers.FullMesh() {
 		return all, complete
 	}
+	maxAge := max(minMaxSumAge, maxSumIntervals*c.members.Interval())
 	for domain := range c.deps.settings.Domains {
 		if domain == peers.Self.FailureDomain || len(peers.InDomain(domain)) == 0 {
 			continue
 		}
 		s, takenAt := c.sums.source(domain)
-		complete = complete && now.Sub(takenAt) <= maxSumAge
+		complete = complete && now.Sub(takenAt) <= maxAge
 		all = append(all, s)
 	}
 	return all, complete
