--- a/edge/heartbeat.go
+++ b/edge/heartbeat.go
@@ -10,6 +10,7 @@
 
 	"samphireferry.example/ferry/lending"
 	"samphireferry.example/ferry/membership"
+	"samphireferry.example/ferry/placement"
 	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/rpc/entrypb"
 )
@@ -17,6 +18,10 @@
 // heartbeatTimeout bounds one heartbeat call.
 const heartbeatTimeout = time.Second
 
+// reportIntervals is the age, in tenths of the heartbeat interval, up to which a heartbeat passes on
+// the loads of upstreams. It covers the random variation of the interval.
+const reportIntervals = 12
+
 // selfState returns the part of a heartbeat that describes this instance.
 func (c *control) selfState() *entrypb.State {
 	s := &entrypb.State{
@@ -37,6 +42,8 @@
 	// inDomain is set for an instance that gets what this one reports itself, sum for one that
 	// gets the sum of this failure domain.
 	inDomain, sum bool
+	// reports is set for an instance of this failure domain, where bytes cost least.
+	reports bool
 	// The rest are the parts of selfState that change.
 	leaving, away              bool
 	revision, operatorRevision platform.Revision
@@ -68,6 +75,7 @@
 func (c *control) stateFor(now time.Time, peers *membership.Peers, domain string, toLeader bool) *entrypb.State {
 	kind := stateKind{
 		inDomain: peers.FullMesh() || domain == peers.Self.FailureDomain,
+		reports:  domain == peers.Self.FailureDomain,
 		leaving:  c.leaving, away: c.storeUnavailable,
 		revision: c.revision, operatorRevision: c.operator.newest,
 	}
@@ -86,6 +94,9 @@
 				s.DomainSums = c.sums.messages(now)
 			}
 		}
+		if kind.reports {
+			s.LoadReports = loadReportsMessage(now, c.deps.pool.Reports(now, c.members.Interval()*reportIntervals/10))
+		}
 		if kind.sum {
 			s.DomainSums = []*entrypb.DomainSum{c.localSum(peers)}
 		}
@@ -177,6 +188,34 @@
 	c.receiveState(now, e.state)
 }
 
+// loadReportsMessage returns the message for reports of upstreams, or nil if there are none.
+func loadReportsMessage(now time.Time, reports []placement.Report) *entrypb.LoadReports {
+	if len(reports) == 0 {
+		return nil
+	}
+	m := &entrypb.LoadReports{}
+	for _, r := range reports {
+		m.Upstreams = append(m.Upstreams, r.Upstream)
+		m.Requests = append(m.Requests, uint32(r.Requests))
+		m.AgeMs = append(m.AgeMs, uint32(max(now.Sub(r.At), 0).Milliseconds()))
+	}
+	return m
+}
+
+// loadReportsOf returns the reports in the message, which may be nil.
+func loadReportsOf(now time.Time, m *entrypb.LoadReports) []placement.Report {
+	n := min(len(m.GetUpstreams()), len(m.GetRequests()), len(m.GetAgeMs()))
+	reports := make([]placement.Report, n)
+	for i := range reports {
+		reports[i] = placement.Report{
+			Upstream: m.GetUpstreams()[i],
+			Requests: int(m.GetRequests()[i]),
+			At:       now.Add(-time.Duration(m.GetAgeMs()[i]) * time.Millisecond),
+		}
+	}
+	return reports
+}
+
 // receiveState merges the state in a heartbeat or in the response to one.
 func (c *control) receiveState(now time.Time, state *entrypb.State) {
 	identity := state.GetIdentity()
@@ -189,6 +228,7 @@
 		c.receiveSource(now, s)
 	}
 	c.receiveLimits(now, state.GetUpstreamLimits())
+	c.deps.pool.MergeReports(now, loadReportsOf(now, state.GetLoadReports()))
 	if c.operator.lacks(state.GetOperatorRevision()) {
 		announcementOf(state).apply(c, now)
 	}
--- a/placement/lease.go
+++ b/placement/lease.go
@@ -68,7 +68,7 @@
 		before = now
 	}
 	if load.Known {
-		t.recordLoad(now, load.Requests)
+		l.pool.learn(now, t, load.Requests)
 	}
 	switch result {
 	case Answered, Shed:
@@ -118,7 +118,7 @@
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
 	if load.Known {
-		l.target.recordLoad(now, load.Requests)
+		l.pool.learn(now, l.target, load.Requests)
 	}
 }
 
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -47,8 +47,12 @@
 	cold map[string]ColdLimit
 	// rates maps the id of an upstream that limits its rate to the requests per second
 	// that it takes from all instances together.
-	rates    map[string]float64
-	targets  map[string]*target
+	rates   map[string]float64
+	targets map[string]*target
+	// byHash finds the targets by the hash of the id.
+	byHash map[uint64]*target
+	// learned holds what upstreams have stated to this instance lately, oldest first.
+	learned  []Report
 	services map[string]*service
 	// departures holds the statements of upstreams that they leave, by id.
 	departures map[string]departure
@@ -56,7 +60,7 @@
 
 // NewPool returns a pool without upstreams.
 func NewPool(self Location) *Pool {
-	return &Pool{self: self, cold: map[string]ColdLimit{}, targets: map[string]*target{}, services: map[string]*service{}, departures: map[string]departure{}}
+	return &Pool{self: self, cold: map[string]ColdLimit{}, targets: map[string]*target{}, services: map[string]*service{}, departures: map[string]departure{}, byHash: map[uint64]*target{}}
 }
 
 // Settings are the inputs of the pool besides the upstreams and their limits.
@@ -107,6 +111,7 @@
 		if t := p.targets[id]; t != nil {
 			p.remove(t, concerned)
 			delete(p.targets, id)
+			delete(p.byHash, t.hash)
 		}
 		delete(p.cold, id)
 	}
@@ -122,6 +127,7 @@
 		t.upstream = u
 		t.setEndpoint(endpointOf(u, p.settings))
 		p.targets[u.ID] = t
+		p.byHash[t.hash] = t
 		p.add(t, concerned)
 	}
 	for name, s := range concerned {
