--- a/quota/divider.go
+++ b/quota/divider.go
@@ -10,8 +10,13 @@
 )
 
 const (
-	// equalFraction is the fraction of a rate that is divided equally.
-	equalFraction = 0.5
+	// minEqualFraction is the least fraction of a rate that is divided equally.
+	minEqualFraction = 0.5
+	// countedSeconds is the time whose arrivals the moving average of a demand amounts to.
+	countedSeconds = float64(sampleInterval) / float64(time.Second) * (2 - smoothing) / smoothing
+	// reliableArrivals is the number of arrivals in countedSeconds at which a demand counts half:
+	// of fewer, most of the variation is random.
+	reliableArrivals = 4
 	// minBurst is the smallest size of a bucket, in tokens: a loan reserves capacity
 	// for a fraction of a token, and the remainder must hold a whole one.
 	minBurst = 2
@@ -345,24 +350,38 @@
 // Where other failure domains are received as sums, it is the fraction of this
 // failure domain times that of this instance within it.
 func (d *Divider) fraction(c *customer) float64 {
+	perInstance := c.Rate / float64(d.peers.Instances)
 	if len(d.peers.Domains) == 0 {
-		return fractionAmong(c.countedDemand, c.direct, 1/float64(d.peers.Instances))
+		return fractionAmong(c.countedDemand, c.direct, 1/float64(d.peers.Instances), perInstance)
 	}
 	domainInstances := float64(len(d.peers.Direct) + 1)
-	domain := fractionAmong(c.countedDomainDemand, c.domains, domainInstances/float64(d.peers.Instances))
-	return domain * fractionAmong(c.countedDemand, c.direct, 1/domainInstances)
+	perDomain := c.Rate / float64(len(d.peers.Domains)+1)
+	domain := fractionAmong(c.countedDomainDemand, c.domains, domainInstances/float64(d.peers.Instances), perDomain)
+	return domain * fractionAmong(c.countedDemand, c.direct, 1/domainInstances, perInstance)
 }
 
 // fractionAmong returns the fraction of a whole that a counted demand gets beside what
 // the others announce. Of the whole, equalFraction is divided equally and the rest
 // in proportion to demand, with the converged demand of the others in the total.
 // What neither this side nor the others claim is divided equally, too; equal is
-// the fraction of an equal division.
-func fractionAmong(counted float64, others announcements, equal float64) float64 {
+// the fraction of an equal division, and perPart the requests per second of one part.
+func fractionAmong(counted float64, others announcements, equal, perPart float64) float64 {
 	total := counted + others.high
 	if total <= 0 {
 		return equal
 	}
 	unclaimed := 1 - (counted+others.newest)/total
-	return equalFraction*equal + (1-equalFraction)*(counted/total+unclaimed*equal)
+	fraction := equalFraction(perPart)
+	return fraction*equal + (1-fraction)*(counted/total+unclaimed*equal)
+}
+
+// equalFraction returns the fraction of a rate that is divided equally among parts that get
+// perPart requests per second each. It depends on what all instances have in common, not on
+// the demand, so that their divisions agree. Where a part gets a request every few seconds,
+// what it counts is random, and a division that follows it takes the rate from those who get the
+// next requests.
+func equalFraction(perPart float64) float64 {
+	arrivals := perPart * countedSeconds
+	reliability := arrivals / (arrivals + reliableArrivals)
+	return 1 - (1-minEqualFraction)*reliability
 }
--- a/quota/divider_test.go
+++ b/quota/divider_test.go
@@ -108,7 +108,7 @@
 	assert.Assert(t, f.sum() > 0.85*rate && f.sum() <= 1.1*rate, "%f", f.sum())
 	first, last := f.dividers[0].Allocations()[0].Rate, f.dividers[3].Allocations()[0].Rate
 	assert.Assert(t, first > 40, "%f", first)
-	assert.Assert(t, last >= equalFraction*rate/4-1e-9, "%f", last)
+	assert.Assert(t, last >= minEqualFraction*rate/4-1e-9, "%f", last)
 }
 
 // TestAllocationsStayWithinRateWhileDemandMoves guards against allocations that add
@@ -310,3 +310,27 @@
 	bound := (contract.Rate*window.Seconds()+contract.Burst)*(1+excess) + testSlack
 	assert.Assert(t, got <= bound, "%v requests in a window, bound %v", got, bound)
 }
+
+// TestSparseDemandIsDividedEvenly answers the load of a large fleet: an instance gets a request of a
+// given customer every few seconds. What it counts is random, and a division that follows it leaves
+// the instances that get the next requests short.
+func TestSparseDemandIsDividedEvenly(t *testing.T) {
+	const instances, perSecond, most = 80, 24.0, 38.0
+	for seed := range uint64(4) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		f := newFleetOf(instances, Customer{Name: "acme", Rate: most, Burst: 4})
+		demand := make([]float64, instances)
+		for n := range demand {
+			demand[n] = perSecond / instances
+		}
+		f.run(200, demand, random)
+		short := 0
+		for _, d := range f.dividers {
+			if d.Allocations()[0].Rate < perSecond/instances {
+				short++
+			}
+		}
+		assert.Assert(t, short <= instances/100, "seed %d: %d of %d instances have less than the mean demand", seed, short, instances)
+		assert.Assert(t, f.sum() <= 1.1*most, "seed %d: %f", seed, f.sum())
+	}
+}
