--- a/edge/demand.go
+++ b/edge/demand.go
@@ -16,63 +16,93 @@
 	demandSmoothing = 0.3
 )
 
-// serviceDemand measures the request rate of callers at this instance for each service,
-// in requests per second.
+// demandKey identifies requests for a service: those that may run in one region only, or all
+// others if boundTo is empty.
+type demandKey struct{ service, boundTo string }
+
+// serviceDemand measures the request rate of callers at this instance, in requests per second.
 type serviceDemand struct {
 	sampledAt time.Time
-	arrivals  map[string]uint64
-	rates     map[string]float64
+	arrivals  map[demandKey]uint64
+	rates     map[demandKey]float64
 }
 
 func newServiceDemand() *serviceDemand {
-	return &serviceDemand{arrivals: map[string]uint64{}, rates: map[string]float64{}}
+	return &serviceDemand{arrivals: map[demandKey]uint64{}, rates: map[demandKey]float64{}}
 }
 
 // sample updates the rates from the cumulative arrivals. It returns whether the rates
 // were updated.
-func (d *serviceDemand) sample(now time.Time, arrivals map[string]uint64) bool {
+func (d *serviceDemand) sample(now time.Time, arrivals map[demandKey]uint64) bool {
 	elapsed := now.Sub(d.sampledAt)
 	if elapsed < demandInterval {
 		return false
 	}
 	first := d.sampledAt.IsZero()
 	d.sampledAt = now
-	for name, total := range arrivals {
-		rate := float64(total-min(d.arrivals[name], total)) / elapsed.Seconds()
+	for key, total := range arrivals {
+		rate := float64(total-min(d.arrivals[key], total)) / elapsed.Seconds()
 		if !first {
-			d.rates[name] += demandSmoothing * (rate - d.rates[name])
+			d.rates[key] += demandSmoothing * (rate - d.rates[key])
 		}
 	}
 	d.arrivals = arrivals
 	return !first
 }
 
+// arrivalsByKey returns the cumulative number of requests at this instance.
+func (c *control) arrivalsByKey() map[demandKey]uint64 {
+	arrivals := map[demandKey]uint64{}
+	// The bound ones are read first: those that arrive in between count as free.
+	bound := c.deps.pool.BoundArrivals()
+	for service, total := range c.deps.pool.Arrivals() {
+		for region, n := range bound[service] {
+			arrivals[demandKey{service, region}] = n
+			total -= n
+		}
+		arrivals[demandKey{service: service}] = total
+	}
+	return arrivals
+}
+
+// regionDemand is the demand for each service by region.
+type regionDemand map[string]placement.Demand
+
+func (d regionDemand) add(service, region string, perSecond float64) {
+	if d[service] == nil {
+		d[service] = placement.Demand{}
+	}
+	d[service][region] += perSecond
+}
+
 // balance passes the demand of all regions to the placement pool.
 func (c *control) balance(now time.Time) {
-	if !c.demand.sample(now, c.deps.pool.Arrivals()) {
+	if !c.demand.sample(now, c.arrivalsByKey()) {
 		return
 	}
-	demand := map[string]placement.Demand{}
-	add := func(service, region string, perSecond float64) {
-		if demand[service] == nil {
-			demand[service] = placement.Demand{}
+	demand, bound := regionDemand{}, regionDemand{}
+	add := func(key demandKey, region string, perSecond float64) {
+		if key.boundTo != "" {
+			bound.add(key.service, key.boundTo, perSecond)
+			return
 		}
-		demand[service][region] += perSecond
+		demand.add(key.service, region, perSecond)
 	}
-	for service, perSecond := range c.demand.rates {
-		add(service, c.deps.settings.Region, perSecond)
+	for key, perSecond := range c.demand.rates {
+		add(key, c.deps.settings.Region, perSecond)
 	}
 	sources, _ := c.sources(now, c.members.Snapshot(now))
 	for _, source := range sources {
 		for _, load := range source.loads {
-			add(load.GetService(), source.region, float64(load.GetMilliPerSecond())/milliPerUnit)
+			add(demandKeyOf(load), source.region, float64(load.GetMilliPerSecond())/milliPerUnit)
 		}
 	}
-	c.deps.pool.StepShares(now, demand)
+	c.deps.pool.StepShares(now, demand, bound)
 	for service, regions := range demand {
 		c.deps.log.Debug("shares of the regions",
 			zap.String("service", service),
 			zap.Any("demand_per_second", regions),
+			zap.Any("bound_per_second", bound[service]),
 			zap.Any("shares", c.deps.pool.Shares(service)),
 		)
 	}
@@ -81,8 +111,16 @@
 // serviceLoads returns this instance's demand by service for heartbeats.
 func (c *control) serviceLoads() []*entrypb.ServiceLoad {
 	loads := make([]*entrypb.ServiceLoad, 0, len(c.demand.rates))
-	for service, perSecond := range c.demand.rates {
-		loads = append(loads, &entrypb.ServiceLoad{Service: service, MilliPerSecond: uint32(perSecond * milliPerUnit)})
+	for key, perSecond := range c.demand.rates {
+		loads = append(loads, serviceLoad(key, uint32(perSecond*milliPerUnit)))
 	}
 	return loads
 }
+
+func serviceLoad(key demandKey, milliPerSecond uint32) *entrypb.ServiceLoad {
+	return &entrypb.ServiceLoad{Service: key.service, BoundRegion: key.boundTo, MilliPerSecond: milliPerSecond}
+}
+
+func demandKeyOf(load *entrypb.ServiceLoad) demandKey {
+	return demandKey{service: load.GetService(), boundTo: load.GetBoundRegion()}
+}
--- a/edge/sums.go
+++ b/edge/sums.go
@@ -100,14 +100,14 @@
 
 // localSum adds up what this instance and its peers in the failure domain report.
 func (c *control) localSum(peers *membership.Peers) *entrypb.DomainSum {
-	demand, loads := quota.Demand{}, map[string]uint32{}
+	demand, loads := quota.Demand{}, map[demandKey]uint32{}
 	counts := map[countKey]*entrypb.VersionCount{}
 	add := func(s source) {
 		for customer, perSecond := range demandOf(s.demands) {
 			demand[customer] += perSecond
 		}
 		for _, l := range s.loads {
-			loads[l.GetService()] += l.GetMilliPerSecond()
+			loads[demandKeyOf(l)] += l.GetMilliPerSecond()
 		}
 		for _, m := range s.counts {
 			addCount(counts, m)
@@ -121,9 +121,7 @@
 		FailureDomain: c.deps.settings.FailureDomain,
 		Region:        c.deps.settings.Region,
 		Demands:       demandsMessage(demand),
-		Loads: lo.MapToSlice(loads, func(name string, milli uint32) *entrypb.ServiceLoad {
-			return &entrypb.ServiceLoad{Service: name, MilliPerSecond: milli}
-		}),
+		Loads:         lo.MapToSlice(loads, serviceLoad),
 		VersionCounts: slices.Collect(maps.Values(counts)),
 	}
 }
--- a/placement/fleet_test.go
+++ b/placement/fleet_test.go
@@ -84,7 +84,6 @@
 	upstream *simulatedUpstream
 	counted  bool
 	tried    []string
-	cold     bool
 }
 
 type event struct {
@@ -186,7 +185,7 @@
 			demand[fmt.Sprint(region)] += k.perSecond / float64(len(s.upstreams))
 		}
 	}
-	p.StepShares(s.now, map[string]Demand{"s": demand})
+	p.StepShares(s.now, map[string]Demand{"s": demand}, nil)
 }
 
 // exchange passes the reports of instance i on to the others of its failure domain.
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -223,15 +223,29 @@
 	return counts
 }
 
+// BoundArrivals returns the requests among Arrivals that may run in one region only, by service and
+// region.
+func (p *Pool) BoundArrivals() map[string]map[string]uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counts := make(map[string]map[string]uint64, len(p.services))
+	for name, s := range p.services {
+		counts[name] = maps.Clone(s.bound)
+	}
+	return counts
+}
+
 // StepShares moves the region shares of each service one step towards the shares that
-// its demand calls for.
-func (p *Pool) StepShares(now time.Time, demand map[string]Demand) {
+// its demand calls for: that of requests which may run in several regions, by region of the
+// callers, and bound, that of the others by region where they run.
+func (p *Pool) StepShares(now time.Time, demand, bound map[string]Demand) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, s := range p.services {
 		usable := func(t *target) bool { return t.usable(now) }
 		perSlot := maxLocalUtilization / max(s.serviceTime, minServiceTime).Seconds()
-		s.shares.step(now, targetShares(p.self.Region, demand[name], p.slotsAtRate(s, usable, perSlot), perSlot))
+		slots := freeSlots(demand[name], bound[name], p.slotsAtRate(s, usable, perSlot), perSlot)
+		s.shares.step(now, targetShares(p.self.Region, demand[name], slots, perSlot))
 	}
 }
 
@@ -292,6 +306,24 @@
 	return (q.Admits == nil || q.Admits(id)) && !slices.Contains(q.Denied, id)
 }
 
+// onlyRegion returns the region if the request may run in one of them only, or an empty string.
+func (q Query) onlyRegion(regions []string) string {
+	if q.AllowsRegion == nil {
+		return ""
+	}
+	only := ""
+	for _, region := range regions {
+		if !q.AllowsRegion(region) {
+			continue
+		}
+		if only != "" {
+			return ""
+		}
+		only = region
+	}
+	return only
+}
+
 // Refusal is the reason why no upstream was chosen.
 type Refusal uint8
 
@@ -316,6 +348,9 @@
 	}
 	if len(q.Tried) == 0 && len(q.Denied) == 0 {
 		s.arrivals++
+		if region := q.onlyRegion(s.regions); region != "" {
+			s.bound[region]++
+		}
 		s.spill.recordArrival(now)
 	}
 	candidates := p.candidates(now, s, q)
--- a/placement/pool_test.go
+++ b/placement/pool_test.go
@@ -35,7 +35,7 @@
 	settings.Regions = map[string]string{"east-1": "east", "west-1": "west"}
 	p.Configure(settings)
 	p.Update(all, nil)
-	p.StepShares(at(0), nil)
+	p.StepShares(at(0), nil, nil)
 	return p
 }
 
--- a/placement/regions.go
+++ b/placement/regions.go
@@ -21,9 +21,29 @@
 	minServiceTime = 200 * time.Millisecond
 )
 
-// Demand holds the requests per second for one service by region of the callers.
+// Demand holds the requests per second for one service by region: that of the callers, or the
+// only one in which requests may run.
 type Demand map[string]float64
 
+// freeSlots returns the slots by region that the requests leave which may run in one region only,
+// given the demand of all others. perSlot is as in targetShares.
+func freeSlots(demand, bound Demand, slots map[string]float64, perSlot float64) map[string]float64 {
+	total, totalSlots := 0.0, 0.0
+	for region, n := range slots {
+		totalSlots += n
+		total += demand[region] + bound[region]
+	}
+	if total <= 0 || totalSlots <= 0 {
+		return slots
+	}
+	perSlot = max(perSlot, total/totalSlots)
+	free := make(map[string]float64, len(slots))
+	for region, n := range slots {
+		free[region] = max(0, n-bound[region]/perSlot)
+	}
+	return free
+}
+
 // shares holds the share of this region's requests that is to run in each region.
 type shares struct {
 	byRegion  map[string]float64
--- a/placement/update_test.go
+++ b/placement/update_test.go
@@ -192,8 +192,8 @@
 			x.request(service)
 		}
 		demand := map[string]Demand{"lookup": {"east": x.random.Float64() * 50, "west": x.random.Float64() * 50}}
-		x.pool.StepShares(at(x.seconds), demand)
-		x.model.StepShares(at(x.seconds), demand)
+		x.pool.StepShares(at(x.seconds), demand, nil)
+		x.model.StepShares(at(x.seconds), demand, nil)
 	}
 }
 
