--- a/quota/divider.go
+++ b/quota/divider.go
@@ -16,7 +16,7 @@
 	countedSeconds = float64(sampleInterval) / float64(time.Second) * (2 - smoothing) / smoothing
 	// reliableArrivals is the number of arrivals in countedSeconds at which a demand counts half:
 	// of fewer, most of the variation is random.
-	reliableArrivals = 4
+	reliableArrivals = 16
 	// minBurst is the smallest size of a bucket, in tokens: a loan reserves capacity
 	// for a fraction of a token, and the remainder must hold a whole one.
 	minBurst = 2
