--- a/config/static/edge_test.go
+++ b/config/static/edge_test.go
@@ -53,6 +53,8 @@
 		"not defined":           {"-nmae", "x"},
 		"unexpected argument":   {"more"},
 		"heartbeat-interval: 1": {"-heartbeat-interval", "1h"},
+		"memory: 1048576":       {"-memory", "1MiB"},
+		"size such as":          {"-memory", "184"},
 	} {
 		_, err := ParseEdge("ferry-edge", append(append([]string{}, edgeArgs...), extra...), io.Discard)
 		assert.ErrorContains(t, err, name)
