--- a/edge/heartbeat.go
+++ b/edge/heartbeat.go
@@ -18,9 +18,10 @@
 // heartbeatTimeout bounds one heartbeat call.
 const heartbeatTimeout = time.Second
 
-// reportIntervals is the age, in tenths of the heartbeat interval, up to which a heartbeat passes on
-// the loads of upstreams. It covers the random variation of the interval.
-const reportIntervals = 12
+// maxSharedAge is the age, in heartbeat intervals, up to which a heartbeat passes on the loads of
+// upstreams: older ones went out with the heartbeat before. It allows for the random variation of
+// the interval.
+const maxSharedAge = 1.2
 
 // selfState returns the part of a heartbeat that describes this instance.
 func (c *control) selfState() *entrypb.State {
@@ -95,7 +96,8 @@
 			}
 		}
 		if kind.reports {
-			s.LoadReports = loadReportsMessage(now, c.deps.pool.Reports(now, c.members.Interval()*reportIntervals/10))
+			maxAge := time.Duration(maxSharedAge * float64(c.members.Interval()))
+			s.LoadReports = loadReportsMessage(now, c.deps.pool.Reports(now, maxAge))
 		}
 		if kind.sum {
 			s.DomainSums = []*entrypb.DomainSum{c.localSum(peers)}
