--- a/edge/follow.go
+++ b/edge/follow.go
@@ -89,8 +89,10 @@
 	post  func(event)
 	// prefix is that of the keys; empty for all records.
 	prefix string
-	// listFirst is set when all records are read once at the start, whoever leads.
+	// listFirst is set when all records are read once at the start, whoever leads; firstRead then
+	// receives them.
 	listFirst bool
+	firstRead chan<- []platform.Entry
 	// batchPause is the pause after a watch that returned changes, so that a series of
 	// changes costs one call.
 	batchPause time.Duration
@@ -123,6 +125,10 @@
 		return 0, false
 	}
 	w.post(recordsRead{entries: entries, revision: revision, full: true, prefix: w.prefix, readAt: time.Now()})
+	if w.firstRead != nil {
+		w.firstRead <- entries
+		w.firstRead = nil
+	}
 	return revision, true
 }
 
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -111,7 +111,7 @@
 	go i.control.run()
 	all := &storeWatcher{
 		store: i.deps.store, log: i.deps.log, post: i.control.post, role: i.deps.watchRole,
-		listFirst: true, batchPause: watchBatchPause,
+		listFirst: true, firstRead: i.registrar.firstRead, batchPause: watchBatchPause,
 	}
 	operator := &storeWatcher{
 		store: i.deps.store, log: i.deps.log, post: i.control.post, role: i.deps.operatorWatchRole,
--- a/edge/register.go
+++ b/edge/register.go
@@ -26,6 +26,11 @@
 	key   string
 	value []byte
 	lease platform.LeaseID
+	// firstRead receives the entries of the first read of the store. One of them may be that of an
+	// earlier process of this instance.
+	firstRead chan []platform.Entry
+	// replaced is the revision of the entry that the next registration replaces; 0 for none.
+	replaced platform.Revision
 }
 
 func newRegistrar(store platform.Store, log *zap.Logger, i records.Instance) (*registrar, error) {
@@ -33,11 +38,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &registrar{store: store, log: log, key: records.PrefixInstances + i.Name, value: value}, nil
+	return &registrar{store: store, log: log, key: records.PrefixInstances + i.Name, value: value, firstRead: make(chan []platform.Entry, 1)}, nil
 }
 
-// run registers the instance and renews its lease until the context ends.
+// run registers the instance after the first read of the store and renews its lease until the
+// context ends.
 func (r *registrar) run(ctx context.Context) {
+	select {
+	case entries := <-r.firstRead:
+		r.noteEntries(entries)
+	case <-ctx.Done():
+	}
 	for ctx.Err() == nil {
 		err := r.step(ctx)
 		if err == nil {
@@ -64,6 +75,15 @@
 	return err
 }
 
+// noteEntries records which entry the first registration replaces.
+func (r *registrar) noteEntries(entries []platform.Entry) {
+	for _, entry := range entries {
+		if entry.Key == r.key {
+			r.replaced = entry.Revision
+		}
+	}
+}
+
 // register writes the entry of this instance under a new lease. There is an entry already
 // only if this instance has run before and its lease has not expired.
 func (r *registrar) register(ctx context.Context) error {
@@ -71,7 +91,9 @@
 	if err != nil {
 		return err
 	}
-	_, err = r.store.CompareAndSwap(ctx, r.key, r.value, 0, lease)
+	expected := r.replaced
+	r.replaced = 0
+	_, err = r.store.CompareAndSwap(ctx, r.key, r.value, expected, lease)
 	if errors.Is(err, platform.ErrConflict) {
 		err = r.replace(ctx, lease)
 	}
