--- a/edge/control.go
+++ b/edge/control.go
@@ -315,9 +315,9 @@
 	c.viewDirty = true
 }
 
-// settled reports whether the instances that started together with this one have had the time to
-// register. Before that, each of them takes itself for a leader, and the watch of each would
-// return with each registration.
+// settled reports whether watchSettleTime has passed since the start. Instances that start at the
+// same time do not know each other before they have registered: each considers itself the leader,
+// and each of their watches would return with each registration.
 func (c *control) settled(now time.Time) bool { return now.Sub(c.startedAt) >= watchSettleTime }
 
 // updateWatchRole makes the store watcher read the store while this instance leads its
--- a/edge/size_test.go
+++ b/edge/size_test.go
@@ -47,9 +47,9 @@
 	assert.Assert(t, !c.members.Snapshot(now).ByName("p-007").Listed)
 }
 
-// TestInstancesThatStartTogetherDoNotWatchTheStore guards against a herd at the store: until they
-// know each other, all instances of a fleet that starts take themselves for leaders, and the watch
-// of each returned with each registration.
+// TestInstancesThatStartTogetherDoNotWatchTheStore guards against many calls at the start of a
+// fleet: before they know each other, all instances consider themselves leaders, and the watch of
+// each returned with each registration.
 func TestInstancesThatStartTogetherDoNotWatchTheStore(t *testing.T) {
 	c := newTestControl(t)
 	now := c.startedAt
--- a/membership/member.go
+++ b/membership/member.go
@@ -125,8 +125,8 @@
 	}
 }
 
-// healthDue returns the time after which the health may be another one if nothing is learnt
-// of the peer until then, or the zero time if it stays as it is.
+// healthDue returns the earliest time from now on at which the health changes if no heartbeat
+// arrives and no call fails, or the zero time if there is none.
 func (m *member) healthDue(now, resumed time.Time, interval time.Duration) time.Time {
 	interval *= time.Duration(max(m.healthFactor, 1))
 	var due time.Time
--- a/membership/registry.go
+++ b/membership/registry.go
@@ -130,11 +130,11 @@
 	ordered []*member
 	// changed holds the members whose Peer the last publish replaced.
 	changed []*member
-	// touched holds the members of which something was learnt since the last publish.
+	// touched holds the members that were updated since the last publish.
 	touched []*member
-	// healthDue is when the health of a member may change without news of it; zero if it
-	// cannot. It holds for healthResumed and healthInterval, the values of resumed and
-	// Interval for which it was computed.
+	// healthDue is the earliest time at which the health of a member changes if no heartbeat
+	// arrives and no call fails; zero if there is none. It is valid while resumed and Interval
+	// equal healthResumed and healthInterval.
 	healthDue      time.Time
 	healthResumed  time.Time
 	healthInterval time.Duration
--- a/membership/size_test.go
+++ b/membership/size_test.go
@@ -35,8 +35,7 @@
 }
 
 // TestSnapshotLooksAtChangedPeersOnly guards against a cost of each event that grows with the
-// fleet: peers of which nothing was learnt keep their place in the snapshot, and the leaders
-// are chosen again only if one of them may have changed.
+// fleet: a heartbeat marks one member for publishing, and the snapshot replaces only that Peer.
 func TestSnapshotLooksAtChangedPeersOnly(t *testing.T) {
 	r, states := benchRegistry(300)
 	before := r.Snapshot(epoch)
--- a/membership/snapshot.go
+++ b/membership/snapshot.go
@@ -8,8 +8,8 @@
 )
 
 // Snapshot returns the current state of all peers. It returns the same pointer
-// as before if nothing has changed. It looks only at the peers of which something was
-// learnt since the last call, and at all when the health of one may change.
+// as before if nothing has changed. It examines the peers that were updated since the
+// last call, and all of them at healthDue.
 func (r *Registry) Snapshot(now time.Time) *Peers {
 	r.detectPause(now)
 	r.chooseContacts(now)
@@ -105,7 +105,7 @@
 	return leaders
 }
 
-// touch makes the next snapshot look at the member.
+// touch makes the next snapshot examine the member.
 func (r *Registry) touch(m *member) {
 	if !m.touched {
 		m.touched = true
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -26,8 +26,8 @@
 // longer queue of the preferred upstream, as long as it can still be served in time, or
 // is refused. The load of an upstream is the number of requests that this instance has
 // in flight there, corrected by the load that the upstream reported with a response. Instances
-// pass these reports on to each other, since in a large fleet each of them meets an
-// upstream too seldom to know its load.
+// pass these reports on to each other, since in a large fleet each of them sends
+// requests to a given upstream too seldom to know its load.
 //
 // # Cold upstreams
 //
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -51,7 +51,7 @@
 	targets map[string]*target
 	// byHash finds the targets by the hash of the id.
 	byHash map[uint64]*target
-	// learned holds what upstreams have stated to this instance lately, oldest first.
+	// learned holds the loads in responses to this instance, oldest first.
 	learned  []Report
 	services map[string]*service
 	// departures holds the statements of upstreams that they leave, by id.
--- a/placement/reports.go
+++ b/placement/reports.go
@@ -21,7 +21,7 @@
 	At time.Time
 }
 
-// learn records the load that the upstream has stated to this instance.
+// learn records the load in a response to this instance.
 func (p *Pool) learn(now time.Time, t *target, requests int) {
 	t.recordLoad(now, requests)
 	stale := 0
@@ -31,9 +31,9 @@
 	p.learned = append(p.learned[stale:], Report{Upstream: t.hash, Requests: requests, At: now})
 }
 
-// Reports returns what upstreams have stated to this instance within maxAge, the newest report of
-// each and 64 of them at most, for other instances. In a large fleet an instance sends a request to a given
-// upstream once in a minute or so; what all instances of a failure domain learn of it is fresh.
+// Reports returns the newest load of each upstream in responses to this instance that are not
+// older than maxAge, 64 at most, for other instances. In a large fleet one instance sends a request
+// to a given upstream about once a minute; all instances of a failure domain together do so often.
 func (p *Pool) Reports(now time.Time, maxAge time.Duration) []Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/quota/divider.go
+++ b/quota/divider.go
@@ -377,9 +377,8 @@
 
 // equalFraction returns the fraction of a rate that is divided equally among parts that get
 // perPart requests per second each. It depends on what all instances have in common, not on
-// the demand, so that their divisions agree. Where a part gets a request every few seconds,
-// what it counts is random, and a division that follows it takes the rate from those who get the
-// next requests.
+// the demand, so that their divisions agree. With a request every few seconds, the measured demand
+// of a part is mostly random, and a division by it leaves the parts short that get the next requests.
 func equalFraction(perPart float64) float64 {
 	arrivals := perPart * countedSeconds
 	reliability := arrivals / (arrivals + reliableArrivals)
--- a/quota/divider_test.go
+++ b/quota/divider_test.go
@@ -312,8 +312,8 @@
 }
 
 // TestSparseDemandIsDividedEvenly answers the load of a large fleet: an instance gets a request of a
-// given customer every few seconds. What it counts is random, and a division that follows it leaves
-// the instances that get the next requests short.
+// given customer every few seconds. The measured demand is mostly random, and a division by it
+// leaves the instances short that get the next requests.
 func TestSparseDemandIsDividedEvenly(t *testing.T) {
 	const instances, perSecond, most = 80, 24.0, 38.0
 	for seed := range uint64(4) {
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -5,8 +5,8 @@
 //
 // Half of a rate is divided equally among the instances, the rest in proportion to
 // their demand. The smaller an equal part is, the more of the rate is divided equally:
-// where an instance gets a request of the customer every few seconds, what it counts is
-// random. Instances announce their demand in their
+// where an instance gets a request of the customer every few seconds, its measured demand is
+// mostly random. Instances announce their demand in their
 // heartbeats. An instance that needs more than its allocation in the meantime
 // borrows from others (package admission), so the division only has to be close to
 // the demand.
