--- a/edge/size_test.go
+++ b/edge/size_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"testing"
@@ -15,6 +16,7 @@
 	"samphireferry.example/ferry/platform/records"
 	"samphireferry.example/ferry/quota"
 	"samphireferry.example/ferry/rpc/entrypb"
+	standin "samphireferry.example/ferry/standin/records"
 )
 
 // instanceEntry is the entry of an instance of one of nine failure domains.
@@ -47,6 +49,46 @@
 	assert.Assert(t, !c.members.Snapshot(now).ByName("p-007").Listed)
 }
 
+// TestAColdUpstreamCostsNothingWhileNothingChanges guards against work at each tick: the settings of
+// the pool were made anew as long as one upstream was cold.
+func TestAColdUpstreamCostsNothingWhileNothingChanges(t *testing.T) {
+	c := newTestControl(t)
+	now := time.Now()
+	config := standin.Configuration{Version: 1, Services: []string{"lookup"}}
+	value, err := config.Value()
+	assert.NilError(t, err)
+	value = bytes.Replace(value, []byte(`"max_conns"`), []byte(`"cold_s":60,"cold_per_s":2,"max_conns"`), 1)
+	u := standin.Upstream{ID: "u-1", Address: "127.0.0.1:9", Service: "lookup", Version: "1", FailureDomain: "east-1", Slots: 4}
+	entry, err := u.Value()
+	assert.NilError(t, err)
+	entry = bytes.Replace(entry, []byte(`"cold_left_ms":0`), []byte(`"cold_left_ms":60000`), 1)
+	recordsRead{entries: []platform.Entry{
+		{Key: records.KeyConfig, Revision: 1, Value: value}, {Key: u.Key(), Revision: 2, Value: entry},
+	}, revision: 2, full: true}.apply(c, now)
+	c.publish(now)
+	limit, cold := c.coldLimit(now, c.members.Snapshot(now), c.upstreams.Get("u-1"))
+	assert.Assert(t, cold && limit.Until.After(now))
+	for range 5 {
+		now = now.Add(controlTick)
+		c.tick(now)
+		assert.Assert(t, !c.poolDirty, "the pool is configured again")
+		c.publish(now)
+	}
+}
+
+// TestHeartbeatsOfOneTickAreBuiltOnce guards against a cost of each heartbeat that grows with the
+// customers and the sums of failure domains.
+func TestHeartbeatsOfOneTickAreBuiltOnce(t *testing.T) {
+	c := newTestControl(t)
+	now := time.Now()
+	peers := c.members.Snapshot(now)
+	first := c.stateFor(now, peers, "east-1", false)
+	assert.Assert(t, c.stateFor(now.Add(controlTick/2), peers, "east-1", false) == first)
+	assert.Assert(t, c.stateFor(now.Add(controlTick), peers, "east-1", false) != first, "an old heartbeat is sent")
+	c.leaving = true
+	assert.Assert(t, c.stateFor(now.Add(controlTick), peers, "east-1", false).GetLeaving())
+}
+
 // TestInstancesThatStartTogetherDoNotWatchTheStore guards against many calls at the start of a
 // fleet: before they know each other, all instances consider themselves leaders, and the watch of
 // each returned with each registration.
--- a/membership/size_test.go
+++ b/membership/size_test.go
@@ -42,7 +42,11 @@
 	now := epoch.Add(10 * time.Millisecond)
 	r.HandleHeartbeat(states[7], now)
 	assert.Equal(t, len(r.touched), 1)
+	// A change that does not mark its member shows whether the others are examined.
+	unmarked := states[8].GetIdentity().GetName()
+	r.members[unmarked].leaving = true
 	after := r.Snapshot(now)
+	assert.Assert(t, !after.ByName(unmarked).Leaving, "a peer that was not updated was examined")
 	assert.Equal(t, len(r.touched), 0)
 	changed := 0
 	for n, peer := range after.All {
--- a/quota/divider_test.go
+++ b/quota/divider_test.go
@@ -334,3 +334,23 @@
 		assert.Assert(t, f.sum() <= 1.1*most, "seed %d: %f", seed, f.sum())
 	}
 }
+
+// TestDemandThatHasEndedIsForgotten guards against a division whose cost is the number of customers
+// times that of the sources, whatever their demand.
+func TestDemandThatHasEndedIsForgotten(t *testing.T) {
+	const customers = 140
+	d := New()
+	d.SetPeers(Peers{Direct: []string{"a"}, Instances: 2, Complete: true, Convergence: DirectConvergence})
+	demand := Demand{}
+	for n := range customers {
+		demand[ID(n)] = 1
+	}
+	now := start
+	d.RecordDemand(now, "a", demand)
+	assert.Equal(t, len(d.demandBySource["a"]), customers)
+	for range 10 {
+		now = now.Add(time.Second)
+		d.RecordDemand(now, "a", Demand{3: 1})
+	}
+	assert.Equal(t, len(d.demandBySource["a"]), 1)
+}
