--- a/edge/records.go
+++ b/edge/records.go
@@ -149,6 +149,10 @@
 			// A record of the operator that is not known here up to operator.revision was removed.
 			continue
 		}
+		if !e.full && old.Revision == 0 && entry.Revision <= c.completeSince {
+			// The read of all records at completeSince lacked it: it has been removed since.
+			continue
+		}
 		if entry.Key == records.KeyConfig && (entry.Revision.Era() > old.Revision.Era() || c.restoring(now)) {
 			entry = newerConfig(old, entry)
 		}
