--- a/placement/pool.go
+++ b/placement/pool.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -54,6 +53,8 @@
 	// learned holds the loads in responses to this instance, oldest first.
 	learned  []Report
 	services map[string]*service
+	// ready and usable are buffers of rank.
+	ready, usable []ranked
 	// departures holds the statements of upstreams that they leave, by id.
 	departures map[string]departure
 }
@@ -353,11 +354,10 @@
 		}
 		s.spill.recordArrival(now)
 	}
-	candidates := p.candidates(now, s, q)
-	if len(candidates) == 0 {
+	candidates := p.rank(now, s, q)
+	if candidates.len() == 0 {
 		return nil, NoCandidates
 	}
-	s.order(candidates, q.Object)
 	chosen := p.choose(now, s, candidates, q)
 	if chosen == nil {
 		return nil, AllBusy
@@ -390,12 +390,11 @@
 	if s == nil {
 		return "", 0
 	}
-	candidates := p.candidates(now, s, q)
-	if len(candidates) == 0 {
+	candidates := p.rank(now, s, q)
+	if candidates.len() == 0 {
 		return "", 0
 	}
-	s.order(candidates, q.Object)
-	preferred := candidates[0]
+	preferred := candidates.at(0)
 	return preferred.upstream.ID, p.load(now, s, preferred) / float64(preferred.upstream.Slots)
 }
 
@@ -408,11 +407,11 @@
 	if s == nil {
 		return 0
 	}
-	candidates := p.candidates(now, s, q)
-	s.order(candidates, q.Object)
+	candidates := p.rank(now, s, q)
 	var shortest time.Duration
 	eligible := 0
-	for _, t := range candidates {
+	for n := range candidates.len() {
+		t := candidates.at(n)
 		if !p.withinColdLimit(now, t) || !q.admits(t.upstream.ID) {
 			continue
 		}
@@ -431,25 +430,6 @@
 	return shortest
 }
 
-// candidates returns the usable upstreams that may serve the request. It includes the
-// ejected ones when fewer than 1/minUsableDivisor of them are usable.
-func (p *Pool) candidates(now time.Time, s *service, q Query) []*target {
-	var ready, usable []*target
-	for _, t := range s.targets {
-		if !t.accepts() || !p.allows(t, q) {
-			continue
-		}
-		ready = append(ready, t)
-		if t.usable(now) {
-			usable = append(usable, t)
-		}
-	}
-	if len(usable) < len(ready)/minUsableDivisor {
-		return ready
-	}
-	return usable
-}
-
 func (p *Pool) allows(t *target, q Query) bool {
 	return !p.settings.Evacuated[t.upstream.FailureDomain] &&
 		(q.AllowsVersion == nil || q.AllowsVersion(t.upstream.Version)) &&
@@ -457,21 +437,6 @@
 		!slices.Contains(q.Tried, t.upstream.ID)
 }
 
-// order sorts the candidates by preference for the object: by its order of regions, then
-// by rank.
-func (s *service) order(candidates []*target, object uint64) {
-	position := make(map[string]int, len(s.regions))
-	for i, region := range s.shares.orderRegions(object, s.regions) {
-		position[region] = i
-	}
-	slices.SortFunc(candidates, func(a, b *target) int {
-		return cmp.Or(
-			cmp.Compare(position[a.region], position[b.region]),
-			cmp.Compare(b.rank(object), a.rank(object)),
-		)
-	})
-}
-
 // upstreamsPerObject is the number of upstreams that share the requests for one object.
 // With more, the caches of each upstream would have to hold too many objects.
 const upstreamsPerObject = 2
@@ -482,12 +447,13 @@
 // rate limit, are passed over. A full one still counts towards upstreamsPerObject: passing it
 // over would flood the others with its requests. Where a region has only one upstream, the
 // second one is in another region; then the spill limiter decides.
-func (p *Pool) choose(now time.Time, s *service, candidates []*target, q Query) *target {
+func (p *Pool) choose(now time.Time, s *service, candidates *ranking, q Query) *target {
 	var fallback *target
 	maxUtilization := s.maxUtilization(q.TimeLeft)
 	maxFallbackUtilization := min(1+maxQueuePerSlot, maxUtilization)
 	eligible := 0
-	for _, t := range candidates {
+	for n := range candidates.len() {
+		t := candidates.at(n)
 		if !p.withinColdLimit(now, t) || !q.admits(t.upstream.ID) {
 			continue
 		}
@@ -499,7 +465,7 @@
 			continue
 		}
 		utilization := (p.load(now, s, t) + 1) / float64(t.upstream.Slots)
-		otherRegion := t.region != candidates[0].region
+		otherRegion := t.region != candidates.at(0).region
 		switch {
 		case eligible == 1 && utilization <= min(1+maxPreferredQueuePerSlot, maxUtilization), !otherRegion && utilization <= maxSecondaryUtilization:
 			return t
