--- a/edge/control.go
+++ b/edge/control.go
@@ -101,7 +101,8 @@
 	rates     *quota.Divider
 	demand    *serviceDemand
 	sums      *domainSums
-	states    stateCache
+	// states holds the heartbeats that were built in the current tick.
+	states stateCache
 	// instances holds the entry instances that are registered in the store, by key.
 	instances map[string]platform.Instance
 	// dividedAt is when the customers' rates were last divided.
--- a/edge/demand.go
+++ b/edge/demand.go
@@ -17,8 +17,8 @@
 )
 
 // demandKey identifies requests for a service: those that may run in one region only, or all
-// others if boundTo is empty.
-type demandKey struct{ service, boundTo string }
+// others if pinnedTo is empty.
+type demandKey struct{ service, pinnedTo string }
 
 // serviceDemand measures the request rate of callers at this instance, in requests per second.
 type serviceDemand struct {
@@ -53,10 +53,10 @@
 // arrivalsByKey returns the cumulative number of requests at this instance.
 func (c *control) arrivalsByKey() map[demandKey]uint64 {
 	arrivals := map[demandKey]uint64{}
-	// The bound ones are read first: those that arrive in between count as free.
-	bound := c.deps.pool.BoundArrivals()
+	// The pinned ones are read first: those that arrive in between count as free.
+	pinned := c.deps.pool.PinnedArrivals()
 	for service, total := range c.deps.pool.Arrivals() {
-		for region, n := range bound[service] {
+		for region, n := range pinned[service] {
 			arrivals[demandKey{service, region}] = n
 			total -= n
 		}
@@ -80,10 +80,10 @@
 	if !c.demand.sample(now, c.arrivalsByKey()) {
 		return
 	}
-	demand, bound := regionDemand{}, regionDemand{}
+	demand, pinned := regionDemand{}, regionDemand{}
 	add := func(key demandKey, region string, perSecond float64) {
-		if key.boundTo != "" {
-			bound.add(key.service, key.boundTo, perSecond)
+		if key.pinnedTo != "" {
+			pinned.add(key.service, key.pinnedTo, perSecond)
 			return
 		}
 		demand.add(key.service, region, perSecond)
@@ -97,12 +97,12 @@
 			add(demandKeyOf(load), source.region, float64(load.GetMilliPerSecond())/milliPerUnit)
 		}
 	}
-	c.deps.pool.StepShares(now, demand, bound)
+	c.deps.pool.StepShares(now, demand, pinned)
 	for service, regions := range demand {
 		c.deps.log.Debug("shares of the regions",
 			zap.String("service", service),
 			zap.Any("demand_per_second", regions),
-			zap.Any("bound_per_second", bound[service]),
+			zap.Any("pinned_per_second", pinned[service]),
 			zap.Any("shares", c.deps.pool.Shares(service)),
 		)
 	}
@@ -118,9 +118,9 @@
 }
 
 func serviceLoad(key demandKey, milliPerSecond uint32) *entrypb.ServiceLoad {
-	return &entrypb.ServiceLoad{Service: key.service, BoundRegion: key.boundTo, MilliPerSecond: milliPerSecond}
+	return &entrypb.ServiceLoad{Service: key.service, PinnedRegion: key.pinnedTo, MilliPerSecond: milliPerSecond}
 }
 
 func demandKeyOf(load *entrypb.ServiceLoad) demandKey {
-	return demandKey{service: load.GetService(), boundTo: load.GetBoundRegion()}
+	return demandKey{service: load.GetService(), pinnedTo: load.GetPinnedRegion()}
 }
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -53,7 +53,7 @@
 	// learned holds the loads in responses to this instance, oldest first.
 	learned  []Report
 	services map[string]*service
-	// ready and usable are buffers of rank.
+	// ready and usable are buffers of candidates.
 	ready, usable []ranked
 	// departures holds the statements of upstreams that they leave, by id.
 	departures map[string]departure
@@ -224,28 +224,28 @@
 	return counts
 }
 
-// BoundArrivals returns the requests among Arrivals that may run in one region only, by service and
+// PinnedArrivals returns the requests among Arrivals that may run in one region only, by service and
 // region.
-func (p *Pool) BoundArrivals() map[string]map[string]uint64 {
+func (p *Pool) PinnedArrivals() map[string]map[string]uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	counts := make(map[string]map[string]uint64, len(p.services))
 	for name, s := range p.services {
-		counts[name] = maps.Clone(s.bound)
+		counts[name] = maps.Clone(s.pinned)
 	}
 	return counts
 }
 
 // StepShares moves the region shares of each service one step towards the shares that
 // its demand calls for: that of requests which may run in several regions, by region of the
-// callers, and bound, that of the others by region where they run.
-func (p *Pool) StepShares(now time.Time, demand, bound map[string]Demand) {
+// callers, and pinned, that of the others by region where they run.
+func (p *Pool) StepShares(now time.Time, demand, pinned map[string]Demand) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, s := range p.services {
 		usable := func(t *target) bool { return t.usable(now) }
 		perSlot := maxLocalUtilization / max(s.serviceTime, minServiceTime).Seconds()
-		slots := freeSlots(demand[name], bound[name], p.slotsAtRate(s, usable, perSlot), perSlot)
+		slots := freeSlots(demand[name], pinned[name], p.slotsAtRate(s, usable, perSlot), perSlot)
 		s.shares.step(now, targetShares(p.self.Region, demand[name], slots, perSlot))
 	}
 }
@@ -307,8 +307,8 @@
 	return (q.Admits == nil || q.Admits(id)) && !slices.Contains(q.Denied, id)
 }
 
-// onlyRegion returns the region if the request may run in one of them only, or an empty string.
-func (q Query) onlyRegion(regions []string) string {
+// pinnedRegion returns the region if the request may run in one of them only, or an empty string.
+func (q Query) pinnedRegion(regions []string) string {
 	if q.AllowsRegion == nil {
 		return ""
 	}
@@ -349,12 +349,12 @@
 	}
 	if len(q.Tried) == 0 && len(q.Denied) == 0 {
 		s.arrivals++
-		if region := q.onlyRegion(s.regions); region != "" {
-			s.bound[region]++
+		if region := q.pinnedRegion(s.regions); region != "" {
+			s.pinned[region]++
 		}
 		s.spill.recordArrival(now)
 	}
-	candidates := p.rank(now, s, q)
+	candidates := p.candidates(now, s, q)
 	if candidates.len() == 0 {
 		return nil, NoCandidates
 	}
@@ -390,7 +390,7 @@
 	if s == nil {
 		return "", 0
 	}
-	candidates := p.rank(now, s, q)
+	candidates := p.candidates(now, s, q)
 	if candidates.len() == 0 {
 		return "", 0
 	}
@@ -407,7 +407,7 @@
 	if s == nil {
 		return 0
 	}
-	candidates := p.rank(now, s, q)
+	candidates := p.candidates(now, s, q)
 	var shortest time.Duration
 	eligible := 0
 	for n := range candidates.len() {
--- a/placement/ranking.go
+++ b/placement/ranking.go
@@ -53,9 +53,9 @@
 	return r.candidates[n].target
 }
 
-// rank returns the usable upstreams that may serve the request. It includes the ejected ones when
+// candidates returns the usable upstreams that may serve the request. It includes the ejected ones when
 // fewer than 1/minUsableDivisor of them are usable. The ranking is valid until the next call.
-func (p *Pool) rank(now time.Time, s *service, q Query) *ranking {
+func (p *Pool) candidates(now time.Time, s *service, q Query) *ranking {
 	regions := s.shares.orderRegions(q.Object, s.regions)
 	p.ready, p.usable = p.ready[:0], p.usable[:0]
 	for _, t := range s.targets {
--- a/placement/regions.go
+++ b/placement/regions.go
@@ -25,13 +25,13 @@
 // only one in which requests may run.
 type Demand map[string]float64
 
-// freeSlots returns the slots by region that the requests leave which may run in one region only,
-// given the demand of all others. perSlot is as in targetShares.
-func freeSlots(demand, bound Demand, slots map[string]float64, perSlot float64) map[string]float64 {
+// freeSlots returns the slots by region that pinned requests leave, those that may run in that region
+// only, given the demand of all others. perSlot is as in targetShares.
+func freeSlots(demand, pinned Demand, slots map[string]float64, perSlot float64) map[string]float64 {
 	total, totalSlots := 0.0, 0.0
 	for region, n := range slots {
 		totalSlots += n
-		total += demand[region] + bound[region]
+		total += demand[region] + pinned[region]
 	}
 	if total <= 0 || totalSlots <= 0 {
 		return slots
@@ -39,7 +39,7 @@
 	perSlot = max(perSlot, total/totalSlots)
 	free := make(map[string]float64, len(slots))
 	for region, n := range slots {
-		free[region] = max(0, n-bound[region]/perSlot)
+		free[region] = max(0, n-pinned[region]/perSlot)
 	}
 	return free
 }
--- a/placement/regions_test.go
+++ b/placement/regions_test.go
@@ -62,22 +62,22 @@
 	assert.Assert(t, math.Abs(float64(moved)/objects-0.1) < 0.02, "%d objects moved", moved)
 }
 
-// TestRequestsBoundToARegionTakeItsSlots answers the load of customers that may be served in one
+// TestRequestsPinnedToARegionTakeItsSlots answers the load of customers that may be served in one
 // region only: a small region that kept the usual share of its other requests beside them, and got
 // some of the other regions, was overloaded while those had slots free.
-func TestRequestsBoundToARegionTakeItsSlots(t *testing.T) {
+func TestRequestsPinnedToARegionTakeItsSlots(t *testing.T) {
 	slots := map[string]float64{"large": 90, "middle": 90, "small": 20}
 	demand := Demand{"large": 30, "middle": 30, "small": 30}
 	for _, c := range []struct {
-		name  string
-		bound Demand
-		want  map[string]float64
+		name   string
+		pinned Demand
+		want   map[string]float64
 	}{
 		{"none", nil, map[string]float64{"large": 90, "middle": 90, "small": 20}},
 		{"half of the small region", Demand{"small": 10}, map[string]float64{"large": 90, "middle": 90, "small": 10}},
 		{"more than the small region", Demand{"small": 70}, map[string]float64{"large": 90, "middle": 90, "small": 0}},
 	} {
-		got := freeSlots(demand, c.bound, slots, 1)
+		got := freeSlots(demand, c.pinned, slots, 1)
 		for region, want := range c.want {
 			assert.Assert(t, math.Abs(got[region]-want) < 1e-9, "%s: %v", c.name, got)
 		}
@@ -89,10 +89,10 @@
 		allowed := []string{"small", "large", ""}[n%3]
 		p.Acquire(at(0), Query{Service: "lookup", AllowsRegion: func(region string) bool { return allowed == "" || region == allowed }})
 	}
-	assert.DeepEqual(t, p.BoundArrivals()["lookup"], map[string]uint64{"small": 10, "large": 10})
-	share := func(bound Demand) float64 {
+	assert.DeepEqual(t, p.PinnedArrivals()["lookup"], map[string]uint64{"small": 10, "large": 10})
+	share := func(pinned Demand) float64 {
 		p.services["lookup"].shares.byRegion = nil
-		p.StepShares(at(1), map[string]Demand{"lookup": {"large": 2, "small": 20}}, map[string]Demand{"lookup": bound})
+		p.StepShares(at(1), map[string]Demand{"lookup": {"large": 2, "small": 20}}, map[string]Demand{"lookup": pinned})
 		return p.Shares("lookup")["small"]
 	}
 	assert.Assert(t, share(Demand{"small": 20}) <= share(nil))
--- a/placement/service.go
+++ b/placement/service.go
@@ -18,8 +18,8 @@
 	spill    spillLimiter
 	// arrivals counts requests; retries are not counted.
 	arrivals uint64
-	// bound counts those of arrivals that may run in one region only, by region.
-	bound map[string]uint64
+	// pinned counts those of arrivals that may run in one region only, by region.
+	pinned map[string]uint64
 	// serviceTime is a moving average of the time that an upstream works on a request,
 	// excluding the wait in its queue; 0 before the first sample.
 	serviceTime time.Duration
@@ -32,7 +32,7 @@
 type capacity struct{ upstreams, slots int }
 
 func newService() *service {
-	return &service{capacity: map[place]capacity{}, bound: map[string]uint64{}}
+	return &service{capacity: map[place]capacity{}, pinned: map[string]uint64{}}
 }
 
 // add adds an upstream.
