--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins and callers of the cases.
+set -eu
+cd "$(dirname "$0")/.."
+go build -o bin/ ./review/cases
--- /dev/null
+++ b/review/cases/small.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// newSmallSystem starts a small deployment with some upstreams of each service and waits until
+// its instances are ready.
+func newSmallSystem(o options, edges, perService, slots int, work, timeout time.Duration, rate float64, l *ledger) (*system, error) {
+	s, err := newSystem(o.record, o.program)
+	if err != nil {
+		return nil, err
+	}
+	err = s.fill(o, edges, perService, slots, work, timeout, rate, l)
+	if err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *system) fill(o options, edges, perService, slots int, work, timeout time.Duration, rate float64, l *ledger) error {
+	if err := s.put(configuration(1, timeout, rate)); err != nil {
+		return err
+	}
+	for _, service := range []string{"desk", "ledger"} {
+		for i := range perService {
+			u, err := newUpstream(fmt.Sprintf("i-%s-%d", service, i+1), service, o.stamp, work, slots, l)
+			if err != nil {
+				return err
+			}
+			if err := s.put(u.entry(domains[i%len(domains)][0])); err != nil {
+				return err
+			}
+		}
+	}
+	if err := s.addEdges(edges); err != nil {
+		return err
+	}
+	if err := s.startAll(); err != nil {
+		return err
+	}
+	return s.awaitAll()
+}
--- /dev/null
+++ b/review/cases/upstream.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"samphireferry.example/ferry/platform/headers"
+	"samphireferry.example/ferry/standin/records"
+)
+
+// run is one request that an upstream has begun to work on.
+type run struct {
+	at     time.Time
+	id     string
+	path   string
+	header http.Header
+	body   int
+}
+
+// upstream is a stand-in of an upstream: it runs each request for the work time and
+// answers with the id and the path of the request.
+type upstream struct {
+	id, service, address string
+	stamp                string
+	work                 time.Duration
+	slots                int
+	running              atomic.Int64
+	server               *http.Server
+	ledger               *ledger
+	started              time.Time
+}
+
+// ledger collects the runs of all upstreams.
+type ledger struct {
+	record *record
+	quiet  bool
+	mu     sync.Mutex
+	runs   []run
+}
+
+func (l *ledger) add(u *upstream, r run) {
+	l.mu.Lock()
+	l.runs = append(l.runs, r)
+	l.mu.Unlock()
+	if !l.quiet {
+		l.record.printf("%s runs %s: path %q, %s %q", u.id, r.id, r.path, headers.Customer, r.header.Values(headers.Customer))
+	}
+}
+
+func (l *ledger) all() []run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]run(nil), l.runs...)
+}
+
+// newUpstream starts an upstream; the caller puts its entry into the store.
+func newUpstream(id, service, stamp string, work time.Duration, slots int, l *ledger) (*upstream, error) {
+	listener, err := listen()
+	if err != nil {
+		return nil, err
+	}
+	u := &upstream{id: id, service: service, address: listener.Addr().String(), stamp: stamp, work: work, slots: slots, ledger: l, started: time.Now()}
+	u.server = &http.Server{Handler: u}
+	go func() { _ = u.server.Serve(listener) }()
+	return u, nil
+}
+
+func (u *upstream) entry(domain string) records.Upstream {
+	return records.Upstream{ID: u.id, Address: u.address, Service: u.service, Version: "v1", FailureDomain: domain, Slots: u.slots, Started: u.started}
+}
+
+// ServeHTTP implements http.Handler.
+func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(headers.AttemptID)
+	w.Header().Set(headers.AttemptID, id)
+	w.Header().Set(headers.Instance, u.id)
+	if expected := r.Header.Get(headers.ExpectInstance); expected != "" && expected != u.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		// The body is incomplete; the request does not run.
+		panic(http.ErrAbortHandler)
+	}
+	running := u.running.Add(1)
+	defer u.running.Add(-1)
+	w.Header().Set(headers.Load, fmt.Sprintf("%d,0,%d", running, u.slots))
+	u.ledger.add(u, run{at: time.Now(), id: id, path: r.RequestURI, header: r.Header.Clone(), body: len(body)})
+	time.Sleep(u.work)
+	w.Header().Set(u.stamp, "3e1b.07.5a2.600.0.c9f2a4d1")
+	_, _ = fmt.Fprintf(w, "%s %s", id, r.RequestURI)
+}
