--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -28,7 +28,7 @@
 
 var cases = map[string]caseFunc{
 	"nominated-field": nominatedField,
-	"early-answer":    earlyAnswer,
+	"crash":           crash,
 }
 
 func main() { os.Exit(mainCode()) }
--- a/review/cases/small.go
+++ b/review/cases/small.go
@@ -30,6 +30,7 @@
 			if err != nil {
 				return err
 			}
+			s.upstreams[u.id] = u
 			if err := s.put(u.entry(domains[i%len(domains)][0])); err != nil {
 				return err
 			}
--- a/review/cases/upstream.go
+++ b/review/cases/upstream.go
@@ -73,6 +73,9 @@
 	return records.Upstream{ID: u.id, Address: u.address, Service: u.service, Version: "v1", FailureDomain: domain, Slots: u.slots, Started: u.started}
 }
 
+// crash closes the listener and all connections.
+func (u *upstream) crash() { _ = u.server.Close() }
+
 // ServeHTTP implements http.Handler.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(headers.AttemptID)
