--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -29,6 +29,7 @@
 var cases = map[string]caseFunc{
 	"nominated-field": nominatedField,
 	"crash":           crash,
+	"rollout":         rollout,
 }
 
 func main() { os.Exit(mainCode()) }
--- a/review/cases/small.go
+++ b/review/cases/small.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"samphireferry.example/ferry/standin/records"
 )
 
 // newSmallSystem starts a small deployment with some upstreams of each service and waits until
@@ -21,9 +23,6 @@
 }
 
 func (s *system) fill(o options, edges, perService, slots int, work, timeout time.Duration, rate float64, l *ledger) error {
-	if err := s.put(configuration(1, timeout, rate)); err != nil {
-		return err
-	}
 	for _, service := range []string{"desk", "ledger"} {
 		for i := range perService {
 			u, err := newUpstream(fmt.Sprintf("i-%s-%d", service, i+1), service, o.stamp, work, slots, l)
@@ -36,6 +35,14 @@
 			}
 		}
 	}
+	return s.start(configuration(1, timeout, rate), edges)
+}
+
+// start publishes the configuration, starts the instances and waits until they are ready.
+func (s *system) start(c records.Configuration, edges int) error {
+	if err := s.put(c); err != nil {
+		return err
+	}
 	if err := s.addEdges(edges); err != nil {
 		return err
 	}
--- a/review/cases/upstream.go
+++ b/review/cases/upstream.go
@@ -14,11 +14,12 @@
 
 // run is one request that an upstream has begun to work on.
 type run struct {
-	at     time.Time
-	id     string
-	path   string
-	header http.Header
-	body   int
+	at      time.Time
+	id      string
+	path    string
+	version string
+	header  http.Header
+	body    int
 }
 
 // upstream is a stand-in of an upstream: it runs each request for the work time and
@@ -32,6 +33,10 @@
 	server               *http.Server
 	ledger               *ledger
 	started              time.Time
+	version              string
+	// failsHalfOf is the prefix of the paths of which the upstream fails half.
+	failsHalfOf []byte
+	counted     atomic.Int64
 }
 
 // ledger collects the runs of all upstreams.
@@ -63,14 +68,14 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &upstream{id: id, service: service, address: listener.Addr().String(), stamp: stamp, work: work, slots: slots, ledger: l, started: time.Now()}
+	u := &upstream{id: id, service: service, address: listener.Addr().String(), stamp: stamp, work: work, slots: slots, ledger: l, started: time.Now(), version: "v1"}
 	u.server = &http.Server{Handler: u}
 	go func() { _ = u.server.Serve(listener) }()
 	return u, nil
 }
 
 func (u *upstream) entry(domain string) records.Upstream {
-	return records.Upstream{ID: u.id, Address: u.address, Service: u.service, Version: "v1", FailureDomain: domain, Slots: u.slots, Started: u.started}
+	return records.Upstream{ID: u.id, Address: u.address, Service: u.service, Version: u.version, FailureDomain: domain, Slots: u.slots, Started: u.started}
 }
 
 // crash closes the listener and all connections.
@@ -93,8 +98,11 @@
 	running := u.running.Add(1)
 	defer u.running.Add(-1)
 	w.Header().Set(headers.Load, fmt.Sprintf("%d,0,%d", running, u.slots))
-	u.ledger.add(u, run{at: time.Now(), id: id, path: r.RequestURI, header: r.Header.Clone(), body: len(body)})
+	u.ledger.add(u, run{at: time.Now(), id: id, path: r.RequestURI, version: u.version, header: r.Header.Clone(), body: len(body)})
 	time.Sleep(u.work)
 	w.Header().Set(u.stamp, "3e1b.07.5a2.600.0.c9f2a4d1")
+	if u.fails(r.RequestURI) {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
 	_, _ = fmt.Fprintf(w, "%s %s", id, r.RequestURI)
 }
