--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -30,6 +30,7 @@
 	"nominated-field": nominatedField,
 	"crash":           crash,
 	"rollout":         rollout,
+	"encoded-slash":   encodedSlash,
 }
 
 func main() { os.Exit(mainCode()) }
--- a/review/cases/upstream.go
+++ b/review/cases/upstream.go
@@ -16,6 +16,7 @@
 type run struct {
 	at      time.Time
 	id      string
+	service string
 	path    string
 	version string
 	header  http.Header
@@ -98,7 +99,7 @@
 	running := u.running.Add(1)
 	defer u.running.Add(-1)
 	w.Header().Set(headers.Load, fmt.Sprintf("%d,0,%d", running, u.slots))
-	u.ledger.add(u, run{at: time.Now(), id: id, path: r.RequestURI, version: u.version, header: r.Header.Clone(), body: len(body)})
+	u.ledger.add(u, run{at: time.Now(), id: id, path: r.RequestURI, version: u.version, service: u.service, header: r.Header.Clone(), body: len(body)})
 	time.Sleep(u.work)
 	w.Header().Set(u.stamp, "3e1b.07.5a2.600.0.c9f2a4d1")
 	if u.fails(r.RequestURI) {
