--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -28,9 +28,9 @@
 
 var cases = map[string]caseFunc{
 	"nominated-field": nominatedField,
+	"smuggled":        smuggled,
 	"crash":           crash,
 	"rollout":         rollout,
-	"encoded-slash":   encodedSlash,
 }
 
 func main() { os.Exit(mainCode()) }
