--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -30,6 +30,7 @@
 	"nominated-field": nominatedField,
 	"smuggled":        smuggled,
 	"crash":           crash,
+	"encoded-slash":   encodedSlash,
 	"rollout":         rollout,
 }
 
--- a/review/cases/rollout.go
+++ b/review/cases/rollout.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -101,8 +100,9 @@
 		return false, err
 	}
 	if o.trouble {
+		failing := filings
 		for _, u := range newer {
-			u.failsHalfOf = []byte(filings)
+			u.failsHalfOf.Store(&failing)
 		}
 	}
 	if err := s.put(order{"desk", "v2", within}); err != nil {
@@ -157,11 +157,3 @@
 	}
 	return last
 }
-
-// fails reports whether the upstream fails the request: each second one of the route.
-func (u *upstream) fails(path string) bool {
-	if len(u.failsHalfOf) == 0 || !bytes.HasPrefix([]byte(path), u.failsHalfOf) {
-		return false
-	}
-	return u.counted.Add(1)%2 == 1
-}
--- a/review/cases/upstream.go
+++ b/review/cases/upstream.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,9 +36,10 @@
 	ledger               *ledger
 	started              time.Time
 	version              string
-	// failsHalfOf is the prefix of the paths of which the upstream fails half.
-	failsHalfOf []byte
-	counted     atomic.Int64
+	// failsHalfOf is the prefix of the paths of which the upstream fails half, failsPartOf that of
+	// those of which it fails 4 in 9.
+	failsHalfOf, failsPartOf atomic.Pointer[string]
+	counted                  atomic.Int64
 }
 
 // ledger collects the runs of all upstreams.
@@ -82,6 +84,18 @@
 // crash closes the listener and all connections.
 func (u *upstream) crash() { _ = u.server.Close() }
 
+// fails reports whether the upstream fails the request.
+func (u *upstream) fails(path string) bool {
+	has := func(prefix *string) bool { return prefix != nil && strings.HasPrefix(path, *prefix) }
+	switch {
+	case has(u.failsHalfOf.Load()):
+		return u.counted.Add(1)%2 == 1
+	case has(u.failsPartOf.Load()):
+		return u.counted.Add(1)*4%9 < 4
+	}
+	return false
+}
+
 // ServeHTTP implements http.Handler.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(headers.AttemptID)
