--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,5 @@
 # Builds the stand-ins and callers of the cases.
 set -eu
 cd "$(dirname "$0")/.."
-go build -o bin/ ./review/cases
+mkdir -p bin
+go build -o bin/review-cases ./review
