admission: refuse a customer that is over its rate without a wait

Cause: a request without a token waits up to 120 ms for a loan unless the share is Oversubscribed. That flag needs an announced demand above 2.5 times the rate. The demand is a moving average over some 2 s and passes through three exchanges of heartbeats in a large fleet, so at four times the rate the flag rises 5 s and more after the demand. Until then each instance holds nearly every request, although no peer has a token to lend.

Change: an instance averages which part of the requested tokens its loans bring for a customer. Below a quarter, loans are futile: requests are refused at once, and those that wait end. A request refused for that reason makes the instance ask for a token without holding anyone, so the estimate stays current and a return finds the token. Without loans for 2 s the estimate lapses. Settings.Jitter spreads Retry-After over as many token times as the demand is times the rate. Both are settings of the limiter that only ferry-edge uses; ferry-entry decides as before.

Ruled out: a lower factor than 2.5, which retries of wrongly refused requests would exceed, and which is as late; local demand alone, since callers may use few instances.

--- a/admission/bucket.go
+++ b/admission/bucket.go
@@ -41,6 +41,9 @@
 	spendRequested float64
 	// partialToken is a fraction of a spend token, kept while a request waits.
 	partialToken float64
+	loans        loanYield
+	// loanWanted is set when a request was refused because loans are futile.
+	loanWanted bool
 }
 
 // Totals counts requests and tokens of one bucket since it was created.
@@ -111,6 +114,8 @@
 	b.reserved = 0
 	b.spendRequested = 0
 	b.partialToken = 0
+	b.loans = loanYield{}
+	b.loanWanted = false
 	b.refilledAt = now
 }
 
--- a/admission/doc.go
+++ b/admission/doc.go
@@ -29,6 +29,14 @@
 // loses tokens and never duplicates them: a response counts once, and only while its
 // loan is outstanding. A lender retains what its own demand is about to need.
 //
+// # Customers over their rate
+//
+// A customer that is over its rate everywhere finds no lender, so its requests are refused
+// without a wait: once the announced demand shows it, or, with Settings.RefuseFutile, once the
+// last loans brought less than a quarter of the tokens. Loans show it after a few requests, the
+// announced demand after seconds. Requests that are refused for that reason still make the instance ask for
+// a token, so that it learns when there are some again.
+//
 // # Limits
 //
 // A process that is suspended between the check of a request and the removal
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -54,6 +54,12 @@
 	MessageBurst      int
 	// NoLoans disables borrowing and waiting.
 	NoLoans bool
+	// RefuseFutile refuses a request at once when the last waits of its customer ended without a
+	// token.
+	RefuseFutile bool
+	// Jitter returns a random number from 0 to 1 that spreads the RetryAfter of refusals; nil spreads
+	// none.
+	Jitter func() float64
 	// Checker receives violations of invariants; nil drops them.
 	Checker *invariant.Checker
 }
@@ -83,8 +89,12 @@
 	// Kind is RateExceeded or ShareUnconfirmed when the request is refused.
 	Kind errkind.Kind
 	// RetryAfter is the longest time until a token is available, if no other
-	// request takes it. It is at most 1 hour, and 0 for ShareUnconfirmed.
+	// request takes it, or longer by a random part where Settings has Jitter. It is at most 1 hour,
+	// and 0 for ShareUnconfirmed.
 	RetryAfter time.Duration
+	// OverRate is set when the request was refused without a wait because the customer is over its
+	// rate at all instances.
+	OverRate bool
 }
 
 // Err returns the error of a refusal, or nil.
@@ -175,7 +185,7 @@
 	if taken {
 		return admitted
 	}
-	return Decision{Kind: errkind.RateExceeded, RetryAfter: b.retryAfter()}
+	return Decision{Kind: errkind.RateExceeded, RetryAfter: l.spread(b, b.retryAfter())}
 }
 
 // usable reports whether the shares are confirmed and the control goroutine has
--- a/admission/loans.go
+++ b/admission/loans.go
@@ -156,6 +156,7 @@
 	}
 	for _, item := range loan.request.Items {
 		g := byCustomer[item.Customer]
+		l.observeYield(now, item, g)
 		l.completeItem(now, item, g)
 		if h := loan.peer.hints[item.Customer]; h != nil {
 			h.update(now, g)
@@ -208,6 +209,7 @@
 	b.spendRequested = nonNegative(b.spendRequested - item.Spend)
 	b.serveFromLoans(min(nonNegative(g.Spend), item.Spend))
 	b.serveFromBucket()
+	l.endFutileWaits(now, b)
 	l.settings.Checker.Check(b.withinBurst(), InvariantWithinBurst, b.customer)
 }
 
--- a/admission/need.go
+++ b/admission/need.go
@@ -42,6 +42,7 @@
 	n := b.newNeed(len(l.peers) + 1)
 	if !b.share.Oversubscribed {
 		n.reserve, n.spend = b.deficit(l.settings.Horizon)
+		n.reserve = max(n.reserve, b.probe())
 	}
 	return n
 }
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -10,6 +10,7 @@
 type Waiter struct {
 	bucket   *Bucket
 	admitted chan struct{}
+	futile   chan struct{}
 	// granted is guarded by the lock of the bucket.
 	granted bool
 }
@@ -17,6 +18,9 @@
 // Admitted returns a channel that is closed when the request gets a token.
 func (w *Waiter) Admitted() <-chan struct{} { return w.admitted }
 
+// Futile returns a channel that is closed when the request can expect no token any more.
+func (w *Waiter) Futile() <-chan struct{} { return w.futile }
+
 // Wait is Admit for a request that may wait until its deadline; a zero
 // deadline means none. Where a loan may arrive in time it returns a Waiter together
 // with the refusal; the caller must then end the wait with Leave.
@@ -31,19 +35,43 @@
 	if decision.Admitted {
 		return nil, decision
 	}
+	if l.knownOverRate(now, b) {
+		b.totals.Refused++
+		decision.OverRate = true
+		b.loanWanted = !b.share.Oversubscribed
+		return nil, decision
+	}
 	if !l.mayWait(now, b, deadline) {
 		b.totals.Refused++
 		return nil, decision
 	}
-	w := &Waiter{bucket: b, admitted: make(chan struct{})}
+	w := &Waiter{bucket: b, admitted: make(chan struct{}), futile: make(chan struct{})}
 	b.waiting = append(b.waiting, w)
 	l.requestPlan()
 	return w, decision
 }
 
+// knownOverRate reports whether the customer is known to be over its rate in the whole fleet, so
+// that no instance has a token to lend.
+func (l *Limiter) knownOverRate(now time.Time, b *Bucket) bool {
+	return b.share.Oversubscribed || l.settings.RefuseFutile && b.loans.futile(now)
+}
+
+// endFutileWaits ends the waits of requests that can expect no token.
+func (l *Limiter) endFutileWaits(now time.Time, b *Bucket) {
+	if !l.settings.RefuseFutile || len(b.waiting) == 0 || !b.loans.futile(now) {
+		return
+	}
+	for _, w := range b.waiting {
+		close(w.futile)
+	}
+	b.totals.Refused += uint64(len(b.waiting))
+	b.waiting = nil
+}
+
 // mayWait reports whether a refused request may wait for a loan.
 func (l *Limiter) mayWait(now time.Time, b *Bucket, deadline time.Time) bool {
-	if l.settings.NoLoans || b.share.Oversubscribed || len(b.waiting) >= l.settings.MaxWaiting {
+	if l.settings.NoLoans || len(b.waiting) >= l.settings.MaxWaiting {
 		return false
 	}
 	return deadline.IsZero() || deadline.Sub(now) >= l.settings.MinTimeLeft
@@ -73,6 +101,7 @@
 	defer timer.Stop()
 	select {
 	case <-w.Admitted():
+	case <-w.Futile():
 	case <-timer.C:
 	case <-ctx.Done():
 	}
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -134,7 +134,8 @@
 }
 
 // admit charges the request to the customer's rate. When this instance has no token
-// left, it waits up to maxLoanWait for a loan from another instance.
+// left, it waits up to maxLoanWait for a loan from another instance, unless the customer is known
+// to be over its rate in the whole fleet.
 func (x *exchange) admit(ctx context.Context) error {
 	if x.customer == nil || x.customer.Rate <= 0 {
 		return nil
@@ -143,7 +144,11 @@
 	if bucket == nil {
 		return errkind.New(errkind.ShareUnconfirmed, "")
 	}
-	return x.deps.limiter.AdmitWait(ctx, bucket).Err()
+	decision := x.deps.limiter.AdmitWait(ctx, bucket)
+	if decision.OverRate {
+		x.deps.metrics.Counter("ferry_rate_refusals_at_once_total", "service", x.service.Name).Inc()
+	}
+	return decision.Err()
 }
 
 // prepare builds the request to upstreams. Bodies of known or unknown length up to
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -109,7 +109,7 @@
 		stopping:          &stopping{},
 		watchRole:         newWatchRoleState(),
 		operatorWatchRole: newWatchRoleState(),
-		limiter:           admission.NewLimiter(admission.Settings{MaxWait: maxLoanWait, MessagesPerSecond: maxLoanMessagesPerSecond}, time.Now()),
+		limiter:           admission.NewLimiter(admission.Settings{MaxWait: maxLoanWait, MessagesPerSecond: maxLoanMessagesPerSecond, RefuseFutile: true, Jitter: rand.Float64}, time.Now()),
 	}
 	deps.bounds.Store(&settings.EdgeBounds)
 	deps.metrics.Gauge("ferry_buffered_bytes", func() float64 {
