overload: requests of a service with several priorities are limited by urgency, then by customer

Cause: no decision used the priority of a request. The more urgent kinds have the shorter deadlines, so placement refuses them first when queues grow: an upstream whose queue is too long for a deadline of 2 s is fine for one of 12 s.

Change: package overload keeps, at each instance and for each priority of a service, the fraction of the callers that is let through. It falls while the utilization, from the loads that upstreams state and that heartbeats pass on within a failure domain (placement.Room, new), is above the target that the more urgent timeouts leave, and rises below it. The minimum is a tenth. Within a priority, customers get max-min fair parts of the callers, counted by first requests only. A return is recognized by the time that the caller has left; one that waited goes first, one that came much too early is refused. Refusals have a Retry-After from the room of their priority, at a place that follows from customer and object, with jitter. No message changed.

A service whose routes and customers all have one priority is not limited: TestOnePriorityIsNeverLimited.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -380,7 +380,7 @@
 		return errkind.Wrap(err, errkind.UpstreamFailed, "")
 	case kind == errkind.DeadlineExceeded, kind == errkind.NoUpstream, kind == errkind.Overloaded:
 		refusal := errkind.Wrap(err, errkind.Overloaded, "")
-		refusal.RetryAfter = max(refusalRetryAfter, x.pauseLeft())
+		refusal.RetryAfter = max(refusalRetryAfter, x.pauseLeft(), x.deps.gate.RetryAfter(x.overloadRequest()))
 		return refusal
 	}
 	return err
--- a/edge/control.go
+++ b/edge/control.go
@@ -122,7 +122,9 @@
 	// poolPeers is what the settings of the pool were last made from.
 	poolPeers poolPeers
 	splits    map[string]*split
-	pulls     *pulls
+	// limited holds the services of which a priority is limited, as last logged.
+	limited map[string]bool
+	pulls   *pulls
 	// lateReportedAt is when a long wait of an event was last logged.
 	lateReportedAt time.Time
 }
@@ -150,6 +152,7 @@
 		evacuationEnded: map[string]time.Time{},
 		cold:            coldUpstreams{until: map[string]time.Time{}},
 		viewDirty:       true,
+		limited:         map[string]bool{},
 		pulls:           newPulls(),
 	}
 	c.rollouts = newRolloutControl(c)
--- a/edge/demand.go
+++ b/edge/demand.go
@@ -98,6 +98,7 @@
 		}
 	}
 	c.deps.pool.StepShares(now, demand, pinned)
+	c.logLimits()
 	for service, regions := range demand {
 		c.deps.log.Debug("shares of the regions",
 			zap.String("service", service),
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -9,6 +9,7 @@
 	"samphireferry.example/ferry/buffers"
 	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/entryinstance"
+	"samphireferry.example/ferry/overload"
 	"samphireferry.example/ferry/placement"
 	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/rpc/entrypb"
@@ -35,6 +36,7 @@
 	throttle  *throttle.Throttle
 	permits   *permits
 	limiter   *admission.Limiter
+	gate      *overload.Gate
 	// buffers is the memory for the bodies of requests and responses.
 	buffers     *buffers.Budget
 	callerConns *connections
--- a/edge/records.go
+++ b/edge/records.go
@@ -261,6 +261,7 @@
 	c.table = table
 	c.updateSplits()
 	c.configureRates(now, table)
+	c.deps.gate.Configure(prioritiesOf(table))
 	c.cold.allDirty = true
 	c.poolDirty, c.viewDirty = true, true
 	lag := now.Sub(c.operator.readAt)
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -102,6 +102,10 @@
 		x.readAfterClose = errkind.Of(err) == errkind.CallerGone
 		return err
 	}
+	err = x.limitByPriority()
+	if err != nil {
+		return err
+	}
 	err = x.prepare()
 	if err != nil {
 		return err
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -11,6 +11,7 @@
 	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/entryinstance"
 	"samphireferry.example/ferry/membership"
+	"samphireferry.example/ferry/overload"
 	"samphireferry.example/ferry/placement"
 	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/platform/headers"
@@ -109,6 +110,7 @@
 		stopping:          &stopping{},
 		watchRole:         newWatchRoleState(),
 		operatorWatchRole: newWatchRoleState(),
+		gate:              overload.NewGate(rand.Float64),
 		limiter:           admission.NewLimiter(admission.Settings{MaxWait: maxLoanWait, MessagesPerSecond: maxLoanMessagesPerSecond, RefuseFutile: true, Jitter: rand.Float64}, time.Now()),
 	}
 	deps.bounds.Store(&settings.EdgeBounds)
