edge: a refused request moves to another service of its split that has room

Cause: a split chooses by weight only. A request whose service is full was refused while another service of its split had idle upstreams.

Change: a request that is about to be refused, by priority or because its upstreams are full, and was not sent yet, goes once to another service of its split if that has at most 0.8 requests for each slot, its work takes at most half of the time left, and the gate there admits it. Only splits of which one service has several priorities do so; all others keep to their weights, as does every split while its services have room.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -173,6 +173,9 @@
 	case placement.NoCandidates:
 		return nil, fallback, errkind.New(errkind.NoUpstream, "")
 	case placement.AllBusy:
+		if x.moveToRoom() {
+			return x.choose(denied)
+		}
 		preferred, utilization := x.deps.pool.PreferredUpstream(time.Now(), x.placementQuery(x.objectHash(), versions.allows(x.prefersNew)))
 		return nil, fallback, errkind.New(errkind.Overloaded, fmt.Sprintf("upstream %s has %.2f requests for each slot", preferred, utilization))
 	}
@@ -380,7 +383,7 @@
 		return errkind.Wrap(err, errkind.UpstreamFailed, "")
 	case kind == errkind.DeadlineExceeded, kind == errkind.NoUpstream, kind == errkind.Overloaded:
 		refusal := errkind.Wrap(err, errkind.Overloaded, "")
-		refusal.RetryAfter = max(refusalRetryAfter, x.pauseLeft(), x.deps.gate.RetryAfter(x.overloadRequest()))
+		refusal.RetryAfter = max(refusalRetryAfter, x.pauseLeft(), x.deps.gate.RetryAfter(x.overloadRequest(x.service)))
 		return refusal
 	}
 	return err
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -71,7 +71,7 @@
 	if !x.deps.gate.Limits(x.service.Name) {
 		return nil
 	}
-	decision := x.deps.gate.Decide(x.started, x.overloadRequest(), func() overload.Room { return x.deps.roomOf(x.service.Name) })
+	decision := x.decideAt(x.service)
 	if decision.Admitted {
 		return nil
 	}
@@ -81,9 +81,47 @@
 	return refusal
 }
 
-func (x *exchange) overloadRequest() overload.Request {
+// decideAt decides whether the request may go to the service.
+func (x *exchange) decideAt(service *routing.Service) overload.Decision {
+	return x.deps.gate.Decide(x.started, x.overloadRequest(service), func() overload.Room { return x.deps.roomOf(service.Name) })
+}
+
+// moveToRoom moves a request that is about to be refused, and has not been sent, to another service of its
+// split that has room, once. It concerns splits of which a service has several priorities; other
+// splits keep to their weights.
+func (x *exchange) moveToRoom() bool {
+	split := x.view.splits[x.route.Name]
+	if split == nil || x.moved || len(x.tried) > 0 {
+		return false
+	}
+	services := split.services()
+	if !lo.SomeBy(services, func(s *routing.Service) bool { return x.deps.gate.Limits(s.Name) }) {
+		return false
+	}
+	for _, service := range services {
+		if service.Name == x.service.Name || !x.hasRoom(service) || !x.decideAt(service).Admitted {
+			continue
+		}
+		x.deps.metrics.Counter("ferry_moved_to_room_total", "from", x.service.Name, "to", service.Name).Inc()
+		x.moved, x.service = true, service
+		x.chooseVersion()
+		return true
+	}
+	return false
+}
+
+// hasRoom reports whether the upstreams of the service that may serve the request are known to have
+// spare capacity, and respond before its deadline.
+func (x *exchange) hasRoom(service *routing.Service) bool {
+	q := placement.Query{Service: service.Name, AllowsRegion: x.allowsRegion}
+	utilization, serviceTime, known := x.deps.pool.Room(time.Now(), q)
+	room := overload.Room{Known: known, Utilization: utilization, ServiceTime: serviceTime}
+	return room.Spare(time.Until(x.deadline))
+}
+
+func (x *exchange) overloadRequest(service *routing.Service) overload.Request {
 	return overload.Request{
-		Service:   x.service.Name,
+		Service:   service.Name,
 		Priority:  x.route.PriorityOf(x.customer),
 		Customer:  x.customerName(),
 		Object:    x.objectHash(),
--- a/edge/split.go
+++ b/edge/split.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 
+	"github.com/samber/lo"
+
 	"samphireferry.example/ferry/routing"
 )
 
@@ -48,6 +50,13 @@
 	return nil
 }
 
+// services returns the services.
+func (s *split) services() []*routing.Service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return lo.Map(s.parts, func(part routing.WeightedService, _ int) *routing.Service { return part.Service })
+}
+
 // next returns the service for the next request.
 func (s *split) next() *routing.Service {
 	s.mu.Lock()
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -57,6 +57,8 @@
 	request  *dispatch.Request
 	// atMostOnce is set once a route that matched the request is at-most-once.
 	atMostOnce bool
+	// moved is set once the request was moved to another service of its split.
+	moved bool
 	// prefersNew is set when the request is chosen for the new version of a roll-out.
 	prefersNew bool
 	// deadline is the earlier of the caller's deadline and the timeout of the route that
@@ -103,7 +105,7 @@
 		return err
 	}
 	err = x.limitByPriority()
-	if err != nil {
+	if err != nil && !x.moveToRoom() {
 		return err
 	}
 	err = x.prepare()
--- a/overload/fleet_test.go
+++ b/overload/fleet_test.go
@@ -16,7 +16,7 @@
 const (
 	regions        = 3
 	domains        = 6
-	slots, queue   = 9, 27
+	queuePerSlot   = 3
 	cachedObjects  = 22
 	warmWork       = 0.25
 	regionLatency  = 12 * time.Millisecond
@@ -26,15 +26,26 @@
 	impatientTries = 6
 )
 
+// service is a service of a simulated fleet.
+type service struct {
+	name string
+	// upstreams is the number by region.
+	upstreams []int
+	slots     int
+}
+
 // kind is a kind of requests of one customer.
 type kind struct {
-	name      string
-	customer  string
-	priority  int
-	objects   int
-	work      time.Duration
-	objective time.Duration
-	timeout   time.Duration
+	name string
+	// service is where the requests go, alternative where they go if that has no room.
+	service     string
+	alternative string
+	customer    string
+	priority    int
+	objects     int
+	work        time.Duration
+	objective   time.Duration
+	timeout     time.Duration
 	// perSecond is the number of new requests a second after the elapsed time.
 	perSecond func(elapsed time.Duration) float64
 	// impatient is set for callers that return much earlier than they are told.
@@ -50,11 +61,10 @@
 	return fmt.Sprintf("%.3f of %d served, %.3f in the objective, %.2f attempts", o.share(), o.callers, float64(o.inObjective)/float64(max(o.callers, 1)), float64(o.attempts)/float64(max(o.callers, 1)))
 }
 
-// fleet is a fleet of instances before the upstreams of one service, in simulated time.
+// fleet is a fleet of instances before the upstreams of its services, in simulated time.
 type fleet struct {
 	instances int
-	// upstreams is the number by region.
-	upstreams []int
+	services  []service
 	kinds     []*kind
 	// gated is set when the instances decide with a Gate.
 	gated bool
@@ -78,6 +88,7 @@
 
 type node struct {
 	region  int
+	slots   int
 	lost    bool
 	running int
 	waiting []*attempt
@@ -97,6 +108,7 @@
 type attempt struct {
 	call     *call
 	instance int
+	service  string
 	tried    []string
 	lease    *placement.Lease
 	node     *node
@@ -149,16 +161,22 @@
 		byDomain[fmt.Sprint("d", n)] = fmt.Sprint(n % regions)
 	}
 	var entries []*registry.Upstream
-	priorities := overload.Priorities{}
-	for region, count := range f.upstreams {
-		for n := range count {
-			id := fmt.Sprintf("u-%d-%d", region, n)
-			f.nodes[id] = &node{region: region}
-			entries = append(entries, &registry.Upstream{Entry: registry.Entry{ID: id, Address: id, Service: "s", FailureDomain: fmt.Sprint("d", region+n%2*regions), Slots: slots}})
+	priorities := map[string]overload.Priorities{}
+	for _, s := range f.services {
+		priorities[s.name] = overload.Priorities{}
+		for region, count := range s.upstreams {
+			for n := range count {
+				id := fmt.Sprintf("%s-%d-%d", s.name, region, n)
+				f.nodes[id] = &node{region: region, slots: s.slots}
+				entries = append(entries, &registry.Upstream{Entry: registry.Entry{ID: id, Address: id, Service: s.name, FailureDomain: fmt.Sprint("d", region+n%2*regions), Slots: s.slots}})
+			}
 		}
 	}
 	for _, k := range f.kinds {
-		priorities[k.priority] = k.timeout
+		priorities[k.service][k.priority] = k.timeout
+		if k.alternative != "" {
+			priorities[k.alternative][k.priority] = k.timeout
+		}
 		f.outcomes[k.name] = &outcome{}
 		f.arrive(k)
 	}
@@ -167,7 +185,7 @@
 		p.Configure(placement.Settings{Regions: byDomain, Senders: f.instances / regions})
 		p.Update(entries, nil)
 		g := overload.NewGate(f.random.Float64)
-		g.Configure(map[string]overload.Priorities{"s": priorities})
+		g.Configure(priorities)
 		f.pools, f.gates = append(f.pools, p), append(f.gates, g)
 		f.every(time.Second, func() { f.stepShares(p) })
 		f.every(heartbeats, func() { f.exchange(i) })
@@ -208,13 +226,16 @@
 }
 
 func (f *fleet) stepShares(p *placement.Pool) {
-	demand := placement.Demand{}
-	for region := range regions {
-		for _, k := range f.kinds {
-			demand[fmt.Sprint(region)] += k.perSecond(f.elapsed()) / regions
+	demand := map[string]placement.Demand{}
+	for _, k := range f.kinds {
+		if demand[k.service] == nil {
+			demand[k.service] = placement.Demand{}
+		}
+		for region := range regions {
+			demand[k.service][fmt.Sprint(region)] += k.perSecond(f.elapsed()) / regions
 		}
 	}
-	p.StepShares(f.now, map[string]placement.Demand{"s": demand}, nil)
+	p.StepShares(f.now, demand, nil)
 }
 
 // exchange passes the reports of an instance on within its failure domain.
@@ -254,31 +275,54 @@
 		f.outcomes[c.kind.name].attempts++
 	}
 	i := c.region + regions*f.random.IntN(f.instances/regions)
-	left := c.kind.timeout - f.now.Sub(c.at)
-	r := f.request(c)
-	if f.gated {
-		d := f.gates[i].Decide(f.now, r, func() overload.Room {
-			utilization, serviceTime, known := f.pools[i].Room(f.now, placement.Query{Service: "s"})
-			return overload.Room{Known: known, Utilization: utilization, ServiceTime: serviceTime}
-		})
-		if !d.Admitted {
-			f.refuse(c, d.RetryAfter)
-			return
-		}
+	a := &attempt{call: c, instance: i, service: c.kind.service}
+	if d := f.decide(a); !d.Admitted && !f.move(a) {
+		f.refuse(c, d.RetryAfter)
+		return
 	}
-	f.place(&attempt{call: c, instance: i}, left)
+	f.place(a)
 }
 
-func (f *fleet) request(c *call) overload.Request {
+// decide decides whether the attempt may go to its service.
+func (f *fleet) decide(a *attempt) overload.Decision {
+	if !f.gated {
+		return overload.Decision{Admitted: true}
+	}
+	return f.gates[a.instance].Decide(f.now, f.request(a), func() overload.Room { return f.room(a) })
+}
+
+func (f *fleet) room(a *attempt) overload.Room {
+	utilization, serviceTime, known := f.pools[a.instance].Room(f.now, placement.Query{Service: a.service})
+	return overload.Room{Known: known, Utilization: utilization, ServiceTime: serviceTime}
+}
+
+// move moves an attempt that is about to be refused to the other service of its kind.
+func (f *fleet) move(a *attempt) bool {
+	k := a.call.kind
+	if !f.gated || k.alternative == "" || a.service == k.alternative || len(a.tried) > 0 {
+		return false
+	}
+	a.service = k.alternative
+	if f.room(a).Spare(a.call.left(f.now)) && f.decide(a).Admitted {
+		return true
+	}
+	a.service = k.service
+	return false
+}
+
+func (c *call) left(now time.Time) time.Duration { return c.kind.timeout - now.Sub(c.at) }
+
+func (f *fleet) request(a *attempt) overload.Request {
+	k := a.call.kind
 	return overload.Request{
-		Service: "s", Priority: c.kind.priority, Customer: c.kind.customer, Object: c.object, HasObject: true,
-		Timeout: c.kind.timeout, Left: c.kind.timeout - f.now.Sub(c.at),
+		Service: a.service, Priority: k.priority, Customer: k.customer, Object: a.call.object, HasObject: true,
+		Timeout: k.timeout, Left: a.call.left(f.now),
 	}
 }
 
 // refuse makes the caller return after the time, or much earlier if it is impatient.
 func (f *fleet) refuse(c *call, after time.Duration) {
-	left := c.kind.timeout - f.now.Sub(c.at)
+	left := c.left(f.now)
 	tries := maxReturns
 	if c.kind.impatient {
 		after, tries = impatientPause, impatientTries
@@ -290,8 +334,12 @@
 	f.after(after, func() { f.send(c) })
 }
 
-func (f *fleet) place(a *attempt, left time.Duration) {
-	lease, refusal := f.pools[a.instance].Acquire(f.now, placement.Query{Service: "s", Object: a.call.object, Tried: a.tried, TimeLeft: left})
+func (f *fleet) place(a *attempt) {
+	lease, refusal := f.pools[a.instance].Acquire(f.now, placement.Query{Service: a.service, Object: a.call.object, Tried: a.tried, TimeLeft: a.call.left(f.now)})
+	if refusal == placement.AllBusy && f.move(a) {
+		f.place(a)
+		return
+	}
 	if refusal != placement.Chosen {
 		f.refuse(a.call, f.retryAfter(a))
 		return
@@ -310,9 +358,8 @@
 }
 
 func (f *fleet) tryAgain(a *attempt) {
-	left := a.call.kind.timeout - f.now.Sub(a.call.at)
-	if len(a.tried) < 3 && left > 0 {
-		f.place(a, left)
+	if len(a.tried) < 3 && a.call.left(f.now) > 0 {
+		f.place(a)
 		return
 	}
 	f.refuse(a.call, f.retryAfter(a))
@@ -320,7 +367,7 @@
 
 func (f *fleet) retryAfter(a *attempt) time.Duration {
 	if f.gated {
-		return max(overload.MinRetryAfter, f.gates[a.instance].RetryAfter(f.request(a.call)))
+		return max(overload.MinRetryAfter, f.gates[a.instance].RetryAfter(f.request(a)))
 	}
 	return overload.MinRetryAfter
 }
@@ -335,9 +382,9 @@
 func (f *fleet) reach(a *attempt) {
 	n := a.node
 	switch {
-	case n.running < slots:
+	case n.running < n.slots:
 		f.serve(a)
-	case len(n.waiting) < queue:
+	case len(n.waiting) < queuePerSlot*n.slots:
 		n.waiting = append(n.waiting, a)
 	default:
 		load := n.load()
@@ -354,7 +401,7 @@
 
 func (f *fleet) serve(a *attempt) {
 	n := a.node
-	left := a.call.kind.timeout - f.now.Sub(a.call.at)
+	left := a.call.left(f.now)
 	work := float64(a.call.kind.work) * (0.85 + 0.3*f.random.Float64())
 	if n.touch(a.call.object) {
 		work *= warmWork
@@ -368,7 +415,7 @@
 	f.after(took, func() {
 		n.running--
 		f.end(a)
-		for len(n.waiting) > 0 && n.running < slots {
+		for len(n.waiting) > 0 && n.running < n.slots {
 			next := n.waiting[0]
 			n.waiting = n.waiting[1:]
 			f.serve(next)
--- a/overload/gate.go
+++ b/overload/gate.go
@@ -45,6 +45,12 @@
 	ServiceTime time.Duration
 }
 
+// Spare reports whether the service may take a request that another one has no room for: few of its
+// upstreams have a queue, and the work fits into the time that the request has left.
+func (r Room) Spare(left time.Duration) bool {
+	return r.Known && r.Utilization <= minTarget && float64(r.ServiceTime) <= timePart*float64(left)
+}
+
 // Request is a request that needs a decision.
 type Request struct {
 	Service  string
--- a/overload/patterns_test.go
+++ b/overload/patterns_test.go
@@ -31,13 +31,16 @@
 }
 
 func urgent(perSecond func(time.Duration) float64) *kind {
-	return &kind{name: "urgent", customer: "a", objects: 300, work: 372 * time.Millisecond, objective: 250 * time.Millisecond, timeout: 2 * time.Second, perSecond: perSecond}
+	return &kind{name: "urgent", service: "shared", customer: "a", objects: 300, work: 372 * time.Millisecond, objective: 250 * time.Millisecond, timeout: 2 * time.Second, perSecond: perSecond}
 }
 
 func bulk(name string, perSecond func(time.Duration) float64) *kind {
-	return &kind{name: name, customer: name, priority: 3, objects: 150, work: 2320 * time.Millisecond, objective: 3 * time.Second, timeout: 12 * time.Second, perSecond: perSecond}
+	return &kind{name: name, service: "shared", customer: name, priority: 3, objects: 150, work: 2320 * time.Millisecond, objective: 3 * time.Second, timeout: 12 * time.Second, perSecond: perSecond}
 }
 
+// shared is a service with several priorities, of which one region has few upstreams.
+var shared = []service{{"shared", []int{10, 9, 5}, 9}}
+
 // pattern is a load pattern on 24 upstreams of 9 slots.
 type pattern struct {
 	name  string
@@ -78,7 +81,7 @@
 }
 
 func (p pattern) run(seed uint64, gated bool) *fleet {
-	f := &fleet{instances: 24, upstreams: []int{10, 9, 5}, kinds: p.kinds(), gated: gated, countFrom: 4 * time.Second}
+	f := &fleet{instances: 24, services: shared, kinds: p.kinds(), gated: gated, countFrom: 4 * time.Second}
 	if p.lost {
 		f.lostFrom, f.lostUntil = beginning, beginning+6*time.Second
 	}
@@ -132,7 +135,7 @@
 func TestImpatientCallersGainNothing(t *testing.T) {
 	impatient := bulk("impatient", step(60, 4, beginning, end))
 	impatient.impatient = true
-	f := &fleet{instances: 24, upstreams: []int{10, 9, 5}, gated: true, countFrom: beginning}
+	f := &fleet{instances: 24, services: shared, gated: true, countFrom: beginning}
 	f.kinds = []*kind{urgent(constantly(150)), bulk("patient", step(60, 4, beginning, end)), impatient}
 	f.run(1, duration)
 	for _, k := range f.kinds {
@@ -140,3 +143,26 @@
 	}
 	assert.Assert(t, f.outcomes["impatient"].share() <= f.outcomes["patient"].share())
 }
+
+// TestUrgentRequestsUseTheRoomOfAnotherService answers a service of 12 upstreams that gets more urgent requests than it
+// can run, while another one to which they may go has room. They must not displace the requests of that one.
+func TestUrgentRequestsUseTheRoomOfAnotherService(t *testing.T) {
+	// maxLoss bounds the loss of the kind whose service takes the others.
+	const maxLoss = 0.05
+	run := func(gated bool) *fleet {
+		small, large := urgent(constantly(300)), bulk("bulk", constantly(150))
+		small.service, small.alternative, small.objects = "small", "large", 900
+		large.service, large.objects = "large", 600
+		f := &fleet{instances: 70, gated: gated, countFrom: beginning, kinds: []*kind{small, large}}
+		f.services = []service{{"small", []int{4, 4, 4}, 7}, {"large", []int{25, 25, 24}, 9}}
+		f.run(1, duration)
+		return f
+	}
+	before, after := run(false), run(true)
+	for _, k := range after.kinds {
+		t.Logf("%s before: %v", k.name, before.outcomes[k.name])
+		t.Logf("%s after:  %v", k.name, after.outcomes[k.name])
+	}
+	assert.Assert(t, after.outcomes["urgent"].share() > before.outcomes["urgent"].share())
+	assert.Assert(t, after.outcomes["bulk"].share() >= before.outcomes["bulk"].share()-maxLoss)
+}
