overload: a refused caller returns within a third of its objective

Cause: a wait up to a third of a deadline of 12 s is longer than the objective of 3 s, so that hardly a response to a return came within it.

Change: waits are at most a third of the route's target latency, and at least 0.3 s.

--- a/edge/overload.go
+++ b/edge/overload.go
@@ -127,6 +127,7 @@
 		Object:    x.objectHash(),
 		HasObject: x.caller.ObjectKey != "",
 		Timeout:   x.route.Timeout,
+		Objective: x.route.TargetLatency,
 		Left:      x.caller.Deadline,
 	}
 }
--- a/overload/fleet_test.go
+++ b/overload/fleet_test.go
@@ -316,7 +316,7 @@
 	k := a.call.kind
 	return overload.Request{
 		Service: a.service, Priority: k.priority, Customer: k.customer, Object: a.call.object, HasObject: true,
-		Timeout: k.timeout, Left: a.call.left(f.now),
+		Objective: k.objective, Timeout: k.timeout, Left: a.call.left(f.now),
 	}
 }
 
--- a/overload/gate.go
+++ b/overload/gate.go
@@ -62,6 +62,8 @@
 	HasObject bool
 	// Timeout is that of the route; Left is the time that the caller states, 0 if it states none.
 	Timeout, Left time.Duration
+	// Objective is the time within which the caller wants its response, 0 if there is none.
+	Objective time.Duration
 }
 
 // Reason says why a request was let through or refused.
--- a/overload/returns.go
+++ b/overload/returns.go
@@ -11,6 +11,10 @@
 	MinRetryAfter = 300 * time.Millisecond
 	// maxTimePart is the part of its time for which a caller waits before it returns, as its inverse.
 	maxTimePart = 3
+	// maxObjectivePart is the part of the latency objective for which a caller should wait, as its
+	// inverse: with longer waits hardly a response to a return comes within the objective, and not more
+	// callers are served.
+	maxObjectivePart = 3
 	// spreadSeconds is the time in seconds whose refused requests a spread is computed for.
 	spreadSeconds = 1.0
 	// randomPart is the random part of a wait.
@@ -64,12 +68,16 @@
 	return r.bounded(wait)
 }
 
-// bounded returns the wait, which is not so long that the caller gives up, and not too short.
+// bounded returns the wait, not so long that the caller gives up or misses the objective, and not too
+// short.
 func (r Request) bounded(wait time.Duration) time.Duration {
 	left := r.Timeout
 	if r.Left > 0 {
 		left = min(left, r.Left)
 	}
+	if r.Objective > 0 {
+		wait = min(wait, r.Objective/maxObjectivePart)
+	}
 	return max(min(wait, left/maxTimePart), MinRetryAfter)
 }
 
