admission: a request waits for a token of its own bucket although loans are futile

Cause: once the last loans brought nothing, a request without a token was refused also where the bucket gains one within the wait.

Change: a request waits if the bucket yields tokens for it and those ahead of it within MaxWait; the others are refused at once.

--- a/admission/doc.go
+++ b/admission/doc.go
@@ -35,6 +35,7 @@
 // without a wait: once the announced demand shows it, or, with Settings.RefuseFutile, once the
 // last loans brought less than a quarter of the tokens. Loans show it after a few requests, the
 // announced demand after seconds. It borrows nothing then, and asks again every two seconds.
+// Requests for which the bucket itself yields tokens in time still wait.
 //
 // In a large fleet the buckets of a customer hold more than its burst together. Once loans are futile,
 // a bucket owes a quarter of that: the next tokens that it gains are dropped.
--- a/admission/overrate_test.go
+++ b/admission/overrate_test.go
@@ -371,3 +371,33 @@
 	jitter = 1
 	assert.Equal(t, l.Admit(now, b).RetryAfter, time.Second*5/4)
 }
+
+// TestRequestWaitsForATokenOfItsOwnBucket guards against a refusal at once where no peer has a token but
+// the bucket itself has one within the wait: three callers, one after the other, got 429 at a third of the
+// rate of their customer each.
+func TestRequestWaitsForATokenOfItsOwnBucket(t *testing.T) {
+	for _, test := range []struct {
+		rate  float64
+		waits bool
+	}{{100, true}, {1, false}} {
+		now := time.Unix(1_000_000, 0)
+		l := admission.NewLimiter(admission.Settings{RefuseFutile: true, MaxWait: loanWait}, now)
+		l.Configure(now, []sharetable.Share{{Customer: sharetable.Customer{Name: "acme", Rate: 300, Burst: 6}, Rate: test.rate, Burst: 2}}, true)
+		l.SetPeers([]admission.Peer{{Name: "1"}, {Name: "2"}})
+		b := l.Bucket("acme")
+		for range 40 {
+			now = now.Add(time.Millisecond)
+			l.Tick(now)
+			w, _ := l.Wait(now, b, time.Time{})
+			for _, request := range l.PlanLoans(now) {
+				l.Granted(now, request.ID, nil)
+			}
+			if w != nil {
+				l.Leave(w)
+			}
+		}
+		w, decision := l.Wait(now, b, time.Time{})
+		assert.Equal(t, w != nil, test.waits, "%v", decision)
+		assert.Equal(t, decision.OverRate, !test.waits)
+	}
+}
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -36,7 +36,7 @@
 		return nil, decision
 	}
 	b.loans.count(now)
-	if l.knownOverRate(now, b) {
+	if l.knownOverRate(now, b) && (b.share.Oversubscribed || !l.refillsFor(b, len(b.waiting)+1)) {
 		b.totals.Refused++
 		decision.OverRate = true
 		return nil, decision
@@ -57,16 +57,23 @@
 	return b.share.Oversubscribed || l.settings.RefuseFutile && b.loans.futile(now)
 }
 
-// endFutileWaits ends the waits of requests that can expect no token.
+// endFutileWaits ends the waits of requests that can expect no token, the newest first.
 func (l *Limiter) endFutileWaits(now time.Time, b *Bucket) {
 	if !l.settings.RefuseFutile || len(b.waiting) == 0 || !b.loans.futile(now) {
 		return
 	}
-	for _, w := range b.waiting {
-		close(w.futile)
+	for len(b.waiting) > 0 && !l.refillsFor(b, len(b.waiting)) {
+		last := len(b.waiting) - 1
+		close(b.waiting[last].futile)
+		b.waiting = slices.Delete(b.waiting, last, last+1)
+		b.totals.Refused++
 	}
-	b.totals.Refused += uint64(len(b.waiting))
-	b.waiting = nil
+}
+
+// refillsFor reports whether the bucket itself yields tokens for the number of waiting requests within
+// MaxWait. The caller holds the lock of the bucket.
+func (l *Limiter) refillsFor(b *Bucket, waiting int) bool {
+	return b.level-b.owed+b.share.Rate*l.settings.MaxWait.Seconds() >= float64(waiting)
 }
 
 // mayWait reports whether a refused request may wait for a loan.
