edge: the version of a moved request is chosen once

A request that moved to another service of its split before admission took two places in the running count of a roll-out there; the first was lost.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -174,6 +174,7 @@
 		return nil, fallback, errkind.New(errkind.NoUpstream, "")
 	case placement.AllBusy:
 		if x.moveToRoom() {
+			x.chooseVersion()
 			return x.choose(denied)
 		}
 		preferred, utilization := x.deps.pool.PreferredUpstream(time.Now(), x.placementQuery(x.objectHash(), versions.allows(x.prefersNew)))
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -87,7 +87,7 @@
 }
 
 // moveToRoom moves a request that is about to be refused, and has not been sent, to another service of its
-// split that has room, once. It concerns splits of which a service has several priorities; other
+// split that has room, once. The version is then to be chosen anew. It concerns splits of which a service has several priorities; other
 // splits keep to their weights.
 func (x *exchange) moveToRoom() bool {
 	split := x.view.splits[x.route.Name]
@@ -104,7 +104,6 @@
 		}
 		x.deps.metrics.Counter("ferry_moved_to_room_total", "from", x.service.Name, "to", service.Name).Inc()
 		x.moved, x.service = true, service
-		x.chooseVersion()
 		return true
 	}
 	return false
