edge: instances that start together do not each admit the whole rate

Cause: an instance reads the store before it registers.

Change: until an instance has read the registrations once more after its own, or 1.5 s have passed, rates are divided as if there were two instances in each failure domain. The further read is made only where fewer are known; of two instances that start together, at least the one that registers last knows the other.

Ruled out: to register before the first read (a restarted instance would need two more calls), and to admit nothing until the fleet is known (a second of wrongful refusals after a restart of all instances).

--- a/edge/control.go
+++ b/edge/control.go
@@ -105,6 +105,8 @@
 	states stateCache
 	// instances holds the entry instances that are registered in the store, by key.
 	instances map[string]platform.Instance
+	// fleetReadAt is when the registrations that were read after that of this instance arrived.
+	fleetReadAt time.Time
 	// dividedAt is when the customers' rates were last divided.
 	dividedAt time.Time
 	// evacuationEnded is when the last evacuation of a failure domain ended, by domain.
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -63,6 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
+	i.registrar.post, i.registrar.assumedFleet = i.control.post, assumedPerDomain*len(settings.Domains)
 	i.rpc, err = entryinstance.NewServer(rpcConfig(), &entryServer{control: i.control})
 	return i, err
 }
--- a/edge/rates.go
+++ b/edge/rates.go
@@ -19,6 +19,7 @@
 func (c *control) configureRates(now time.Time, table *routing.Table) {
 	bounds := c.deps.bounds.Load()
 	tolerance := quota.Tolerance{Window: bounds.RateWindow, Excess: bounds.RateExcess, Slack: bounds.RateSlack}
+	c.setRatePeers(now)
 	limited := lo.Filter(table.Customers, func(customer *routing.Customer, _ int) bool { return customer.Rate > 0 })
 	c.rates.Configure(lo.Map(limited, func(customer *routing.Customer, _ int) quota.Customer {
 		unwindowed := quota.Customer{Name: customer.Name, Rate: customer.Rate, Burst: float64(customer.Burst)}
@@ -39,6 +40,14 @@
 		return
 	}
 	c.dividedAt = now
+	peers := c.setRatePeers(now)
+	c.rates.Tick(now, c.arrivals)
+	c.deps.limiter.SetPeers(lenders(peers))
+	c.applyRates(now)
+}
+
+// setRatePeers tells the divider among whom the customers' rates are divided, and returns the peers.
+func (c *control) setRatePeers(now time.Time) *membership.Peers {
 	peers := c.members.Snapshot(now)
 	sources, complete := c.sources(now, peers)
 	direct, domains := lo.FilterReject(sources, func(s source, _ int) bool { return !s.domain })
@@ -46,13 +55,11 @@
 	c.rates.SetPeers(quota.Peers{
 		Direct:      lo.Map(direct, name),
 		Domains:     lo.Map(domains, name),
-		Instances:   len(peers.All) + 1,
+		Instances:   max(len(peers.All)+1, c.assumedInstances(now)),
 		Complete:    complete,
 		Convergence: c.convergence(peers),
 	})
-	c.rates.Tick(now, c.arrivals)
-	c.deps.limiter.SetPeers(lenders(peers))
-	c.applyRates(now)
+	return peers
 }
 
 // convergence returns the time after which every instance has received what one announces.
--- a/edge/register.go
+++ b/edge/register.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +32,11 @@
 	firstRead chan []platform.Entry
 	// replaced is the revision of the entry that the next registration replaces; 0 for none.
 	replaced platform.Revision
+	// known is the number of other instances in the first read; readFleet reads them again if it is
+	// below assumedFleet. fleetRead is set once it has.
+	known, assumedFleet int
+	fleetRead           bool
+	post                func(event)
 }
 
 func newRegistrar(store platform.Store, log *zap.Logger, i records.Instance) (*registrar, error) {
@@ -52,6 +58,7 @@
 	for ctx.Err() == nil {
 		err := r.step(ctx)
 		if err == nil {
+			r.readFleet(ctx)
 			sleep(ctx, renewInterval)
 			continue
 		}
@@ -75,11 +82,14 @@
 	return err
 }
 
-// noteEntries records which entry the first registration replaces.
+// noteEntries records which entry the first registration replaces, and how many others there are.
 func (r *registrar) noteEntries(entries []platform.Entry) {
 	for _, entry := range entries {
-		if entry.Key == r.key {
+		switch {
+		case entry.Key == r.key:
 			r.replaced = entry.Revision
+		case strings.HasPrefix(entry.Key, records.PrefixInstances):
+			r.known++
 		}
 	}
 }
