edge: a watch of the store that has gone silent is found within 2.5 s

Change: the first leader reads the revision of the store each second on another connection, and restarts its watches when they are behind it for 0.5 s. What they bring goes to the other instances by the usual announcements.

--- a/edge/control.go
+++ b/edge/control.go
@@ -331,8 +331,10 @@
 		c.deps.log.Info("reading the store for the failure domain", zap.Bool("reads", leads), zap.Stringer("revision", c.revision))
 	}
 	role := watchRole{reads: c.readsStore && c.settled(now), revision: c.revision, leaderCount: peers.LeaderCount()}
+	role.checks = role.reads && !c.storeUnavailable && peers.IsFirstLeader()
 	c.deps.watchRole.set(role)
 	// Until the first read of all records there is no revision to watch from.
+	role.checks = false
 	role.reads = peers.IsReader(minOperatorReaders) && c.operator.revision != 0 && c.settled(now)
 	role.revision = c.operator.revision
 	role.leaderCount = max(role.leaderCount, minOperatorReaders)
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,6 +47,8 @@
 	// leaderCount is the number of instances that read the store, one for each failure
 	// domain that has a leader.
 	leaderCount int
+	// checks reports whether this instance checks that its watches are not silent.
+	checks bool
 }
 
 func newWatchRoleState() *watchRoleState { return &watchRoleState{gained: make(chan struct{}, 1)} }
@@ -63,12 +66,17 @@
 	}
 }
 
+// get returns the current role.
+func (s *watchRoleState) get() watchRole {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.role
+}
+
 // await returns the role once this instance reads the store or the context ends.
 func (s *watchRoleState) await(ctx context.Context) watchRole {
 	for {
-		s.mu.Lock()
-		current := s.role
-		s.mu.Unlock()
+		current := s.get()
 		if current.reads {
 			return current
 		}
@@ -99,6 +107,15 @@
 	// timeout returns how long the response of a watch may take after its wait. nil leaves it to
 	// the store's client.
 	timeout func() time.Duration
+	// restart ends the watch that waits, if any; the next one uses another connection.
+	restart atomic.Pointer[context.CancelFunc]
+}
+
+// restartWatch ends the watch that waits.
+func (w *storeWatcher) restartWatch() {
+	if restart := w.restart.Load(); restart != nil {
+		(*restart)()
+	}
 }
 
 // run reads the store until the context ends.
@@ -136,9 +153,13 @@
 // continue, and false when all records have to be listed again.
 func (w *storeWatcher) watch(ctx context.Context, after platform.Revision, leaderCount int) (platform.Revision, bool) {
 	wait := watchWait(leaderCount)
-	watchContext, cancel := w.withTimeout(ctx, wait)
+	restartContext, restart := context.WithCancel(ctx)
+	w.restart.Store(&restart)
+	watchContext, cancel := w.withTimeout(restartContext, wait)
 	entries, revision, err := w.store.Watch(watchContext, w.prefix, after, wait)
 	cancel()
+	restarted := restartContext.Err() != nil
+	restart()
 	w.log.Debug("watch returned",
 		zap.Stringer("after", after),
 		zap.Stringer("revision", revision),
@@ -148,6 +169,9 @@
 	if errors.Is(err, platform.ErrHistoryGone) {
 		return 0, false
 	}
+	if err != nil && restarted {
+		return after, true
+	}
 	if err != nil {
 		w.reportFailure(ctx, err)
 		return after, true
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -119,8 +119,16 @@
 		prefix:  records.PrefixOperator,
 		timeout: func() time.Duration { return i.control.budget().ReadTimeout() },
 	}
+	check := &watchCheck{
+		store: i.deps.store, log: i.deps.log, metrics: i.deps.metrics, role: i.deps.watchRole,
+		key: i.registrar.key, restart: func() {
+			all.restartWatch()
+			operator.restartWatch()
+		},
+	}
 	go all.run(i.ctx)
 	go operator.run(i.ctx)
+	go check.run(i.ctx)
 	ctx, cancel := context.WithCancel(i.ctx)
 	i.stopRegistrar = cancel
 	go func() {
--- a/membership/leads.go
+++ b/membership/leads.go
@@ -53,6 +53,22 @@
 	return before < missing
 }
 
+// IsFirstLeader reports whether this instance is the first of the leaders in the order of
+// compareLeaders, which does what one instance of the fleet is enough for. Instances whose views
+// differ may each be the first one.
+func (p *Peers) IsFirstLeader() bool {
+	if !p.IsLeader() {
+		return false
+	}
+	for _, name := range p.leaders {
+		leader := p.ByName(name)
+		if leader != nil && name != p.Self.Name && compareLeaders(leader, &p.Self) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // FullMesh reports whether every instance exchanges heartbeats with every other.
 func (p *Peers) FullMesh() bool { return len(p.All) <= FullMeshLimit }
 
--- a/standin/platform/lease.go
+++ b/standin/platform/lease.go
@@ -65,6 +65,9 @@
 	return nil
 }
 
+// CloseIdleConnections implements platform.Store.
+func (p *Platform) CloseIdleConnections() {}
+
 // RevokeLease implements platform.Store.
 func (p *Platform) RevokeLease(ctx context.Context, id platform.LeaseID) error {
 	faults, err := p.begin(ctx, platform.CallRevokeLease)
