--- a/edge/instance.go
+++ b/edge/instance.go
@@ -63,6 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
+	i.registrar.post, i.registrar.assumedFleet = i.control.post, assumedPerDomain*len(settings.Domains)
 	i.rpc, err = entryinstance.NewServer(rpcConfig(), &entryServer{control: i.control})
 	return i, err
 }
@@ -118,8 +119,16 @@
 		prefix:  records.PrefixOperator,
 		timeout: func() time.Duration { return i.control.budget().ReadTimeout() },
 	}
+	check := &watchCheck{
+		store: i.deps.store, log: i.deps.log, metrics: i.deps.metrics, role: i.deps.watchRole,
+		key: i.registrar.key, restart: func() {
+			all.restartWatch()
+			operator.restartWatch()
+		},
+	}
 	go all.run(i.ctx)
 	go operator.run(i.ctx)
+	go check.run(i.ctx)
 	ctx, cancel := context.WithCancel(i.ctx)
 	i.stopRegistrar = cancel
 	go func() {
