quota: the equal division of growth leaves room for idle tokens

Cause: each bucket holds two tokens at least.

Change: less of the growth is divided early where the idle tokens exceed burst and allowance; nothing where they exceed the window.

--- a/quota/divider.go
+++ b/quota/divider.go
@@ -372,13 +372,14 @@
 	perInstance := c.Rate / float64(d.peers.Instances)
 	equal := 1 / float64(d.peers.Instances)
 	reliable := 1 - equalFraction(perInstance)
+	early := d.earlyFraction(c)
 	if len(d.peers.Domains) == 0 {
-		return (1-reliable)*equal + reliable*demandFraction(c.countedDemand, c.direct, equal)
+		return (1-reliable)*equal + reliable*demandFraction(c.countedDemand, c.direct, equal, early)
 	}
 	domainInstances := float64(len(d.peers.Direct) + 1)
 	reliableDomain := 1 - equalFraction(c.Rate/float64(len(d.peers.Domains)+1))
-	domain := demandFraction(c.countedDomainDemand, c.domains, domainInstances*equal)
-	inDomain := demandFraction(c.countedDemand, c.direct, 1/domainInstances)
+	domain := demandFraction(c.countedDomainDemand, c.domains, domainInstances*equal, early)
+	inDomain := demandFraction(c.countedDemand, c.direct, 1/domainInstances, early)
 	// What is divided equally is divided among all instances at once. As a product of an equal part
 	// of the domains and one within the domain it was a quarter of the rate while the demand grew.
 	return (1-reliableDomain)*equal +
@@ -386,17 +387,33 @@
 		reliable*domain*inDomain
 }
 
+// earlyFraction returns the fraction of an announced growth that is divided equally before any instance
+// counts it. The buckets of a small customer hold more idle tokens in a large fleet than its burst
+// and allowance, since each holds minBurst at least; a demand that grows finds them full, and the
+// rate of a window has to make up for them.
+func (d *Divider) earlyFraction(c *customer) float64 {
+	burst := c.Burst + c.Allowance*usedAllowanceFraction
+	excess := max(0, minBurst*float64(d.peers.Instances)-burst)
+	perWindow := c.Burst / burstFraction * (1 - burstFraction)
+	if perWindow <= 0 {
+		return 0
+	}
+	return max(0, 1-excess/perWindow)
+}
+
 // demandFraction returns the fraction of a whole that a counted demand gets beside what the others
 // announce: in proportion to demand, with the converged demand of the others in the total. What
 // neither this side nor the others count yet is divided equally: while the demand grows everywhere,
 // each side would otherwise give way to the growth of the others before any of them uses it, and
-// most of the rate would be used by none. equal is the fraction of an equal division.
-func demandFraction(counted float64, others announcements, equal float64) float64 {
+// most of the rate would be used by none. equal is the fraction of an equal division, early that of
+// the announced growth that is divided so.
+func demandFraction(counted float64, others announcements, equal, early float64) float64 {
 	total := counted + others.high
 	if total <= 0 {
 		return equal
 	}
-	unclaimed := 1 - (counted+others.claimed)/total
+	growth := max(0, others.newest-others.claimed)
+	unclaimed := 1 - (counted+others.newest-early*growth)/total
 	return counted/total + unclaimed*equal
 }
 
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -26,7 +26,8 @@
 // counts after the convergence time. While any peer cannot be reached, the counted
 // demand of this instance does not grow, and the last demand of the peer keeps its
 // allocation. The fraction that neither this instance nor its peers count yet is
-// divided equally. While a customer's demand is clearly below its rate, the random
+// divided equally: a source counts no more than the lowest demand that it has announced within
+// the convergence time. While a customer's demand is clearly below its rate, the random
 // variation of few arrivals counts at once.
 //
 // # Limits
--- a/quota/relayed_test.go
+++ b/quota/relayed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -26,6 +27,10 @@
 	sums [relayedDomains][relayedDomains]Demand
 	// cut is the domain that exchanges nothing with the others; -1 for none.
 	cut int
+	// tokens are those in the buckets, admitted the requests admitted in each tick of the newest
+	// window.
+	tokens   [relayedDomains][perDomain]float64
+	admitted []float64
 }
 
 func newRelayedFleet(seed uint64, customer Customer) *relayedFleet {
@@ -51,6 +56,7 @@
 	smallest = 1e9
 	for end := f.now.Add(d); f.now.Before(end); f.tick++ {
 		f.now = f.now.Add(tick)
+		before := f.arrived
 		f.each(func(i, j int) {
 			f.arrived[i][j] += drawArrivals(demand(i)/perDomain*tick.Seconds(), f.random)
 			f.dividers[i][j].SetPeers(f.peersOf(i, j))
@@ -61,11 +67,16 @@
 				f.send(i, j)
 			}
 		})
-		sum := 0.0
+		sum, served := 0.0, 0.0
 		f.each(func(i, j int) {
 			a := f.dividers[i][j].Allocations()[0]
 			sum += a.Rate / a.Customer.Rate
+			f.tokens[i][j] = min(f.tokens[i][j]+a.Rate*tick.Seconds(), float64(a.Burst))
+			taken := min(float64(f.arrived[i][j]-before[i][j]), math.Floor(f.tokens[i][j]))
+			f.tokens[i][j] -= taken
+			served += taken
 		})
+		f.admitted = append(f.admitted, served)
 		smallest, largest = min(smallest, sum), max(largest, sum)
 	}
 	return smallest, largest
@@ -161,3 +172,39 @@
 		check("the domain is back", 10*time.Second, even(600))
 	}
 }
+
+// Guards against a customer that is admitted beyond its rate in a window (QUOTA), since its rate is
+// allocated nearly whole while its demand grows to several times the usual in an instant.
+func TestAGrowingDemandStaysWithinTheWindow(t *testing.T) {
+	const (
+		window = 5 * time.Second
+		excess = 0.1
+	)
+	for _, perSecond := range []float64{60, 120, 906} {
+		contract := Customer{Name: "acme", Rate: perSecond, Burst: perSecond}
+		bound := (perSecond*window.Seconds()+contract.Burst)*(1+excess) + testSlack
+		for seed := range uint64(3) {
+			f := newRelayedFleet(seed, Windowed(contract, Tolerance{Window: window, Excess: excess, Slack: testSlack}))
+			usual := perSecond / 1.6 / relayedDomains
+			for _, times := range []float64{0, 1, 5, 1, 8, 0, 8} {
+				f.run(8*time.Second, func(domain int) float64 {
+					if domain%3 == int(seed) {
+						return 1.5 * times * usual
+					}
+					return 0.75 * times * usual
+				})
+			}
+			peak, total := 0.0, 0.0
+			ticks := int(window / tick)
+			for n, served := range f.admitted {
+				total += served
+				if n >= ticks {
+					total -= f.admitted[n-ticks]
+				}
+				peak = max(peak, total)
+			}
+			t.Logf("rate %v, seed %d: %v of %v", perSecond, seed, peak, bound)
+			assert.Assert(t, peak <= bound, "rate %v, seed %d: %v in a window, bound %v", perSecond, seed, peak, bound)
+		}
+	}
+}
