edge: upstreams are not treated as cold because they have just been read

Cause: an entry that shows an upstream as warm made it count as cold until the moment of the read plus the margin of 0.5 s. So each instance that had just started had a limit for every upstream, and no permission to send to most of them.

Change: the margin applies only to upstreams whose entry shows them as cold.

--- a/edge/cold.go
+++ b/edge/cold.go
@@ -82,7 +82,13 @@
 	if service == nil || service.ColdRate <= 0 {
 		return placement.ColdLimit{}, false
 	}
-	until := u.ColdUntil
+	// An entry that shows the upstream as warm says nothing about the time before, so there is no
+	// margin for it either. With one, an instance that had just read all entries refused most
+	// requests for coldMargin.
+	var until time.Time
+	if u.ColdFor > 0 {
+		until = u.ColdUntil
+	}
 	if ended, ok := c.evacuationEnded[u.FailureDomain]; ok {
 		until = latest(until, ended.Add(service.ColdFor))
 	}
--- a/edge/cold_test.go
+++ b/edge/cold_test.go
@@ -86,6 +86,19 @@
 	assert.Assert(t, limited > 1000, "%d", limited)
 }
 
+// Guards against an instance that treats all upstreams as cold when it has just read them: it
+// refused most requests in the first 0.5 s after each start.
+func TestWarmUpstreamsHaveNoLimitAfterAStart(t *testing.T) {
+	f := newUpstreamFleet(t, 10)
+	assert.Equal(t, len(f.control.cold.until), 0)
+	f.revision++
+	f.read(f.entry(3, "ready", 200*time.Millisecond))
+	assert.Equal(t, len(f.control.cold.until), 1)
+	f.now = f.now.Add(200 * time.Millisecond)
+	f.control.tick(f.now)
+	assert.Equal(t, len(f.control.cold.until), 1, "the upstream may have written its entry late")
+}
+
 func TestUpstreamsThatAreGoneAreForgottenAgain(t *testing.T) {
 	var gone goneUpstreams
 	now := time.Now()
