canary: a baseline for each second, and crashes are no evidence

The likelihood ratio now compares within each interval, and the late responses of the 3 s with most of them are left out.

--- a/canary/evidence.go
+++ b/canary/evidence.go
@@ -13,8 +13,9 @@
 	// maxErrorRate is the highest error rate that is assumed of any version.
 	maxErrorRate = 0.95
 	// baselineWeight is the number of responses that the prior error rate of the old version
-	// counts for: a route with few responses takes that of the service.
-	baselineWeight = 20
+	// counts for: a route or time with few responses takes that of the service or of the whole
+	// roll-out.
+	baselineWeight = 10
 	// serviceErrorRate is the smallest error rate of a service that matters. Below it, the
 	// requests that a new version may get until it is promoted show too few errors.
 	serviceErrorRate = 0.02
@@ -91,7 +92,8 @@
 	for route, c := range counts {
 		e := earlier[route]
 		if c.Answers >= e.Answers && c.Errors >= e.Errors {
-			difference[route] = Count{Answers: c.Answers - e.Answers, Errors: c.Errors - e.Errors}
+			answers := c.Answers - e.Answers
+			difference[route] = Count{Answers: answers, Errors: min(c.Errors-e.Errors, answers)}
 		}
 	}
 	return difference
@@ -105,51 +107,47 @@
 	return total
 }
 
-// errorRate returns the error rate of the count, drawn towards the prior.
+// errorRate returns the error rate of the count, two standard deviations of the number of errors
+// above it and drawn towards the prior: the baseline of a short time has few responses.
 func errorRate(c Count, prior float64) float64 {
-	rate := (float64(c.Errors) + baselineWeight*prior) / (float64(c.Answers) + baselineWeight)
+	errors := float64(c.Errors)
+	rate := (errors + 2*math.Sqrt(errors) + baselineWeight*prior) / (float64(c.Answers) + baselineWeight)
 	return min(max(rate, normalErrorRate), maxErrorRate)
 }
 
-// likelihoodRatio compares a higher error rate, by one of rateDifferences that is at least
-// least, with the rate of the baseline.
-func likelihoodRatio(c Count, baseline, least float64) float64 {
-	var total, compared float64
-	errors, others := float64(c.Errors), float64(c.Answers-c.Errors)
+// interval is what was counted of the new version in the time between two samples, and the
+// error rate of the old one in it.
+type interval struct {
+	count    Count
+	baseline float64
+}
+
+// likelihoodRatios compares a higher error rate, by one of rateDifferences that is at least
+// least, with that of the old version. The first ratio is for a version that is bad in all
+// intervals, the next one for one that is bad from the second on, and so on. As each interval has
+// its own baseline, an outage of both versions is no evidence, whenever each of them had its
+// requests.
+func likelihoodRatios(intervals []interval, least float64) []float64 {
+	ratios := make([]float64, len(intervals))
+	compared := 0.0
 	for _, difference := range rateDifferences {
 		if difference < least {
 			continue
 		}
-		rate := min(baseline+difference, (1+maxErrorRate)/2)
-		total += math.Exp(errors*math.Log(rate/baseline) + others*math.Log((1-rate)/(1-baseline)))
 		compared++
-	}
-	return total / compared
-}
-
-// ratio compares "bad on all routes or on one of them" with "like the old version". whole is
-// the sample of the whole roll-out, whose baseline counts if it is higher: with few
-// responses of the old version its errors may be missing from this one.
-func (s sample) ratio(whole sample) (ratio float64, worst string) {
-	rate := max(errorRate(sum(s.old), normalErrorRate), errorRate(sum(whole.old), normalErrorRate))
-	all := likelihoodRatio(sum(s.new), rate, 0)
-	if len(s.new) == 0 {
-		return 1, ""
-	}
-	var byRoute, highest float64
-	for _, route := range s.routes() {
-		c, ok := s.new[route]
-		if !ok {
-			continue
-		}
-		matters := relevantRate(whole.requests(route) / whole.total())
-		r := likelihoodRatio(c, max(errorRate(s.old[route], rate), errorRate(whole.old[route], rate)), comparedRate*matters)
-		byRoute += r
-		if r > highest {
-			highest, worst = r, route
+		logarithm := 0.0
+		for n := len(intervals) - 1; n >= 0; n-- {
+			c, baseline := intervals[n].count, intervals[n].baseline
+			rate := min(baseline+difference, (1+maxErrorRate)/2)
+			logarithm += float64(c.Errors) * math.Log(rate/baseline)
+			logarithm += float64(c.Answers-c.Errors) * math.Log((1-rate)/(1-baseline))
+			ratios[n] += math.Exp(logarithm)
 		}
 	}
-	return (all + byRoute/float64(len(s.new))) / 2, worst
+	for n := range ratios {
+		ratios[n] /= compared
+	}
+	return ratios
 }
 
 // observe keeps a sample for each later start whose time has come.
@@ -160,14 +158,46 @@
 	}
 }
 
-// ratio returns the likelihood ratio of a worse version to a sound one, and the route with the
-// most evidence since the order.
+// ratio returns the likelihood ratio of a worse version, bad on all routes or on one of them and
+// from the order or a later time on, to a sound one, and the route with the most evidence.
 func (r *Rollout) ratio(current sample) (ratio float64, worst string) {
-	first, worst := current.ratio(current)
-	ratio = firstStartWeight * first
-	for _, start := range r.starts {
-		later, _ := current.since(start).ratio(current)
-		ratio += (1 - firstStartWeight) / laterStarts * later
+	increments := make([]sample, 0, len(r.starts)+1)
+	var last sample
+	for _, next := range append(slices.Clone(r.starts), current) {
+		increments = append(increments, next.since(last))
+		last = next
+	}
+	service := make([]interval, len(increments))
+	overall := errorRate(sum(current.old), normalErrorRate)
+	for n, s := range increments {
+		service[n] = interval{sum(s.new), errorRate(sum(s.old), overall)}
+	}
+	ratios := likelihoodRatios(service, 0)
+	byRoute := make([]float64, len(increments))
+	var compared, highest float64
+	for _, route := range current.routes() {
+		if current.new[route].Answers == 0 {
+			continue
+		}
+		compared++
+		intervals := make([]interval, len(increments))
+		for n, s := range increments {
+			intervals[n] = interval{s.new[route], errorRate(s.old[route], service[n].baseline)}
+		}
+		matters := relevantRate(current.requests(route) / current.total())
+		for n, one := range likelihoodRatios(intervals, comparedRate*matters) {
+			byRoute[n] += one
+			if one > highest {
+				highest, worst = one, route
+			}
+		}
+	}
+	for n := range ratios {
+		weight := firstStartWeight
+		if n > 0 {
+			weight = (1 - firstStartWeight) / laterStarts
+		}
+		ratio += weight * (ratios[n] + byRoute[n]/max(compared, 1)) / 2
 	}
 	return ratio, worst
 }
--- a/canary/judge.go
+++ b/canary/judge.go
@@ -1,6 +1,9 @@
 package canary
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// minZScore is the number of standard deviations by which the failure rates must
@@ -14,6 +17,14 @@
 	// minBaseline is the number of responses of the old version below which there is no
 	// baseline to compare with.
 	minBaseline = 10
+	// maxBurst is the time in which a crash breaks off responses, as the counts of all instances
+	// show it: late responses of one such time are not counted. It is shorter than the time in
+	// which a bad version is to be stopped.
+	maxBurst = 3 * time.Second
+	// recentInterval is the time between the samples in which bursts are looked for,
+	// recentSamples their number: a burst may lie anywhere in the canary phase of a short order.
+	recentInterval = time.Second
+	recentSamples  = 16
 	// minUnobserved is the number of responses of the old version on a route from which some
 	// of the new one are expected: it gets up to maxRouteShare of the route's requests.
 	minUnobserved = 10
@@ -51,3 +62,34 @@
 	deviation := math.Sqrt(pooled * (1 - pooled) * (1/n0 + 1/n1))
 	return deviation > 0 && (f1/n1-f0/n0)/deviation > minZScore
 }
+
+func (c Count) late() uint32 { return c.Failures - min(c.Errors, c.Failures) }
+
+// keepRecent keeps one sample of each recentInterval.
+func (r *Rollout) keepRecent(now time.Time, current sample) {
+	if now.Sub(r.recentAt) < recentInterval {
+		return
+	}
+	r.recentAt = now
+	r.recent = append(r.recent, current)
+	if len(r.recent) > recentSamples {
+		r.recent = r.recent[1:]
+	}
+}
+
+// withoutBurst returns the count of the new version on a route without the late responses of the
+// time of maxBurst that had most of them.
+func (r *Rollout) withoutBurst(route string, current sample) Count {
+	const burstSamples = int(maxBurst / recentInterval)
+	c := current.new[route]
+	var most uint32
+	for n := range r.recent {
+		last := c.late()
+		if n+burstSamples < len(r.recent) {
+			last = r.recent[n+burstSamples].new[route].late()
+		}
+		most = max(most, last-min(r.recent[n].new[route].late(), last))
+	}
+	most = min(most, c.late())
+	return Count{Answers: c.Answers - most, Failures: c.Failures - most, Errors: c.Errors}
+}
--- a/canary/rollout.go
+++ b/canary/rollout.go
@@ -67,6 +67,9 @@
 	knownSince time.Time
 	// starts are the counts at the times from which the version may be bad.
 	starts []sample
+	// recent holds samples of the last seconds, recentAt is the time of the newest.
+	recent   []sample
+	recentAt time.Time
 	// stopped is set once this instance has found the version worse. It has no effect
 	// once the store has recorded a final phase.
 	stopped bool
@@ -193,12 +196,13 @@
 	total := r.totals()
 	current := newSample(total)
 	r.observe(now, current)
+	r.keepRecent(now, current)
 	ratio, worst := r.ratio(current)
 	if ratio >= stopRatio && r.hasBaseline(current) {
 		return &Finding{Route: worst, Old: current.old[worst], New: current.new[worst], Ratio: ratio}
 	}
 	for _, route := range current.routes() {
-		candidate := current.new[route]
+		candidate := r.withoutBurst(route, current)
 		baseline := current.old[route]
 		if baseline.Answers < minBaseline {
 			baseline = sum(current.old)
--- a/canary/simulation_test.go
+++ b/canary/simulation_test.go
@@ -35,6 +35,8 @@
 	failureRate float64
 	bad         int
 	onset       time.Duration
+	// trouble returns the failures that are not the version's fault; nil means that there are none.
+	trouble func(random *rand.Rand, elapsed time.Duration, isNew bool) Failure
 }
 
 func (s scenario) String() string {
@@ -78,6 +80,9 @@
 				if random.Float64() < failureRate {
 					failure = ErrorResponse
 				}
+				if s.trouble != nil {
+					failure = max(failure, s.trouble(random, elapsed, key.New))
+				}
 				pending = append(pending, response{now.Add(countDelay), key, failure})
 				total++
 				if key.New {
@@ -161,6 +166,39 @@
 	}
 }
 
+// TestTroubleOfBothVersionsRevertsFewGoodOnes guards against the reversion of good versions for
+// failures that are not theirs.
+func TestTroubleOfBothVersionsRevertsFewGoodOnes(t *testing.T) {
+	// during fails the share of the responses from 4 to 8 s after the order.
+	during := func(share float64, failure Failure) func(*rand.Rand, time.Duration, bool) Failure {
+		return func(random *rand.Rand, elapsed time.Duration, _ bool) Failure {
+			if elapsed < 4*time.Second || elapsed >= 8*time.Second || random.Float64() >= share {
+				return None
+			}
+			return failure
+		}
+	}
+	// a crash of the upstream that serves the canary breaks off the responses of half a second.
+	crash := func(_ *rand.Rand, elapsed time.Duration, isNew bool) Failure {
+		if isNew && elapsed >= 6*time.Second && elapsed < 6500*time.Millisecond {
+			return LateResponse
+		}
+		return None
+	}
+	for name, trouble := range map[string]func(*rand.Rand, time.Duration, bool) Failure{
+		"errors":         during(0.2, ErrorResponse),
+		"late responses": during(0.5, LateResponse),
+		"crash":          crash,
+	} {
+		for _, routes := range mixes {
+			o := run(scenario{routes: routes, within: 16 * time.Second, trouble: trouble})
+			t.Logf("%s, %v: not done %.2f", name, routes, 1-o.share(o.done))
+			// With fewer requests, the responses of the old version are too few for a baseline.
+			assert.Assert(t, sum64(routes) < 60 || o.share(o.done) >= 0.8)
+		}
+	}
+}
+
 // mostDone returns the largest share of the roll-outs of a bad version that may be done, or 1
 // where the bounds leave too few responses. Half failing on a route of one request a second is
 // the case of the review.
