edge: test that a refusal does not wait for the body

All 6 rows fail on this code: a caller without a key that has sent the head only gets no 401 within 10 s, since the server of net/http reads up to 256 KiB of the body before it writes the response.

TestEveryExchangeEnds: the body is random instead of numbered, which took most of the time of the test; the upstream's bytes are compared once its connection has ended, so that bytes that come late count too; a body that is sent whole before the caller stalls has its last chunk (the row 'crash after the body' in chunks with a caller that stalls was wrong: the body had not ended, so 504 was right).

--- a/edge/ends_test.go
+++ b/edge/ends_test.go
@@ -5,14 +5,17 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"samphireferry.example/ferry/platform/headers"
@@ -181,7 +184,7 @@
 	// The request without a body is refused while the instance, which has just started, has no token.
 	untilAdmitted(func() (clientResponse, int) { got := i.send(http.MethodGet, "/read/7", "k1"); return got, got.status })
 
-	body := numberedBody(c.length)
+	body := randomBody(c.length)
 	conn := i.sendRaw("POST /file/7 HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer k1\r\n" + headers.AttemptID + ": long\r\n" + headers.DeadlineMillis + ": 30000\r\n" + bodyHeader(inChunks, c.length) + "\r\n")
 	answered := make(chan struct{})
 	var sending sync.WaitGroup
@@ -189,7 +192,7 @@
 	defer conn.Close()
 	sending.Go(func() {
 		sendBody(conn, body[:c.sent], inChunks)
-		if stalls {
+		if stalls && c.sent < c.length {
 			<-answered
 		}
 		for piece := range slices.Chunk(body[c.sent:], 10_000) {
@@ -200,7 +203,8 @@
 			_, _ = io.WriteString(conn, lastChunk)
 		}
 	})
-	defer sync.OnceFunc(func() { close(answered) })()
+	sendRest := sync.OnceFunc(func() { close(answered) })
+	defer sendRest()
 	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(answerLimit)))
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	assert.NilError(t, err, "the caller gets no response")
@@ -210,20 +214,20 @@
 	if c.bytes > 0 {
 		assert.Equal(t, len(got), c.bytes)
 	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
+	sendRest()
+	sending.Wait()
+	_ = u.listener.Close()
+	u.running.Wait()
 	assert.Equal(t, len(u.bodies), 1, "an at-most-once request is sent once")
 	arrived := u.bodies[0].Bytes()
 	assert.Assert(t, bytes.HasPrefix(body, arrived), "the upstream got other bytes than the caller sent")
 }
 
-// numberedBody returns a body in which no two places look alike.
-func numberedBody(length int) []byte {
-	var b bytes.Buffer
-	for n := 0; b.Len() < length; n++ {
-		fmt.Fprintf(&b, "%08x", n)
-	}
-	return b.Bytes()[:length]
+// randomBody returns a body in which no two places look alike.
+func randomBody(length int) []byte {
+	body := make([]byte, length)
+	_, _ = rand.NewChaCha8([32]byte{1}).Read(body)
+	return body
 }
 
 func bodyHeader(inChunks bool, length int) string {
@@ -241,3 +245,51 @@
 	}
 	_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(piece), piece)
 }
+
+// TestARefusalDoesNotWaitForTheBody guards against a refusal that its caller gets only once it has
+// sent the body, and against the rest of a body that counts as the next request.
+func TestARefusalDoesNotWaitForTheBody(t *testing.T) {
+	const length = 100_000
+	s := newSystem(t)
+	s.configure(1, "k1")
+	i := s.start("e1")
+	defer i.stop()
+	i.waitReady(0)
+	next := "GET /none/7 HTTP/1.1\r\nHost: a.example\r\n\r\n"
+	for _, framing := range []string{chunked, "Content-Length"} {
+		for name, test := range map[string]struct {
+			// rest is what the caller sends once it has the refusal.
+			rest string
+			// kept is set when the connection carries a further request.
+			kept bool
+		}{
+			"the body follows":         {strings.Repeat("x", length), framing != chunked},
+			"the caller stalls":        {"", false},
+			"the body has the request": {next, false},
+		} {
+			t.Run(name+"/"+strings.TrimSpace(framing), func(t *testing.T) {
+				conn := i.sendRaw("POST /file/7 HTTP/1.1\r\nHost: a.example\r\n" + bodyHeader(framing == chunked, length) + "\r\n")
+				assert.NilError(t, conn.SetReadDeadline(time.Now().Add(answerLimit)))
+				reader := bufio.NewReader(conn)
+				response, err := http.ReadResponse(reader, nil)
+				assert.NilError(t, err, "the caller gets no refusal")
+				assert.Equal(t, response.StatusCode, http.StatusUnauthorized)
+				_, err = io.Copy(io.Discard, response.Body)
+				assert.NilError(t, err)
+				sendBody(conn, []byte(test.rest), framing == chunked && test.rest != "")
+				if test.kept {
+					_, err = io.WriteString(conn, next)
+					assert.NilError(t, err)
+				}
+				response, err = http.ReadResponse(reader, nil)
+				if !test.kept {
+					assert.Assert(t, err != nil, "the rest of the body was taken for a request")
+					assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded), "the connection stays open")
+					return
+				}
+				assert.NilError(t, err)
+				assert.Equal(t, response.StatusCode, http.StatusNotFound)
+			})
+		}
+	}
+}
