upstream, edge: every exchange ends by the route's timeout

Cause: the server of net/http reads up to 256 KiB of a request body before it writes a response. It waits for a read of the body in progress, the one that sends the body on, and then for what the caller has not sent; nothing bounds either. Where the upstream went on reading, it got later bytes of the body in place of those that the server had taken. In package upstream, net/http reports a broken connection only when the read of the body has returned, and a failed write hides a response that the upstream sent before it closed.

Change: the goroutine that serves a request owns its exchange. The server no longer reads the body (full duplex); all reads go through callerBody, one at a time, and end when the exchange does. The response is written first. Then at most 500 ms and 256 KiB of the rest are read, so that the close does not reset the connection under the response; a connection whose body has not ended by then is closed. A read of the body for an attempt returns when the connection of the attempt ends, and a failed write returns once the reader has met the end of the connection, so a response that came before it counts.

upstream/reset_test.go calls write in place of Write, which would wait for a reader there; what it checks is the same.

Ruled out: a past read deadline for the body before the refusal is written: it ends the read, but the server then closes the connection at once, and the reset can overtake the response; it also does not help an early response that is streamed.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -402,7 +402,8 @@
 	}
 	x.observeLatency("served")
 	x.logServed(got)
-	x.responseStarted = true
+	x.beginResponse()
+	x.lengthKnown = got.complete || got.ContentLength >= 0
 	x.w.WriteHeader(got.Status)
 	if got.complete {
 		// A failed write means that the caller has disconnected.
--- /dev/null
+++ b/edge/finish.go
@@ -0,0 +1,147 @@
+package edge
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+const (
+	// lingerTime is how long a connection whose request body has not ended stays open after the
+	// response. A close while bytes of the caller arrive resets the connection, and the reset may
+	// overtake the response.
+	lingerTime = 500 * time.Millisecond
+	// maxLingerBytes bounds the bytes of such a body that are read after the response. A caller
+	// whose body ends within them keeps its connection.
+	maxLingerBytes = 256 << 10
+)
+
+// errExchangeEnded is the error of a read of the request body after the end of its exchange.
+var errExchangeEnded = errors.New("the exchange has ended")
+
+// callerBody is the request body of a caller. All reads go through it, one at a time, so that the
+// exchange decides when they end and no two readers share the bytes.
+type callerBody struct {
+	// ended is set once the whole body has been read.
+	ended atomic.Bool
+
+	mu     sync.Mutex
+	inner  io.Reader
+	closed bool
+}
+
+// newCallerBody returns the body of the request. It keeps the server from reading the body before
+// it writes the response: that read takes as long as the caller likes, waits for a read in progress,
+// and takes bytes that an upstream still has to get.
+func newCallerBody(w http.ResponseWriter, r *http.Request) *callerBody {
+	b := &callerBody{inner: r.Body}
+	if r.ContentLength == 0 {
+		b.ended.Store(true)
+		return b
+	}
+	// The error of a writer without this mode; the server's own has it.
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	return b
+}
+
+// Read implements io.Reader.
+func (b *callerBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return 0, errExchangeEnded
+	}
+	n, err := b.inner.Read(p)
+	if err == io.EOF {
+		b.ended.Store(true)
+	}
+	return n, err
+}
+
+// close makes further reads fail and waits for the one in progress, which the read deadline of the
+// connection bounds.
+func (b *callerBody) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+}
+
+// drain reads the rest of a closed body up to maxLingerBytes and reports whether that was all.
+func (b *callerBody) drain() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, err := io.CopyN(io.Discard, b.inner, maxLingerBytes)
+	return err == io.EOF
+}
+
+// beginResponse is called just before the header of the response is written.
+func (x *exchange) beginResponse() {
+	x.responseStarted = true
+	if x.body.ended.Load() {
+		return
+	}
+	if x.streamsBody || x.r.ContentLength < 0 || x.r.ContentLength > maxLingerBytes {
+		x.w.Header().Set("Connection", "close")
+	}
+	// A caller that sends its whole body before it reads would hold the response otherwise.
+	x.setWriteDeadline()
+}
+
+// setWriteDeadline bounds the writes of the response. The server lifts it after the request.
+func (x *exchange) setWriteDeadline() {
+	end := x.deadline
+	if now := time.Now(); end.Before(now) {
+		end = now
+	}
+	_ = http.NewResponseController(x.w).SetWriteDeadline(end.Add(streamWriteGrace))
+}
+
+// finish ends the exchange with the caller once the response has been written. If the request body
+// has not ended by then, nothing reads it but finish, which closes the connection unless the body
+// ends soon: what remains of it must not count as the next request.
+func (x *exchange) finish() {
+	if x.body.ended.Load() {
+		return
+	}
+	_ = http.NewResponseController(x.w).Flush()
+	end := time.Now().Add(lingerTime)
+	if !x.lengthKnown && x.deadline.Before(end) {
+		// The server writes the end of such a response after this.
+		end = x.deadline
+	}
+	x.setReadDeadline(end)
+	x.body.close()
+	if x.body.ended.Load() || x.body.drain() {
+		return
+	}
+	time.Sleep(time.Until(end))
+	if x.lengthKnown {
+		x.abort()
+	}
+	// beginResponse has announced the close.
+	x.setReadDeadline(time.Unix(0, 0))
+}
+
+// abort closes the connection of the caller. A read of the body in progress has to end first: the
+// server lifts the read deadline when it meets one, and then waits for the rest of the body.
+func (x *exchange) abort() {
+	if !x.body.ended.Load() {
+		x.setReadDeadline(time.Unix(0, 0))
+		x.body.close()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// setReadDeadline bounds the reads of the request body. The server lifts it once the body has
+// been read.
+func (x *exchange) setReadDeadline(deadline time.Time) {
+	err := http.NewResponseController(x.w).SetReadDeadline(deadline)
+	if err != nil {
+		x.deps.log.Warn("the reads of a request body are not bounded", zap.String("request_id", x.caller.AttemptID), zap.Error(err))
+	}
+}
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,6 +34,7 @@
 	x := &exchange{deps: t.deps, w: w, r: r, conn: callerConnOf(r), started: time.Now(), view: t.deps.views.load(), caller: headers.ParseCaller(r.Header)}
 	x.held = t.deps.buffers.Hold()
 	defer x.held.Release()
+	x.body = newCallerBody(w, r)
 	if t.deps.stopping.begun() {
 		w.Header().Set("Connection", "close")
 	}
@@ -40,6 +42,8 @@
 	if err != nil {
 		x.refuse(err)
 	}
+	x.held.Release()
+	x.finish()
 }
 
 // exchange is the processing of one request of a caller.
@@ -64,10 +68,15 @@
 	deadline time.Time
 	// held is the memory of the bodies of the request and its response.
 	held *buffers.Holder
+	// body is the only reader of the request body.
+	body *callerBody
 	// streamsBody is set when the request body is sent while it is read.
 	streamsBody bool
 	// responseStarted is set just before the header of the response is written.
 	responseStarted bool
+	// lengthKnown is set when the response has a length or no body, so that all of it has been
+	// sent once it is flushed.
+	lengthKnown bool
 	// tried names the upstreams that the request was sent to.
 	tried []string
 	// ran counts the attempts that may have run the request.
@@ -115,22 +124,7 @@
 	if err != nil {
 		return err
 	}
-	err = x.sendWithRetries(ctx)
-	if x.streamsBody && (ctx.Err() != nil || !time.Now().Before(x.deadline)) {
-		// The server writes no response while the body is being read. The timer of the attempt may
-		// run before that of the lifetime.
-		x.setReadDeadline(time.Unix(0, 0))
-	}
-	return err
-}
-
-// setReadDeadline bounds the reads of the request body. The server lifts it once the body has
-// been read.
-func (x *exchange) setReadDeadline(deadline time.Time) {
-	err := http.NewResponseController(x.w).SetReadDeadline(deadline)
-	if err != nil {
-		x.deps.log.Warn("the reads of a request body are not bounded", zap.String("request_id", x.caller.AttemptID), zap.Error(err))
-	}
+	return x.sendWithRetries(ctx)
 }
 
 // admit charges the request to the customer's rate. When this instance has no token
@@ -166,12 +160,12 @@
 	}
 	if x.r.ContentLength > maxBufferedBody {
 		x.streamsBody = true
-		x.request.Body = x.r.Body
+		x.request.Body = x.body
 		return nil
 	}
 	x.setReadDeadline(x.deadline)
 	interrupt := func() { x.setReadDeadline(time.Unix(0, 0)) }
-	body, err := readHeld(x.r.Body, x.r.ContentLength, maxBufferedBody+1, x.held, interrupt, neverStop)
+	body, err := readHeld(x.body, x.r.ContentLength, maxBufferedBody+1, x.held, interrupt, neverStop)
 	switch {
 	case errors.Is(err, errNoMemory):
 		x.deps.metrics.Counter("ferry_bodies_ended_total", "body", "request").Inc()
@@ -186,7 +180,7 @@
 	if len(body) > maxBufferedBody {
 		x.setReadDeadline(time.Time{})
 		x.streamsBody = true
-		x.request.Body = io.MultiReader(bytes.NewReader(body), x.r.Body)
+		x.request.Body = io.MultiReader(bytes.NewReader(body), x.body)
 		return nil
 	}
 	x.request.Body = bytes.NewReader(body)
@@ -229,11 +223,13 @@
 	kind := errkind.Of(err)
 	x.logRefusal(kind, err)
 	if x.responseStarted {
-		panic(http.ErrAbortHandler)
+		x.abort()
 	}
 	if x.deps.callerConns.nearLimit() {
 		x.w.Header().Set("Connection", "close")
 	}
+	x.beginResponse()
+	x.lengthKnown = true
 	writeRefusal(x.w, err)
 }
 
@@ -269,7 +265,9 @@
 	if after > 0 {
 		headers.SetRetryAfter(w.Header(), after)
 	}
+	text := row.Title + "\n"
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	w.WriteHeader(row.Status)
-	_, _ = io.WriteString(w, row.Title+"\n")
+	_, _ = io.WriteString(w, text)
 }
--- a/upstream/body.go
+++ b/upstream/body.go
@@ -66,12 +66,12 @@
 	b.mu.Lock()
 	offset := b.total
 	b.mu.Unlock()
-	return b.readAt(context.Background(), p, offset)
+	return b.readAt(context.Background(), nil, p, offset)
 }
 
-// readAt reads at the offset. It returns when ctx ends, even while the source
-// blocks.
-func (b *ReplayBody) readAt(ctx context.Context, p []byte, offset int64) (int, error) {
+// readAt reads at the offset. It returns when ctx ends or connDone is closed, even
+// while the source blocks.
+func (b *ReplayBody) readAt(ctx context.Context, connDone <-chan struct{}, p []byte, offset int64) (int, error) {
 	for {
 		n, wait, err := b.readOrFetch(p, offset)
 		if wait == nil {
@@ -81,6 +81,8 @@
 		case <-wait:
 		case <-ctx.Done():
 			return 0, ctx.Err()
+		case <-connDone:
+			return 0, errConnEnded
 		}
 	}
 }
@@ -147,7 +149,8 @@
 
 // attemptBody reads a ReplayBody for one attempt. The request that carries it
 // has no GetBody, so net/http cannot rewind it. Reads fail once the attempt has
-// ended or its connection has been rejected.
+// ended or its connection has been rejected or closed: net/http reports a failed
+// attempt only when the read of its body has returned.
 type attemptBody struct {
 	ctx     context.Context
 	attempt *attempt
@@ -156,10 +159,11 @@
 }
 
 func (b *attemptBody) Read(p []byte) (int, error) {
-	if !b.attempt.mayReadBody() {
+	c := b.attempt.bodyConn()
+	if c == nil {
 		return 0, errConnUnusable
 	}
-	n, err := b.body.readAt(b.ctx, p, b.offset)
+	n, err := b.body.readAt(b.ctx, c.done, p, b.offset)
 	b.offset += int64(n)
 	return n, err
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -17,6 +17,7 @@
 	errConnUnusable = errors.New("connection is not usable for this attempt")
 	errSealed       = errors.New("attempt has ended")
 	errDeadline     = errors.New("deadline passed before the request was written")
+	errConnEnded    = errors.New("the connection ended while the request was being sent")
 )
 
 // conn is a connection that writes only for the attempt that it is bound to.
@@ -30,6 +31,9 @@
 	// not been accepted.
 	unchecked atomic.Int64
 
+	// done is closed once the connection is closed here.
+	done chan struct{}
+
 	mu sync.Mutex
 	// reading is set while a Read is in progress.
 	reading bool
@@ -39,7 +43,7 @@
 }
 
 func newConn(inner net.Conn, now time.Time) *conn {
-	c := &conn{Conn: inner, opened: now}
+	c := &conn{Conn: inner, opened: now, done: make(chan struct{})}
 	c.changed.L = &c.mu
 	return c
 }
@@ -95,7 +99,10 @@
 // Close closes the connection.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	c.closed = true
+	if !c.closed {
+		c.closed = true
+		close(c.done)
+	}
 	c.changed.Broadcast()
 	c.mu.Unlock()
 	return c.Conn.Close()
@@ -134,7 +141,25 @@
 }
 
 // Write writes only while the attempt that the connection is bound to allows it.
+//
+// The upstream may have responded before it closed the connection. net/http drops a response when
+// it sees a failed write first, so Write returns the failure only once the reader, which meets the
+// end of the connection too, or the end of the attempt has closed the connection.
 func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.write(p)
+	if err != nil && !isRejection(err) {
+		<-c.done
+	}
+	return n, err
+}
+
+// isRejection reports whether the attempt, and not the connection, has failed the write.
+func isRejection(err error) bool {
+	return errors.IsAny(err, errConnUnusable, errSealed, errDeadline, context.Canceled, context.DeadlineExceeded)
+}
+
+// write is Write without the wait after a failure.
+func (c *conn) write(p []byte) (int, error) {
 	a := c.attempt.Load()
 	if a == nil {
 		return 0, errConnUnusable
@@ -214,11 +239,14 @@
 	a.mu.Unlock()
 }
 
-// mayReadBody reports whether the request body may be read for this attempt.
-func (a *attempt) mayReadBody() bool {
+// bodyConn returns the connection for which the request body may be read, or nil if there is none.
+func (a *attempt) bodyConn() *conn {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return !a.unusable && !a.sealed
+	if a.unusable || a.sealed {
+		return nil
+	}
+	return a.bound
 }
 
 // usedPooledConn reports whether the latest connection of the attempt came from
--- a/upstream/reset_test.go
+++ b/upstream/reset_test.go
@@ -38,7 +38,8 @@
 			a := newAttempt(t.Context(), now.Add(time.Hour))
 			a.bind(c, false, true)
 			for written {
-				if _, err := c.Write([]byte("body")); err != nil {
+				// Write itself would wait for the reader.
+				if _, err := c.write([]byte("body")); err != nil {
 					break
 				}
 			}
