edge: a connection that has ended is not kept for the linger time

Cause: after a response to a request whose body has not ended, finish slept to the end of the 500 ms also when the caller had closed its connection.

Change: it sleeps only while bytes of the body may arrive. A body of which exactly 256 KiB are missing counts as ended.

--- a/edge/finish.go
+++ b/edge/finish.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -71,12 +72,13 @@
 	b.closed = true
 }
 
-// drain reads the rest of a closed body up to maxLingerBytes and reports whether that was all.
-func (b *callerBody) drain() bool {
+// drain reads the rest of a closed body up to maxLingerBytes. It returns io.EOF if that was all,
+// and nil if it was not.
+func (b *callerBody) drain() error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	_, err := io.CopyN(io.Discard, b.inner, maxLingerBytes)
-	return err == io.EOF
+	_, err := io.CopyN(io.Discard, b.inner, maxLingerBytes+1)
+	return err
 }
 
 // beginResponse is called just before the header of the response is written.
@@ -116,10 +118,19 @@
 	}
 	x.setReadDeadline(end)
 	x.body.close()
-	if x.body.ended.Load() || x.body.drain() {
+	var err error
+	if !x.body.ended.Load() {
+		err = x.body.drain()
+	}
+	if x.body.ended.Load() || err == io.EOF {
+		x.countUnread("read")
 		return
 	}
-	time.Sleep(time.Until(end))
+	x.countUnread("closed")
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		// An earlier read may have met its own deadline, which is then the error of all reads.
+		time.Sleep(time.Until(end))
+	}
 	if x.lengthKnown {
 		x.abort()
 	}
@@ -127,6 +138,11 @@
 	x.setReadDeadline(time.Unix(0, 0))
 }
 
+// countUnread counts a request whose body had not been read when its response was written.
+func (x *exchange) countUnread(rest string) {
+	x.deps.metrics.Counter("ferry_bodies_unread_total", "rest", rest).Inc()
+}
+
 // abort closes the connection of the caller. A read of the body in progress has to end first: the
 // server lifts the read deadline when it meets one, and then waits for the rest of the body.
 func (x *exchange) abort() {
