upstream, relay, client, edge: tests of responses without a final status

net/http takes a status line of three characters that are a number of 0 or more, so 000, 001 and 099 arrive as responses; four digits are an error of its own.

Failing on this code: - upstream: 14 statuses, with and without a statement that the request has not run. Those below 100, and 101, are believed with that statement (kind overloaded, outcome not run): an at-most-once request would be repeated. Without it they are failures already: that part pins what holds. - relay: a head without a final status from the owner of an upstream is a response; package caller then panics in WriteHeader. - client: status 000 is a response, and one with a problem is a refusal whose outcome is believed. - edge: 'status 000, not run' gets 503 in place of 502. 'status 000' and 'status 1000' pass: no caller of ferry-edge got such a status.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -153,6 +153,15 @@
 	_ = conn.Close()
 }
 
+// noStatus responds without a final status, once as a response and once as a refusal.
+func noStatus(contentType string) responder {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, _ := http.NewResponseController(w).Hijack()
+		fmt.Fprintf(conn, "HTTP/1.1 000 None\r\nFerry-Outcome: ran\r\nFerry-Retry: never\r\nContent-Type: %s\r\nContent-Length: 4\r\n\r\ndone", contentType)
+		_ = conn.Close()
+	}
+}
+
 func TestRetryRules(t *testing.T) {
 	const post, put, get = http.MethodPost, http.MethodPut, http.MethodGet
 	large := respondWith(errkind.Ran, 200, strings.Repeat("x", 200))
@@ -174,6 +183,8 @@
 		{"redirect", get, []responder{redirect}, "1", "", "", 0},
 		{"cut", get, []responder{respondWith(errkind.Ran, 10, "abc"), ran}, "12", "", "", 75},
 		{"end not known", get, []responder{noLength, ran}, "12", "", "", 75},
+		{"status 000", get, []responder{noStatus("text/plain"), ran}, "12", "", "", 75},
+		{"status 000 of a refusal", get, []responder{noStatus(problemType), ran}, "12", "", "", 75},
 		{"too large", get, []responder{large}, "1", KindAnswerTooLarge, errkind.Ran, 0},
 		{"no head in time", get, []responder{silent, ran}, "12", "", "", 1075},
 		{"once, not run", put, []responder{refusal(errkind.Overloaded), ran}, "11", "", "", 1075},
--- a/edge/instance_test.go
+++ b/edge/instance_test.go
@@ -314,7 +314,12 @@
 	for name, raw := range map[string]string{
 		"no response": "",
 		"cut":         "HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt-1\r\nContent-Length: 100\r\n\r\nhalf",
-		"foreign":     "HTTP/1.1 200 OK\r\nX-Attempt-Id: another\r\nContent-Length: 2\r\n\r\nno",
+		// Guards against a response without a final status whose statement that the request has not
+		// run is believed, and against one that callers get.
+		"status 000":          "HTTP/1.1 000 None\r\nX-Attempt-Id: attempt-1\r\nContent-Length: 2\r\n\r\nno",
+		"status 000, not run": "HTTP/1.1 000 None\r\nX-Attempt-Id: attempt-1\r\n" + headers.NotRun + ": 1\r\nContent-Length: 2\r\n\r\nno",
+		"status 1000":         "HTTP/1.1 1000 None\r\nX-Attempt-Id: attempt-1\r\nContent-Length: 2\r\n\r\nno",
+		"foreign":             "HTTP/1.1 200 OK\r\nX-Attempt-Id: another\r\nContent-Length: 2\r\n\r\nno",
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSystem(t)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -280,3 +280,15 @@
 	assert.Equal(t, errkind.Of(err), errkind.CallerGone)
 	assert.Assert(t, <-bodyErrors != nil)
 }
+
+// TestAResponseWithoutAFinalStatusIsAFailure guards against a caller whose connection is aborted,
+// or that gets a status such as 000, because the owner has sent a head without a final status.
+func TestAResponseWithoutAFinalStatusIsAFailure(t *testing.T) {
+	for _, status := range []uint32{0, 99, 100, 199, 1000} {
+		client, address, _ := startOwner(t, func(stream entrypb.Entry_RelayServer) error {
+			return stream.Send(&entrypb.RelayResponse{Answer: &entrypb.RelayAnswer{Status: status}, End: true})
+		})
+		_, err := client.Send(context.Background(), address, testRequest(testTable(t), "file", nil), "v1")
+		assert.Equal(t, errkind.Of(err), errkind.UpstreamFailed, "status %d: %v", status, err)
+	}
+}
--- a/upstream/cut_test.go
+++ b/upstream/cut_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"samphireferry.example/ferry/balancing"
 	"samphireferry.example/ferry/errkind"
 	"samphireferry.example/ferry/routing"
 	"samphireferry.example/ferry/upstream"
@@ -171,3 +172,32 @@
 		assert.Check(t, err != nil, "read %q as whole", data)
 	}
 }
+
+// TestAResponseWithoutAFinalStatusIsAFailure guards against a caller that gets a status such as 000
+// as its response, and against the statement of such a response that the request has not run.
+func TestAResponseWithoutAFinalStatusIsAFailure(t *testing.T) {
+	for _, status := range []string{"000", "+00", "-00", "001", "099", "100", "101", "199", "00", "0200", "1000", "2x0", "-01", ""} {
+		for _, fields := range []string{"", "Not-Run: 1\r\n"} {
+			for _, atMostOnce := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%q/%q/at_most_once=%v", status, fields, atMostOnce), func(t *testing.T) {
+					t.Parallel()
+					s := newCutServer(t)
+					client := upstream.New(upstream.Options{
+						KeepRequestID:  true,
+						NoSilenceTimer: true,
+						Headers: upstream.HeaderNames{NotRun: func(_ int, header http.Header) bool {
+							return header.Get("Not-Run") != ""
+						}},
+					})
+					defer client.Close()
+					s.bytes = "HTTP/1.1 " + status + " None\r\nFerry-Request-Id: r1\r\n" + fields + "Content-Length: 2\r\n\r\nno"
+					u := &routing.Upstream{Name: "u1", Address: s.listener.Addr().String(), Slots: 2, Connections: 8}
+					_, err := client.Send(withTimeout(t, time.Minute), u, echoService, newRequest(atMostOnce, "/", "body"))
+					assert.Equal(t, errkind.Of(err), errkind.UpstreamFailed, "%v", err)
+					assert.Assert(t, upstream.MayHaveRun(err))
+					assert.Equal(t, upstream.ResultOf(0, err), balancing.ResultFailed)
+				})
+			}
+		}
+	}
+}
