upstream, relay, client: a response without a final status is a failure

Cause: package upstream asked whether a response states that the request has not run before it looked at the status, so an upstream that fails with status 000 could promise that; packages relay and client did not look at all.

Change: dispatch.IsFinalStatus (200 to 999) is checked first, in upstream and relay; the error has the outcome unknown and is one of the upstream. The client library returns no_answer with an unknown outcome. Package dispatch passes on what upstream and relay return, and package caller writes it; both need no check of their own.

--- a/client/answer.go
+++ b/client/answer.go
@@ -39,6 +39,10 @@
 // must state that the request ran.
 func (c *Client) readResponse(response *http.Response, atMostOnce bool) (*Response, *Error) {
 	header := response.Header
+	if response.StatusCode < http.StatusOK {
+		// Its sender is broken, so what its headers state about the request is not used.
+		return nil, unusableResponse(KindNoAnswer, errkind.Unknown, errkind.RetrySameKey, response.StatusCode, errors.New("the response has no final status"))
+	}
 	if strings.HasPrefix(header.Get("Content-Type"), problemType) && header.Get(HeaderRetry) != "" {
 		return nil, readRefusal(response)
 	}
--- a/client/errors.go
+++ b/client/errors.go
@@ -15,7 +15,7 @@
 	// KindConnectionFailed is a failure to open a connection to an instance.
 	KindConnectionFailed = "connection_failed"
 	// KindNoAnswer is a connection that broke, or on which no response head arrived
-	// in time.
+	// in time, or one without a final status.
 	KindNoAnswer = "no_answer"
 	// KindTruncated is a truncated response, or one whose end cannot be detected.
 	KindTruncated = "cut"
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -55,3 +55,7 @@
 	Upstream string
 	Version  string
 }
+
+// IsFinalStatus reports whether a response may have the status: it has three digits and is not
+// informational. Statuses from 600 on are passed on and count as failures like 5xx.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= 999 }
--- a/relay/client.go
+++ b/relay/client.go
@@ -110,6 +110,9 @@
 	if message.GetAnswer() == nil {
 		return nil, errors.New("the first message of the response has no head")
 	}
+	if status := int(message.GetAnswer().GetStatus()); !dispatch.IsFinalStatus(status) {
+		return nil, errors.Newf("status %d is no final status", status)
+	}
 	return &dispatch.Response{
 		Status:        int(message.GetAnswer().GetStatus()),
 		Header:        decodeHeader(message.GetAnswer().GetHeaders()),
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -190,15 +190,15 @@
 	if e.echoesID() && resp.Header.Get(options.Headers.RequestID) != e.id {
 		return e.wrap(errors.New("response does not echo the request id"), errkind.AnswerMismatched, true)
 	}
+	if !dispatch.IsFinalStatus(resp.StatusCode) {
+		return e.wrap(errors.Newf("status %d is no final status", resp.StatusCode), errkind.UpstreamFailed, true)
+	}
 	if options.Headers.NotRun(resp.StatusCode, resp.Header) {
 		if !e.echoesID() && !e.attempt.ownsRefusal() {
 			return e.wrap(errors.New("the refusal may be that of the request before"), errkind.AnswerMismatched, true)
 		}
 		return e.shedError(resp)
 	}
-	if resp.StatusCode < http.StatusOK {
-		return e.wrap(errors.Newf("status %d is no final status", resp.StatusCode), errkind.UpstreamFailed, true)
-	}
 	if isCloseDelimited(resp) && !options.AcceptCloseDelimited {
 		return e.wrap(errors.New("response has neither a Content-Length nor chunked encoding"), errkind.AnswerTruncated, true)
 	}
