edge: design note of the end of an exchange; a long request keeps its connection

The table gets a row for a response after the whole body, whose caller keeps its connection; 'kept' guards against closing every connection with a long request.

--- a/edge/ends_test.go
+++ b/edge/ends_test.go
@@ -87,6 +87,8 @@
 	// status and bytes are those of the response that the caller has to get.
 	status int
 	bytes  int
+	// kept is set when the connection of the caller stays open.
+	kept bool
 	// sent and length are the bytes that the caller sends at once and in all; 0 stands for
 	// sentBytes and bodyBytes.
 	sent, length int
@@ -140,6 +142,10 @@
 		go longFirst(conn, id)
 		_, _ = io.Copy(io.Discard, body)
 	}},
+	{name: "response after the body", status: http.StatusOK, bytes: streamedBytes, sent: bodyBytes, kept: true, end: func(conn *net.TCPConn, id string, body io.Reader) {
+		_, _ = io.Copy(io.Discard, body)
+		longFirst(conn, id)
+	}},
 	{name: "reads and never responds", status: http.StatusGatewayTimeout, end: func(_ *net.TCPConn, _ string, body io.Reader) {
 		_, _ = io.Copy(io.Discard, body)
 	}},
@@ -214,6 +220,7 @@
 	if c.bytes > 0 {
 		assert.Equal(t, len(got), c.bytes)
 	}
+	assert.Assert(t, !c.kept || !response.Close, "the connection closes")
 	sendRest()
 	sending.Wait()
 	_ = u.listener.Close()
