--- a/entryinstance/pool.go
+++ b/entryinstance/pool.go
@@ -77,6 +77,14 @@
 	return entrypb.NewEntryClient(&peerConn{pool: p, address: rpcAddress}), nil
 }
 
+// UsageClient is like Client, for the usage protocol.
+func (p *Pool) UsageClient(rpcAddress string) (entrypb.UsageClient, error) {
+	if _, err := netip.ParseAddrPort(rpcAddress); err != nil {
+		return nil, errors.Newf("%q is not an IP address and port", rpcAddress)
+	}
+	return entrypb.NewUsageClient(&peerConn{pool: p, address: rpcAddress}), nil
+}
+
 // Confirm returns nil if data came from the address within the last maxAge, or
 // if the peer responds to a probe now. It is to be called before a call that must
 // not be sent on a silent connection; nothing of that call has been sent when
--- a/entryinstance/server.go
+++ b/entryinstance/server.go
@@ -26,8 +26,8 @@
 	grpc   *grpc.Server
 }
 
-// NewServer returns a server that serves the handler and gRPC health checks. It
-// returns an error if the TLS certificates and keys are not valid.
+// NewServer returns a server that serves the handler and gRPC health checks, and the
+// usage protocol if the handler implements it. It returns an error if the TLS certificates and keys are not valid.
 func NewServer(config Config, handler entrypb.EntryServer) (*Server, error) {
 	config = config.withDefaults()
 	creds, err := config.serverCredentials()
@@ -54,6 +54,9 @@
 		grpc.UnaryInterceptor(authorizeHeartbeat),
 	)
 	entrypb.RegisterEntryServer(s.grpc, handler)
+	if usage, ok := handler.(entrypb.UsageServer); ok {
+		entrypb.RegisterUsageServer(s.grpc, usage)
+	}
 	healthpb.RegisterHealthServer(s.grpc, health.NewServer())
 	return s, nil
 }
