--- a/config/static/edge.go
+++ b/config/static/edge.go
@@ -3,6 +3,8 @@
 import (
 	"flag"
 	"io"
+	"net"
+	"slices"
 	"strings"
 	"time"
 
@@ -42,6 +44,73 @@
 	CanaryShare float64
 }
 
+// DutyUsage is the duty of usage reports.
+const DutyUsage = "usage"
+
+// EdgeDuties are the settings of duties that one instance has at a time. They take effect at
+// the start.
+type EdgeDuties struct {
+	// DutyAPI is the host and port of the API that takes the reports. Empty disables all duties.
+	DutyAPI string
+	// Duties names the duties. Only DutyUsage is known; others are ignored.
+	Duties []string
+	// DutyRate is the number of calls a second that the API takes from all instances together.
+	// Default 50.
+	DutyRate float64
+	// DutyLease is the time to live of the lease of a duty's holder. Default "3s".
+	DutyLease time.Duration
+	// FenceCheck is whether the API refuses calls whose fencing token is lower than one that it
+	// has seen. Default false.
+	FenceCheck bool
+	// UsageWindow is the length of the windows of usage reports. Default "5s".
+	UsageWindow time.Duration
+	// UsageLate is the time after the end of a window at which its report is due. Default "10s".
+	UsageLate time.Duration
+	// UsageOff is the tolerance of a reported count, as a fraction of it. Default 0.05.
+	UsageOff float64
+}
+
+// ReportsUsage reports whether the deployment asks for usage reports.
+func (d *EdgeDuties) ReportsUsage() bool {
+	return d.DutyAPI != "" && slices.Contains(d.Duties, DutyUsage)
+}
+
+func (d *EdgeDuties) registerFlags(fs *flag.FlagSet) {
+	fs.StringVar(&d.DutyAPI, "duty-api", "", "host and port of the API that takes the reports of duties; empty disables them")
+	fs.Func("duties", "duty that one instance has at a time, such as \"usage\" (repeatable)", d.addDuty)
+	fs.Float64Var(&d.DutyRate, "duty-rate", 50, "calls a second that the API takes from all entry instances together")
+	fs.DurationVar(&d.DutyLease, "duty-lease", 3*time.Second, "time to live of the lease of a duty's holder")
+	fs.BoolVar(&d.FenceCheck, "fence-check", false, "whether the API refuses calls with a lower fencing token than it has seen")
+	fs.DurationVar(&d.UsageWindow, "usage-window", 5*time.Second, "length of the windows of usage reports")
+	fs.DurationVar(&d.UsageLate, "usage-late", 10*time.Second, "time after the end of a window at which its report is due")
+	fs.Float64Var(&d.UsageOff, "usage-off", 0.05, "tolerance of a reported count, as a fraction of it")
+}
+
+// addDuty adds a duty. An empty value, which stands for a list that the deployment lacks, adds
+// none.
+func (d *EdgeDuties) addDuty(name string) error {
+	if name != "" {
+		d.Duties = append(d.Duties, name)
+	}
+	return nil
+}
+
+// validate returns one error for all settings that are out of range. Without an API, none is
+// used.
+func (d *EdgeDuties) validate() error {
+	if d.DutyAPI == "" {
+		return nil
+	}
+	return errors.Join(
+		checkHostPort("duty-api", d.DutyAPI),
+		checkNotNegative("duty-rate", d.DutyRate),
+		checkDuration("duty-lease", d.DutyLease, 500*time.Millisecond, time.Minute),
+		checkDuration("usage-window", d.UsageWindow, time.Second, time.Hour),
+		checkDuration("usage-late", d.UsageLate, time.Second, time.Hour),
+		checkShare("usage-off", d.UsageOff),
+	)
+}
+
 // EdgeSettings are the settings of one entry instance on the platform.
 type EdgeSettings struct {
 	// Name is unique in the deployment. Required.
@@ -79,6 +148,7 @@
 	// Grace is the time between SIGTERM and the end of the process. Default "6s".
 	Grace time.Duration
 	EdgeBounds
+	EdgeDuties
 	// LogLevel is debug, info, warn or error. Default "info".
 	LogLevel string
 	// Check validates the settings and exits.
@@ -122,6 +192,7 @@
 	fs.StringVar(&s.MetricsListen, "metrics-listen", "", "IP address and port of the metrics")
 	fs.StringVar(&s.Platform, "platform", "", "base URL of the platform's store (required)")
 	s.registerLimitFlags(fs)
+	s.EdgeDuties.registerFlags(fs)
 	fs.StringVar(&s.LogLevel, "log-level", "info", "debug, info, warn or error")
 	fs.BoolVar(&s.Check, "check", false, "check the settings and exit")
 	fs.BoolVar(&s.ShowVersion, "version", false, "print the version and exit")
@@ -181,6 +252,7 @@
 		checkNotNegative("retry-slack", s.RetrySlack),
 		checkNotNegative("rate-excess", s.RateExcess),
 		checkNotNegative("rate-slack", s.RateSlack),
+		s.EdgeDuties.validate(),
 	)
 }
 
@@ -195,6 +267,11 @@
 	return errors.Wrap(err, "log-level")
 }
 
+func checkHostPort(name, text string) error {
+	_, _, err := net.SplitHostPort(text)
+	return errors.Wrap(err, name)
+}
+
 func checkShare(name string, value float64) error {
 	if value < 0 || value > 1 {
 		return errors.Newf("%s: %g is not between 0 and 1", name, value)
--- a/deploy/template_test.go
+++ b/deploy/template_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -28,7 +29,9 @@
   "internal_port_range": [7600, 7615],
   "limits": {"memory_mb": 284, "max_fds": 4100},
   "bounds": {"grace_s": 6, "apply_ms": 2000, "retry_ratio": 0.2, "retry_slack": 60, "quota_window_s": 5,
-    "quota_excess": 0.1, "quota_slack": 20, "canary_share": 0.1},
+    "quota_excess": 0.1, "quota_slack": 20, "canary_share": 0.1, "lease_ttl_ms": 2500, "fence_check": true, "report_window_s": 4,
+    "usage_late_s": 9, "usage_off": 0.06},
+  "cloud_api": {"addr": "10.200.1.9:8300", "duties": ["volumes", "usage"], "duty_per_s": 40},
   "platform": {"addr": "10.200.1.7:8205"}
 }`
 
@@ -124,12 +127,18 @@
 	assert.Equal(t, settings.MaxConnections, 4100)
 	assert.Equal(t, settings.Memory, units.Size(284<<20))
 	assert.Equal(t, settings.RPCListen, "10.1.0.8:7600")
+	assert.DeepEqual(t, settings.EdgeDuties, static.EdgeDuties{
+		DutyAPI: "10.200.1.9:8300", Duties: []string{"volumes", "usage"}, DutyRate: 40,
+		DutyLease: 2500 * time.Millisecond, FenceCheck: true,
+		UsageWindow: 4 * time.Second, UsageLate: 9 * time.Second, UsageOff: 0.06,
+	})
+	assert.Assert(t, settings.ReportsUsage())
 }
 
 // A deployment without roll-outs has no canary_share, which left the settings unreadable: no
 // instance started.
 func TestDeploymentsMayLackOptionalFields(t *testing.T) {
-	for _, group := range []string{"bounds", "limits"} {
+	for _, group := range []string{"bounds", "limits", "cloud_api"} {
 		for name := range decoded(t)[group].(map[string]any) {
 			t.Run(name, func(t *testing.T) {
 				fields := decoded(t)
@@ -143,11 +152,22 @@
 		fields := decoded(t)
 		delete(fields, "bounds")
 		delete(fields, "limits")
-		_, err := parse(t, fields)
+		delete(fields, "cloud_api")
+		settings, err := parse(t, fields)
 		assert.NilError(t, err)
+		assert.Assert(t, !settings.ReportsUsage(), "a deployment without the API has no duties")
 	})
 }
 
+// A false fence_check is a value and not a missing field; some renderers leave its section out.
+func TestFenceCheckMayBeFalse(t *testing.T) {
+	fields := decoded(t)
+	fields["bounds"].(map[string]any)["fence_check"] = false
+	settings, err := parse(t, fields)
+	assert.NilError(t, err)
+	assert.Assert(t, !settings.FenceCheck)
+}
+
 // An instance that lacks a required field names the setting instead of a position in the file.
 func TestMissingRequiredFieldsAreNamed(t *testing.T) {
 	for field, setting := range map[string]string{
