duty, usage: one holder reports each window once; wiring in edge

Decisions: tokens are revisions that a read has confirmed in the same era; a window's counts are written by compare-and-swap before they are sent; after a restore of the store from a copy, windows that may have been closed before are left out. Instances pass their counts to the leader of their failure domain once a second, and leaders pass them on to the holder. Attempts count from their sending and are moved or taken out when their outcome is known.

Ruled out: sums for each failure domain (two leaders that follow each other would both have parts of the same counts), a write for several windows at once (a crash loses all of them).

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -22,9 +22,10 @@
 	maxDelayFraction = 0.15
 	// maxBackoffFactor bounds the growth of the pause after failed acquisitions.
 	maxBackoffFactor = 8
-	// cededTTLs is the pause of an instance that gave up the duty or was refused, in TTLs, so
-	// that others are tried first.
-	cededTTLs = 10
+	// cededTTLs is the pause of an instance that cannot fulfil the duty, in TTLs, so that others
+	// are tried first; lostTTLs that of one that has lost it.
+	cededTTLs = 4
+	lostTTLs  = 2
 )
 
 // Action is a call that a Duty requests.
@@ -70,6 +71,9 @@
 // Allows reports whether the holder may act at the time.
 func (p Permit) Allows(now time.Duration) bool { return p.Token != 0 && now >= p.From && now < p.Until }
 
+// Lapsed reports whether the right has ended, for good or until a late renewal.
+func (p Permit) Lapsed(now time.Duration) bool { return p.Token == 0 || now >= p.Until }
+
 // Options configure a Duty.
 type Options struct {
 	// TTL is the time to live of the lease.
@@ -111,17 +115,17 @@
 
 // Cede gives up the duty because the instance cannot fulfil it, so that another one can try.
 func (d *Duty) Cede(now time.Duration) {
-	d.permit = Permit{}
-	d.given = d.lease != 0
-	d.notBefore = now + cededTTLs*d.ttl
+	d.giveUp(now + cededTTLs*d.ttl)
 }
 
-// Refused handles a refusal of the token because a higher one was seen: the token is never
-// used again.
-func (d *Duty) Refused(now time.Duration, token platform.Revision) {
-	if token == d.permit.Token {
-		d.Cede(now)
-	}
+// Refused gives up the duty because the token was refused, as a higher one was seen, or because
+// another holder has acted. The token is never used again.
+func (d *Duty) Refused(now time.Duration) { d.giveUp(now + lostTTLs*d.ttl) }
+
+func (d *Duty) giveUp(notBefore time.Duration) {
+	d.permit = Permit{}
+	d.given = d.lease != 0
+	d.notBefore = notBefore
 }
 
 // Lease returns the lease that a Renew or Release is about, 0 for none.
@@ -212,7 +216,7 @@
 	}
 	if errors.Is(result.Err, platform.ErrLeaseExpired) {
 		d.permit, d.lease = Permit{}, 0
-		d.notBefore = now + 2*d.ttl
+		d.notBefore = now + lostTTLs*d.ttl
 		return
 	}
 	if result.Err != nil {
--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -84,8 +84,10 @@
 		x.deps.metrics.Histogram("ferry_attempt_seconds", "service", x.service.Name).UpdateDuration(sent)
 	}()
 	x.countLimited(lease.Upstream)
+	metered := x.deps.meter.sent(x.customerName(), lease)
 	response, err := x.deps.upstreams.Send(ctx, lease.Upstream, x.service, x.request)
 	if err == nil {
+		metered.responded(time.Since(sent), loadOf(response.Header))
 		x.observeLimit(lease.Upstream, sent, response.Header)
 		x.observeLeaving(lease, response.Header)
 		var got *upstreamResponse
@@ -104,6 +106,9 @@
 	if upstream.MayHaveRun(err) {
 		x.ran++
 	}
+	if response == nil {
+		metered.failed(time.Since(sent), upstream.MayHaveRun(err))
+	}
 	if status, header := upstream.ShedResponse(err); header != nil {
 		x.observeLimit(lease.Upstream, sent, header)
 		if !headers.IsMisdirected(status) {
--- a/edge/control.go
+++ b/edge/control.go
@@ -123,6 +123,8 @@
 	poolPeers poolPeers
 	splits    map[string]*split
 	pulls     *pulls
+	// usage is nil where the deployment does not ask for usage reports.
+	usage *usageControl
 	// lateReportedAt is when a long wait of an event was last logged.
 	lateReportedAt time.Time
 }
@@ -153,6 +155,7 @@
 		pulls:           newPulls(),
 	}
 	c.rollouts = newRolloutControl(c)
+	c.usage = newUsageControl(c)
 	deps.metrics.Gauge("ferry_config_behind_seconds", func() float64 { return c.operator.behind(time.Now()).Seconds() })
 	deps.metrics.Gauge("ferry_config_lag_budget_seconds", func() float64 { return c.budget().Total().Seconds() })
 	c.members.SetRegions(deps.settings.Domains)
@@ -262,6 +265,9 @@
 	c.requestLoans(now)
 	c.assignAllocators(now)
 	c.operator.publishBehind(now)
+	if c.usage != nil {
+		c.usage.tick(now)
+	}
 	c.viewDirty = true
 }
 
@@ -299,6 +305,9 @@
 	c.viewDirty = true
 	c.members.AnnounceLeaving(now)
 	c.sendHeartbeats(now)
+	if c.usage != nil {
+		c.usage.leave()
+	}
 	c.deps.log.Info("leaving")
 }
 
--- a/edge/heartbeat.go
+++ b/edge/heartbeat.go
@@ -254,6 +254,7 @@
 // entryServer serves RPCs of other entry instances.
 type entryServer struct {
 	entrypb.UnimplementedEntryServer
+	entrypb.UnimplementedUsageServer
 	control *control
 }
 
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -35,6 +35,8 @@
 	throttle  *throttle.Throttle
 	permits   *permits
 	limiter   *admission.Limiter
+	// meter counts attempts for usage reports; nil where the deployment does not ask for them.
+	meter *usageMeter
 	// buffers is the memory for the bodies of requests and responses.
 	buffers     *buffers.Budget
 	callerConns *connections
--- a/edge/records.go
+++ b/edge/records.go
@@ -143,6 +143,10 @@
 	var changed []string
 	present := make(map[string]bool, len(e.entries))
 	for _, entry := range e.entries {
+		if entry.Key == records.KeyUsageReports {
+			// Only the holder of the duty needs it, and reads it itself.
+			continue
+		}
 		present[entry.Key] = true
 		old := c.records.get(entry.Key)
 		if old.Revision >= entry.Revision || isOperatorKey(entry.Key) && entry.Revision <= c.operator.revision {
@@ -342,6 +346,9 @@
 	for _, key := range keys {
 		entry := c.records.get(key)
 		delete(c.instances, key)
+		if c.usage != nil {
+			c.usage.readInstance(key, entry)
+		}
 		if entry.Deleted {
 			continue
 		}
--- a/edge/stopping.go
+++ b/edge/stopping.go
@@ -50,6 +50,7 @@
 	if _, busy = i.deps.callerConns.count(); err != nil && busy > 0 {
 		i.deps.log.Warn("requests were cut at the end of the grace period", zap.Int("connections", busy), zap.Error(err))
 	}
+	i.flushUsage(ctx)
 	i.rpc.Close()
 	for _, server := range i.servers {
 		_ = server.Close()
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -112,6 +112,9 @@
 		limiter:           admission.NewLimiter(admission.Settings{MaxWait: maxLoanWait, MessagesPerSecond: maxLoanMessagesPerSecond}, time.Now()),
 	}
 	deps.bounds.Store(&settings.EdgeBounds)
+	if settings.ReportsUsage() {
+		deps.meter = newUsageMeter(settings.UsageWindow)
+	}
 	deps.metrics.Gauge("ferry_buffered_bytes", func() float64 {
 		held, _ := deps.buffers.Held()
 		return float64(held)
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -168,8 +168,9 @@
 	overdue := WindowOf(now.Add(-settings.Late), settings.Window) - 1
 	switch {
 	case entry.Revision == 0 && token.Era() == 0:
-		// The first holder: nothing was due before.
-		r.record.Through = overdue
+		// The first holder: instances have just started. The window before the current one may
+		// have ended since.
+		r.record.Through = WindowOf(now, settings.Window) - 2
 	case !known || platform.Revision(last.Token).Era() != token.Era():
 		// A holder before the restore may have closed windows up to the current one by its clock,
 		// which may be ahead of this one.
@@ -234,8 +235,8 @@
 }
 
 // Next returns what to do at the time, with the counts that have arrived and the sources that
-// are expected. maySend is whether the holder may act. The results go to Written, RecordRead
-// and Sent.
+// are expected. maySend is whether the holder may act already. The results go to Written,
+// RecordRead and Sent. It must not be called while the holder may not act any more.
 func (r *Reporter) Next(now time.Time, maySend bool, table *Table, expected []uint64) Step {
 	step := Step{Missed: r.pending}
 	r.pending = nil
--- /dev/null
+++ b/usage/usage_test.go
@@ -0,0 +1,100 @@
+package usage_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphireferry.example/ferry/usage"
+)
+
+var midnight = time.Unix(1767225600, 0)
+
+// A clock that jumps by seconds and back must not move counts, nor one that was wrong from the
+// start where enough others are heard.
+func TestTheClockIgnoresJumps(t *testing.T) {
+	c := usage.NewClock()
+	for s := range 200 {
+		boot := time.Duration(s) * time.Second
+		wall := midnight.Add(boot)
+		if s > 100 && s < 125 {
+			wall = wall.Add(7 * time.Second)
+		}
+		c.Observe(boot, wall)
+		assert.Equal(t, c.Now(boot).Sub(midnight), boot)
+	}
+	wrong := usage.NewClock()
+	boot := 10 * time.Second
+	wrong.Observe(boot, midnight.Add(boot-5*time.Second))
+	wrong.ObservePeer(boot, "a", midnight.Add(boot))
+	assert.Equal(t, wrong.Now(boot).Sub(midnight), 5*time.Second, "two clocks have no majority")
+	wrong.ObserveGroup(boot, midnight.Add(boot))
+	assert.Equal(t, wrong.Now(boot).Sub(midnight), boot, "the leader's majority counts")
+	wrong.ObservePeer(boot, "b", midnight.Add(boot+time.Millisecond))
+	assert.Equal(t, wrong.Now(boot).Sub(midnight), boot)
+	later := boot + time.Minute
+	assert.Equal(t, wrong.Now(later).Sub(midnight), later-5*time.Second, "peers that are not heard do not count")
+}
+
+// Attempts that waited in a queue must count in the window in which they began, and those that
+// were rejected not at all.
+func TestAttemptsCountWhereTheyBegan(t *testing.T) {
+	const window = 5 * time.Second
+	starts := usage.NewStarts()
+	for range 50 {
+		assert.Equal(t, starts.Observe("s", time.Second, 0.7, false), time.Duration(0))
+	}
+	assert.Equal(t, starts.Expected("s", 0.9), time.Duration(0))
+	assert.Equal(t, starts.Expected("s", 3), 2*time.Second)
+	assert.Equal(t, starts.Observe("s", 2500*time.Millisecond, 2.5, true), 1500*time.Millisecond)
+	assert.Equal(t, starts.Observe("s", 400*time.Millisecond, 2.5, true), time.Duration(0))
+
+	counter := usage.NewCounter(window)
+	first := usage.WindowOf(midnight, window)
+	sent := midnight.Add(4 * time.Second)
+	atOnce, queued, rejected := counter.Sent("acme", sent), counter.Sent("acme", sent), counter.Sent("acme", sent)
+	atOnce.Began(sent)
+	queued.Began(sent.Add(1500 * time.Millisecond))
+	rejected.NotRun()
+	r := counter.Report(1, midnight.Add(7*time.Second))
+	assert.Equal(t, r.DoneThrough, first)
+	assert.Equal(t, r.Windows[first].Customers["acme"], uint64(1))
+	assert.Equal(t, r.Windows[first+1].Customers["acme"], uint64(1))
+}
+
+// Messages that are repeated, late or come by two leaders must not add counts twice, and those
+// of a source that is missing must be noticed.
+func TestCountsAreTakenOnce(t *testing.T) {
+	report := func(done int64, version uint32, n uint64) usage.SourceReport {
+		return usage.SourceReport{Source: 1, DoneThrough: done, Windows: map[int64]usage.Counts{10: {Version: version, Customers: map[string]uint64{"acme": n}}}}
+	}
+	table := usage.NewTable()
+	for _, r := range []usage.SourceReport{report(9, 1, 5), report(10, 3, 8), report(9, 2, 7), report(10, 3, 8)} {
+		table.Merge(r)
+	}
+	assert.DeepEqual(t, table.Sum(10), map[string]uint64{"acme": 8})
+	_, complete := table.Lacking(10, []uint64{1})
+	assert.Assert(t, complete)
+	lacking, complete := table.Lacking(11, []uint64{1})
+	assert.Assert(t, !complete)
+	assert.DeepEqual(t, lacking, map[string]uint64{"acme": 8})
+	lacking, complete = table.Lacking(10, []uint64{1, 2})
+	assert.Assert(t, !complete, "nothing is known of source 2")
+	assert.DeepEqual(t, lacking, map[string]uint64{"acme": 8})
+
+	outbox := &usage.Outbox{}
+	outbox.SetTarget("leader")
+	news, ok := outbox.News(report(10, 3, 8), 0, 10)
+	assert.Assert(t, ok && len(news.Windows) == 1)
+	outbox.Acked("leader", []usage.SourceReport{news})
+	_, ok = outbox.News(report(10, 3, 8), 0, 10)
+	assert.Assert(t, !ok, "nothing new")
+	_, ok = outbox.News(report(10, 4, 9), 0, 10)
+	assert.Assert(t, ok, "a revision of an open window")
+	_, ok = outbox.News(report(10, 4, 9), 11, 10)
+	assert.Assert(t, !ok, "a revision of a closed window")
+	outbox.SetTarget("next leader")
+	_, ok = outbox.News(report(10, 4, 9), 11, 10)
+	assert.Assert(t, ok, "the next leader has nothing")
+}
