--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -87,7 +87,7 @@
 	metered := x.deps.meter.sent(x.customerName(), lease)
 	response, err := x.deps.upstreams.Send(ctx, lease.Upstream, x.service, x.request)
 	if err == nil {
-		metered.responded(time.Since(sent), loadOf(response.Header))
+		metered.responded(time.Since(sent))
 		x.observeLimit(lease.Upstream, sent, response.Header)
 		x.observeLeaving(lease, response.Header)
 		var got *upstreamResponse
--- a/edge/usage_meter.go
+++ b/edge/usage_meter.go
@@ -42,7 +42,6 @@
 	meter       *usageMeter
 	attempt     *usage.Attempt
 	service     string
-	slots       int
 	utilization float64
 	// sent is the true time at which the attempt was sent, wait the expected wait at the upstream.
 	sent time.Time
@@ -56,8 +55,7 @@
 		return nil
 	}
 	a := &meteredAttempt{
-		meter: m, service: lease.Upstream.Service, slots: lease.Upstream.Slots,
-		utilization: lease.Utilization, sent: m.now(),
+		meter: m, service: lease.Upstream.Service, utilization: lease.Utilization, sent: m.now(),
 	}
 	a.wait = m.starts.Expected(a.service, a.utilization)
 	a.attempt = m.counter.Sent(customer, a.sent.Add(a.wait))
@@ -65,12 +63,11 @@
 }
 
 // responded records that the upstream has run the attempt and responded after the time.
-func (a *meteredAttempt) responded(took time.Duration, load placement.Load) {
+func (a *meteredAttempt) responded(took time.Duration) {
 	if a == nil {
 		return
 	}
-	busy := load.Known && a.slots > 0 && load.Requests >= a.slots
-	a.attempt.Began(a.sent.Add(a.meter.starts.Observe(a.service, took, a.utilization, busy)))
+	a.attempt.Began(a.sent.Add(a.meter.starts.Observe(a.service, took, a.utilization)))
 }
 
 // failed records that the attempt has ended without a response. One that may have run counts
