--- a/docs/names_test.go
+++ b/docs/names_test.go
@@ -27,6 +27,7 @@
 	"samphireferry.example/ferry/shift"
 	"samphireferry.example/ferry/standin/command"
 	"samphireferry.example/ferry/telemetry"
+	"samphireferry.example/ferry/usage"
 )
 
 // helpTexts holds, for each program, a function that runs it with the arguments and
@@ -198,10 +199,11 @@
 		sorted([]shift.Reason{shift.ReasonLoaded, shift.ReasonUnhealthy, shift.ReasonLoadUnknown, shift.ReasonRemoved, shift.ReasonSuspected}),
 		sorted([]operator.InstanceState{operator.StateInForce, operator.StateCutOff}),
 		sorted([]dynamic.RouteKind{dynamic.AtMostOnce}),
+		sorted(usage.Reasons()),
 		names(firstColumnName, section(t, page(t, "OPERATIONS.md"), "## Counters")),
 		names(logField, source(t, "../edge")),
 		// Fields of a refusal, and values of labels.
-		{"request_id", "not_sent", "compare_and_swap"},
+		{"request_id", "not_sent", "compare_and_swap", "rate_limited"},
 	} {
 		for _, word := range words {
 			known[word] = true
