edge: the counts of a leader are kept by another instance of its domain

A leader passes counts on to the holder from 2 s after the end of a window on, so one that was killed took its own counts of up to 7 s with it. It now sends its own counts once a second to another instance of its failure domain, which passes them on to the next leader. One that is alone in its domain sends them to the holder each second.

Measured: TestAnotherInstanceReportsWhenTheHolderIsKilled checks the counts of the killed leader; go test -count=3 -race -run 'Usage|Reported|HolderIsKilled' ./edge passes.

--- a/edge/usage.go
+++ b/edge/usage.go
@@ -54,14 +54,12 @@
 	source   uint64
 	// registered holds the sources of the registered instances, by key of their entries.
 	registered map[string]uint64
-	// local holds the counts that members of the failure domain have sent to this instance, all
-	// those for the holder.
-	local, all         *usage.Table
-	toLeader, toHolder *usage.Outbox
-	// sendingToLeader and sendingToHolder are set while a message waits for its response.
-	sendingToLeader, sendingToHolder bool
-	exchangedAt                      time.Duration
-	directAt                         time.Duration
+	// local holds the counts that members of the failure domain have sent to this instance, backup
+	// those that its leader has, and all those for the holder.
+	local, backup, all           *usage.Table
+	toLeader, toBackup, toHolder *outbox
+	exchangedAt                  time.Duration
+	directAt                     time.Duration
 
 	duty     *duty.Duty
 	runner   *duty.Runner
@@ -71,6 +69,12 @@
 	permit atomic.Pointer[duty.Permit]
 }
 
+// outbox is what one target lacks. sending is set while a message waits for its response.
+type outbox struct {
+	usage.Outbox
+	sending bool
+}
+
 func newUsageControl(c *control) *usageControl {
 	if c.deps.meter == nil {
 		return nil
@@ -86,9 +90,11 @@
 		source:     sourceOfIncarnation(c.deps.identity.GetIncarnation()),
 		registered: map[string]uint64{},
 		local:      usage.NewTable(),
+		backup:     usage.NewTable(),
 		all:        usage.NewTable(),
-		toLeader:   &usage.Outbox{},
-		toHolder:   &usage.Outbox{},
+		toLeader:   &outbox{},
+		toBackup:   &outbox{},
+		toHolder:   &outbox{},
 		duty:       duty.New(duty.Options{TTL: s.DutyLease, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}),
 		api:        platform.NewUsageClient(s.DutyAPI, s.Name),
 	}
@@ -201,8 +207,9 @@
 func (u *usageControl) expected() []uint64 { return slices.Collect(maps.Values(u.registered)) }
 
 // exchange passes on counts: an instance sends its own to the leader of its failure domain, and
-// that one sends those of its domain to the holder. At most one message to each is on its way.
-// The last exchange of an instance includes the current window.
+// that one sends those of its domain to the holder. The leader sends its own to another
+// instance of the domain as well, which passes them on to the next leader. At most one message
+// to each is on its way. The last exchange of an instance includes the current window.
 func (u *usageControl) exchange(boot time.Duration, last bool) {
 	if boot-u.exchangedAt < usageInterval && !last {
 		return
@@ -217,20 +224,28 @@
 	holds := held && holder.Incarnation == u.c.deps.identity.GetIncarnation()
 	peers := u.c.members.Snapshot(time.Now())
 	leads := peers.IsLeader()
+	alone := false
 	if leads {
 		u.local.Merge(own)
+		mergeAll(u.local, u.backup)
+		second, found := lo.Find(peers.InDomain(peers.Self.FailureDomain), (*membership.Peer).Usable)
+		alone = !found
+		if found {
+			u.sendToPeer(u.toBackup, second, []usage.SourceReport{own}, open, current)
+		}
 	} else if leader := peers.Leader(peers.Self.FailureDomain); leader != nil {
-		u.sendToLeader(leader, []usage.SourceReport{own}, open, current)
+		reports := lo.Filter(u.backup.Reports(), func(r usage.SourceReport, _ int) bool {
+			return r.Source != sourceOfIncarnation(leader.Incarnation)
+		})
+		u.sendToPeer(u.toLeader, leader, append(reports, own), open, current)
 	}
 	switch {
 	case holds:
 		u.all.Merge(own)
-		for _, r := range u.local.Reports() {
-			u.all.Merge(r)
-		}
+		mergeAll(u.all, u.local)
 	case held && (leads || boot-u.directAt < directAge):
 		ready := usage.WindowOf(now.Add(-time.Duration(forwardFraction*float64(u.settings.Late))), u.settings.Window) - 1
-		if last {
+		if last || alone {
 			ready = current
 		}
 		u.sendToHolder(holder, u.local.Reports(), open, ready)
@@ -241,39 +256,46 @@
 func (u *usageControl) prune(current int64) {
 	first := current - int64(u.settings.Late/u.settings.Window) - 2
 	expected := lo.SliceToMap(u.expected(), func(source uint64) (uint64, bool) { return source, true })
-	for _, table := range []*usage.Table{u.local, u.all} {
+	for _, table := range []*usage.Table{u.local, u.backup, u.all} {
 		table.Prune(first, func(source uint64) bool { return expected[source] })
 	}
 }
 
+// mergeAll adds all reports of a table to another one.
+func mergeAll(to, from *usage.Table) {
+	for _, r := range from.Reports() {
+		to.Merge(r)
+	}
+}
+
 // news returns what the target lacks.
-func news(outbox *usage.Outbox, reports []usage.SourceReport, open, last int64) []usage.SourceReport {
-	return lo.FilterMap(reports, func(r usage.SourceReport, _ int) (usage.SourceReport, bool) { return outbox.News(r, open, last) })
+func news(to *outbox, reports []usage.SourceReport, open, last int64) []usage.SourceReport {
+	return lo.FilterMap(reports, func(r usage.SourceReport, _ int) (usage.SourceReport, bool) { return to.News(r, open, last) })
 }
 
-func (u *usageControl) sendToLeader(leader *membership.Peer, reports []usage.SourceReport, open, last int64) {
-	u.toLeader.SetTarget(leader.RPCAddress + " " + leader.Incarnation)
-	u.send(u.toLeader, &u.sendingToLeader, leader.RPCAddress, news(u.toLeader, reports, open, last), false)
+func (u *usageControl) sendToPeer(to *outbox, peer *membership.Peer, reports []usage.SourceReport, open, last int64) {
+	to.SetTarget(peer.RPCAddress + " " + peer.Incarnation)
+	u.send(to, peer.RPCAddress, news(to, reports, open, last), false)
 }
 
 func (u *usageControl) sendToHolder(holder records.DutyHolder, reports []usage.SourceReport, open, last int64) {
 	u.toHolder.SetTarget(holder.Incarnation)
-	u.send(u.toHolder, &u.sendingToHolder, holder.RPCAddress, news(u.toHolder, reports, open, last), true)
+	u.send(u.toHolder, holder.RPCAddress, news(u.toHolder, reports, open, last), true)
 }
 
 // send sends the reports in the background, unless there are none or a message is on its way.
-func (u *usageControl) send(outbox *usage.Outbox, sending *bool, address string, reports []usage.SourceReport, forwarded bool) {
-	if len(reports) == 0 || *sending {
+func (u *usageControl) send(to *outbox, address string, reports []usage.SourceReport, forwarded bool) {
+	if len(reports) == 0 || to.sending {
 		return
 	}
-	*sending = true
+	to.sending = true
 	message := usageReportMessage(reports)
 	message.Sender = u.c.deps.settings.Name
 	message.Forwarded = forwarded
 	message.UnixMs = u.clock.Own(bootTime()).UnixMilli()
-	target := outbox.Target()
+	target := to.Target()
 	u.c.background(usageTimeout, func(ctx context.Context) event {
-		done := usageSent{outbox: outbox, sending: sending, target: target, reports: reports}
+		done := usageSent{to: to, target: target, reports: reports}
 		client, err := u.c.deps.peers.UsageClient(address)
 		if err == nil {
 			done.receipt, err = client.ReportUsage(ctx, message)
@@ -285,8 +307,7 @@
 
 // usageSent is the outcome of a message with counts.
 type usageSent struct {
-	outbox  *usage.Outbox
-	sending *bool
+	to      *outbox
 	target  string
 	reports []usage.SourceReport
 	receipt *entrypb.UsageReceipt
@@ -294,13 +315,13 @@
 }
 
 func (e usageSent) apply(c *control, _ time.Time) {
-	*e.sending = false
+	e.to.sending = false
 	if e.err != nil {
 		c.deps.metrics.Counter("ferry_usage_messages_failed_total").Inc()
 		c.deps.log.Debug("usage counts were not passed on", zap.Error(e.err))
 		return
 	}
-	e.outbox.Acked(e.target, e.reports)
+	e.to.Acked(e.target, e.reports)
 	if e.receipt.GetUnixMs() > 0 {
 		c.usage.clock.ObserveGroup(bootTime(), time.UnixMilli(e.receipt.GetUnixMs()))
 	}
@@ -312,14 +333,19 @@
 	reply  chan *entrypb.UsageReceipt
 }
 
-func (e usageReceived) apply(c *control, _ time.Time) {
+func (e usageReceived) apply(c *control, now time.Time) {
 	u := c.usage
 	boot := bootTime()
 	if e.report.GetUnixMs() > 0 {
 		u.clock.ObservePeer(boot, e.report.GetSender(), time.UnixMilli(e.report.GetUnixMs()))
 	}
 	table := u.all
-	if !e.report.GetForwarded() {
+	leader := c.members.Snapshot(now).Leader(c.deps.settings.FailureDomain)
+	switch {
+	case e.report.GetForwarded():
+	case leader != nil && leader.Name == e.report.GetSender():
+		table = u.backup
+	default:
 		table = u.local
 		u.directAt = boot
 	}
--- a/edge/usage_test.go
+++ b/edge/usage_test.go
@@ -109,19 +109,46 @@
 	}
 	eventually(t, "an instance reports", func() bool { return len(api.Accepted()) > 0 })
 	_, killed, token := reported(api)
+	for range 5 {
+		assert.Equal(t, instances[killed].send(http.MethodGet, "/read/1", "k1").status, http.StatusOK)
+	}
+	eventually(t, "another instance has the counts of the holder", func() bool {
+		for name, i := range instances {
+			if name != killed && i.backedUp() == 5 {
+				return true
+			}
+		}
+		return false
+	})
 	instances[killed].kill()
 	eventually(t, "another instance reports", func() bool { _, holder, next := reported(api); return holder != killed && next > token })
-	before, _, _ := reported(api)
 	for name, i := range instances {
 		if name != killed {
 			defer i.stop()
 			assert.Equal(t, i.send(http.MethodGet, "/read/1", "k1").status, http.StatusOK)
 		}
 	}
-	eventually(t, "the successor reports requests", func() bool { sum, _, _ := reported(api); return sum == before+2 })
+	eventually(t, "the successor reports requests", func() bool { sum, _, _ := reported(api); return sum >= 5+2 })
+	sum, _, _ := reported(api)
+	assert.Equal(t, sum, uint64(5+2))
 	assert.Equal(t, len(api.Violations()), 0, "%v", api.Violations())
 }
 
+// backedUp returns the requests that the instance keeps for the leader of its failure domain.
+func (i *instance) backedUp() uint64 {
+	sum := make(chan uint64)
+	i.control.post(inspect(func(c *control) {
+		n := uint64(0)
+		for _, r := range c.usage.backup.Reports() {
+			for _, counts := range r.Windows {
+				n += counts.Customers["acme"]
+			}
+		}
+		sum <- n
+	}))
+	return <-sum
+}
+
 // kill ends the instance without a word to anyone.
 func (i *instance) kill() {
 	i.cancel()
