edge: counts of an instance that leaves alone, refused tokens

An instance that was alone in its failure domain had no leader while it left, so its last counts were not passed on. A call that is about to be sent now sees a refused token before the control goroutine does. The test has an instance in another failure domain, which leaves.

Measured: go test -count=4 -run TestRequestsAreReportedOnce ./edge passes.

--- a/edge/usage.go
+++ b/edge/usage.go
@@ -67,6 +67,8 @@
 	reporter *usage.Reporter
 	// permit is that of the duty, for the goroutines that send reports.
 	permit atomic.Pointer[duty.Permit]
+	// refused is the newest token that the API has refused.
+	refused atomic.Int64
 }
 
 // outbox is what one target lacks. sending is set while a message waits for its response.
@@ -223,7 +225,9 @@
 	holder, held := u.holder()
 	holds := held && holder.Incarnation == u.c.deps.identity.GetIncarnation()
 	peers := u.c.members.Snapshot(time.Now())
-	leads := peers.IsLeader()
+	leader := peers.Leader(peers.Self.FailureDomain)
+	// A domain whose only instance leaves has no leader.
+	leads := peers.IsLeader() || leader == nil
 	alone := false
 	if leads {
 		u.local.Merge(own)
@@ -233,7 +237,7 @@
 		if found {
 			u.sendToPeer(u.toBackup, second, []usage.SourceReport{own}, open, current)
 		}
-	} else if leader := peers.Leader(peers.Self.FailureDomain); leader != nil {
+	} else {
 		reports := lo.Filter(u.backup.Reports(), func(r usage.SourceReport, _ int) bool {
 			return r.Source != sourceOfIncarnation(leader.Incarnation)
 		})
@@ -447,10 +451,14 @@
 func (u *usageControl) call(r *usage.Reporter, token platform.Revision, send usage.Send) {
 	maySend := func() bool {
 		permit := u.permit.Load()
-		return permit.Token == token && permit.Allows(bootTime())
+		return permit.Token == token && permit.Allows(bootTime()) && u.refused.Load() != int64(token)
 	}
 	u.c.background(send.Timeout, func(ctx context.Context) event {
 		err := u.api.Report(ctx, int64(token), platform.UsageBody{Window: send.Window, Counts: send.Counts}, maySend)
+		if errors.Is(err, platform.ErrFenced) {
+			// Other calls with the token may be about to be sent before the control goroutine knows.
+			u.refused.Store(int64(token))
+		}
 		u.c.deps.metrics.Counter("ferry_usage_calls_total", "result", callResult(err)).Inc()
 		return usageResult{reporter: r, handle: func(now time.Time) { u.sent(r, now, token, send, err) }}
 	})
--- a/edge/usage_test.go
+++ b/edge/usage_test.go
@@ -28,10 +28,14 @@
 	return api, server.Listener.Addr().String()
 }
 
-// startReporting starts an instance that reports usage to the API.
-func (s *system) startReporting(name, api string) *instance {
+// startReporting starts an instance that reports usage to the API. Its failure domain is that of
+// s.settings, or west-1.
+func (s *system) startReporting(name, api string, west bool) *instance {
 	s.t.Helper()
 	settings := s.settings(name)
+	if west {
+		settings.FailureDomain, settings.Region = "west-1", "west"
+	}
 	settings.EdgeDuties = static.EdgeDuties{
 		DutyAPI: api, Duties: []string{static.DutyUsage}, DutyRate: 50, DutyLease: time.Second,
 		FenceCheck: true, UsageWindow: time.Second, UsageLate: 10 * time.Second, UsageOff: 0.05,
@@ -65,10 +69,10 @@
 	s.register(b, "v1", "ready")
 	var instances []*instance
 	for _, name := range []string{"e1", "e2", "e3"} {
-		i := s.startReporting(name, address)
-		defer i.stop()
-		instances = append(instances, i)
+		instances = append(instances, s.startReporting(name, address, name == "e3"))
 	}
+	defer instances[0].stop()
+	defer instances[1].stop()
 	for _, i := range instances {
 		i.waitReady(1)
 	}
@@ -88,9 +92,12 @@
 	eventually(t, "the upstream gets requests again", func() bool {
 		return instances[1].send(http.MethodGet, "/read/1", "k1").status == http.StatusOK
 	})
-	eventually(t, "all attempts that ran are reported", func() bool { sum, _, _ := reported(api); return sum >= 31 })
+	// An instance that leaves passes on its last counts, and the duty if it has it.
+	assert.Equal(t, instances[2].send(http.MethodGet, "/read/1", "k1").status, http.StatusOK)
+	instances[2].stop()
+	eventually(t, "all attempts that ran are reported", func() bool { sum, _, _ := reported(api); return sum >= 32 })
 	sum, _, _ := reported(api)
-	assert.Equal(t, sum, uint64(31))
+	assert.Equal(t, sum, uint64(32))
 	assert.Equal(t, len(api.Violations()), 0, "%v", api.Violations())
 }
 
@@ -104,7 +111,7 @@
 	s.register(b, "v1", "ready")
 	instances := map[string]*instance{}
 	for _, name := range []string{"e1", "e2", "e3"} {
-		instances[name] = s.startReporting(name, address)
+		instances[name] = s.startReporting(name, address, false)
 		instances[name].waitReady(1)
 	}
 	eventually(t, "an instance reports", func() bool { return len(api.Accepted()) > 0 })
