usage: a silent instance of a domain that is heard counts as dead

An instance that was killed stays registered for 12 s, so in a small fleet, or when several are killed at once, two or three windows were left out although nothing was lacking. Only the sources of failure domains that are not heard at all are now taken to be cut off.

--- a/edge/usage.go
+++ b/edge/usage.go
@@ -53,7 +53,7 @@
 	clock    *usage.Clock
 	source   uint64
 	// registered holds the sources of the registered instances, by key of their entries.
-	registered map[string]uint64
+	registered map[string]usage.Expected
 	// local holds the counts that members of the failure domain have sent to this instance, backup
 	// those that its leader has, and all those for the holder.
 	local, backup, all           *usage.Table
@@ -90,7 +90,7 @@
 		},
 		clock:      usage.NewClock(),
 		source:     sourceOfIncarnation(c.deps.identity.GetIncarnation()),
-		registered: map[string]uint64{},
+		registered: map[string]usage.Expected{},
 		local:      usage.NewTable(),
 		backup:     usage.NewTable(),
 		all:        usage.NewTable(),
@@ -201,12 +201,12 @@
 func (u *usageControl) readInstance(key string, entry platform.Entry) {
 	delete(u.registered, key)
 	if i, err := records.DecodeInstance(entry); err == nil && !entry.Deleted && i.Incarnation != "" {
-		u.registered[key] = sourceOfIncarnation(i.Incarnation)
+		u.registered[key] = usage.Expected{Source: sourceOfIncarnation(i.Incarnation), Domain: i.FailureDomain}
 	}
 }
 
 // expected returns the sources of all registered instances.
-func (u *usageControl) expected() []uint64 { return slices.Collect(maps.Values(u.registered)) }
+func (u *usageControl) expected() []usage.Expected { return slices.Collect(maps.Values(u.registered)) }
 
 // exchange passes on counts: an instance sends its own to the leader of its failure domain, and
 // that one sends those of its domain to the holder. The leader sends its own to another
@@ -259,7 +259,7 @@
 // prune forgets counts of windows whose reports are overdue.
 func (u *usageControl) prune(current int64) {
 	first := current - int64(u.settings.Late/u.settings.Window) - 2
-	expected := lo.SliceToMap(u.expected(), func(source uint64) (uint64, bool) { return source, true })
+	expected := lo.SliceToMap(u.expected(), func(e usage.Expected) (uint64, bool) { return e.Source, true })
 	for _, table := range []*usage.Table{u.local, u.backup, u.all} {
 		table.Prune(first, func(source uint64) bool { return expected[source] })
 	}
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -237,7 +237,7 @@
 // Next returns what to do at the time, with the counts that have arrived and the sources that
 // are expected. maySend is whether the holder may act already. The results go to Written,
 // RecordRead and Sent. It must not be called while the holder may not act any more.
-func (r *Reporter) Next(now time.Time, maySend bool, table *Table, expected []uint64) Step {
+func (r *Reporter) Next(now time.Time, maySend bool, table *Table, expected []Expected) Step {
 	step := Step{Missed: r.pending}
 	r.pending = nil
 	if r.lost {
@@ -257,7 +257,7 @@
 }
 
 // decide closes the window or finds that it is missed.
-func (r *Reporter) decide(now time.Time, w int64, table *Table, expected []uint64) (Missed, bool) {
+func (r *Reporter) decide(now time.Time, w int64, table *Table, expected []Expected) (Missed, bool) {
 	if r.done[w] {
 		return Missed{}, false
 	}
--- a/usage/table.go
+++ b/usage/table.go
@@ -72,27 +72,45 @@
 	return false
 }
 
+// Expected is a source that is expected to report, and its failure domain.
+type Expected struct {
+	Source uint64
+	Domain string
+}
+
 // Lacking returns an estimate of what the expected sources have not reported of the window, and
-// whether all of them have reported it whole. A source that has not is taken to count as in
-// the last window that it has reported whole; one that is not known at all, as the mean of the
-// others.
-func (t *Table) Lacking(window int64, expected []uint64) (lacking map[string]uint64, complete bool) {
+// whether all of them have reported it whole.
+//
+// A source that has not, while others of its failure domain have, was killed or is frozen, and
+// has nothing more to report than what it counted in its last second. Where no source of a domain
+// has reported the window whole, the domain may be cut off: its sources are taken to count as in
+// the last window that they have reported whole, and one that is not known at all, as the mean
+// of all others.
+func (t *Table) Lacking(window int64, expected []Expected) (lacking map[string]uint64, complete bool) {
 	lacking, complete = map[string]uint64{}, true
-	unknown := uint64(0)
-	for _, source := range expected {
-		r := t.sources[source]
-		if r == nil {
-			unknown++
-			continue
+	heard := map[string]bool{}
+	for _, e := range expected {
+		if r := t.sources[e.Source]; r != nil && r.DoneThrough >= window {
+			heard[e.Domain] = true
 		}
-		if r.DoneThrough >= window {
+	}
+	unknown := uint64(0)
+	for _, e := range expected {
+		r := t.sources[e.Source]
+		if r != nil && r.DoneThrough >= window {
 			continue
 		}
 		complete = false
-		reported := r.Windows[window].Customers
-		for customer, n := range r.Windows[r.DoneThrough].Customers {
-			if n > reported[customer] {
-				lacking[customer] += n - reported[customer]
+		switch {
+		case heard[e.Domain]:
+		case r == nil:
+			unknown++
+		default:
+			reported := r.Windows[window].Customers
+			for customer, n := range r.Windows[r.DoneThrough].Customers {
+				if n > reported[customer] {
+					lacking[customer] += n - reported[customer]
+				}
 			}
 		}
 	}
