usage: a confirmed window is not closed again

Cause: when a window was confirmed before the one before it, and the holder then gave up the earlier one, the loop over open windows came to the confirmed one again, which was not marked any more, and closed it with newer counts. A record written meanwhile did not name the confirmed window either, so a successor could have closed it.

Change: windows up to Through are passed over at each step, and the record lists later windows that are done.

--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -202,8 +202,14 @@
 	}
 }
 
-// adopt takes over the reports in a record of this holder or an earlier one.
+// adopt takes over the reports in a record of an earlier holder. What this holder has stored is
+// in no such record.
 func (r *Reporter) adopt(last records.UsageReports) {
+	for _, w := range last.Done {
+		if closed := r.windows[w]; w > r.record.Through && (closed == nil || !closed.stored) {
+			r.finish(w)
+		}
+	}
 	for _, w := range last.Windows {
 		if w.Window <= r.record.Through || r.done[w.Window] {
 			continue
@@ -258,7 +264,8 @@
 
 // decide closes the window or finds that it is missed.
 func (r *Reporter) decide(now time.Time, w int64, table *Table, expected []Expected) (Missed, bool) {
-	if r.done[w] {
+	if w <= r.record.Through || r.done[w] {
+		// Through may have moved on since the caller looked.
 		return Missed{}, false
 	}
 	age := now.Sub(WindowStart(w+1, r.settings.Window))
@@ -318,6 +325,7 @@
 		needed = needed || !closed.stored
 		record.Windows = append(record.Windows, records.UsageWindow{Window: w, Counts: closed.counts})
 	}
+	record.Done = slices.Sorted(maps.Keys(r.done))
 	if !needed {
 		return nil, false
 	}
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"samphireferry.example/ferry/platform"
+	"samphireferry.example/ferry/platform/records"
 	"samphireferry.example/ferry/usage"
 )
 
@@ -64,6 +66,55 @@
 	assert.Equal(t, r.Windows[first+1].Customers["acme"], uint64(1))
 }
 
+// A window that is confirmed while the one before it is not must not be closed again: not by the
+// holder when it gives up the earlier one, and not by a successor.
+func TestAConfirmedWindowIsNotClosedAgain(t *testing.T) {
+	table := usage.NewTable()
+	table.Merge(usage.SourceReport{Source: 1, DoneThrough: 1 << 40, Windows: map[int64]usage.Counts{}})
+	first := usage.WindowOf(midnight, settings.Window)
+	start := usage.WindowStart(first+1, settings.Window)
+	r := usage.NewReporter(start, settings, "n1", 5, platform.Entry{})
+	written := platform.Revision(5)
+	var record records.UsageReports
+	sent := map[int64]int{}
+	step := func(now time.Time, answer func(window int64) error) {
+		step := r.Next(now, true, table, nil)
+		if step.Write != nil {
+			written++
+			record = step.Write.Record
+			r.Written(now, *step.Write, written, nil)
+			step = r.Next(now, true, table, nil)
+		}
+		if step.Send != nil {
+			sent[step.Send.Window]++
+			r.Sent(now, step.Send.Window, answer(step.Send.Window))
+		}
+	}
+	for at := time.Duration(0); at < 30*time.Second; at += 100 * time.Millisecond {
+		step(start.Add(at), func(window int64) error {
+			if window == first {
+				return platform.ErrUnavailable
+			}
+			return nil
+		})
+		if at == 9*time.Second {
+			assert.Equal(t, sent[first+1], 1)
+		}
+	}
+	assert.Assert(t, sent[first] > 1)
+	assert.Equal(t, sent[first+1], 1)
+
+	// The successor finds a record that was written while the first window was open.
+	record = records.UsageReports{Token: 5, Holder: "n1", Through: first - 1, Done: []int64{first + 1}}
+	value, err := record.Encode()
+	assert.NilError(t, err)
+	next := usage.NewReporter(start.Add(9*time.Second), settings, "n2", 9, platform.Entry{Value: value, Revision: 7})
+	closed := next.Next(start.Add(9*time.Second), true, table, nil)
+	for _, w := range closed.Write.Record.Windows {
+		assert.Assert(t, w.Window != first+1)
+	}
+}
+
 // Messages that are repeated, late or come by two leaders must not add counts twice, and those
 // of a source that is missing must be noticed.
 func TestCountsAreTakenOnce(t *testing.T) {
