duty: a new holder waits longer while the usage API is slow

Where the API does not check tokens, a call that it executes late comes after the calls of the next holder, which waited 2 s whatever the API's speed. The record of the reports now states the longest call of the last minute, and a new holder waits twice as long.

Ruled out: a longer wait in general, which would cost a window at each hand-over. Measured: go test ./duty ./usage passes, with the cases of TestANewHolderWaits.

--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -18,14 +18,14 @@
 const ttl = 3 * time.Second
 
 // acquire makes the calls of an acquisition by n1 and returns their result.
-func acquire(t *testing.T, store platform.Store) duty.Result {
+func acquire(t *testing.T, store platform.Store, lateCalls time.Duration) duty.Result {
 	t.Helper()
 	results := make(chan duty.Result, 1)
 	start := time.Now()
 	runner := duty.NewRunner(duty.RunnerOptions{
 		Store: store, Holder: records.DutyHolder{Name: "n1", Incarnation: "n1_a"},
 		Prefix: records.PrefixDuties, HolderKey: records.KeyUsageHolder, ReportKey: records.KeyUsageReports,
-		TTL: ttl, Clock: func() time.Duration { return time.Since(start) },
+		TTL: ttl, LateCalls: lateCalls, Clock: func() time.Duration { return time.Since(start) },
 		Post:  func(r duty.Result) { results <- r },
 		Count: func(string) {},
 	})
@@ -80,33 +80,38 @@
 func TestATokenIsConfirmedByARead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := standin.New(standin.Options{Seed: 1})
-		assert.Assert(t, acquire(t, restoredStore{store}).Err != nil)
+		assert.Assert(t, acquire(t, restoredStore{store}, 0).Err != nil)
 		time.Sleep(2 * ttl)
-		assert.NilError(t, acquire(t, store).Err)
-		assert.ErrorIs(t, acquire(t, store).Err, platform.ErrConflict)
+		assert.NilError(t, acquire(t, store, 0).Err)
+		assert.ErrorIs(t, acquire(t, store, 0).Err, platform.ErrConflict)
 		time.Sleep(2 * ttl) // The leases end.
 	})
 }
 
-// After the holders n1 and n2, n1 must not act again within the TTL.
-func TestTheLastHolderButOneWaits(t *testing.T) {
+// After the holders n1 and n2, n1 must not act again within the TTL; and where the API does not
+// check tokens, not while calls of the last holder may be executed late.
+func TestANewHolderWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		for _, test := range []struct {
-			last records.UsageReports
-			wait time.Duration
+			last      records.UsageReports
+			wait      time.Duration
+			lateCalls time.Duration
 		}{
-			{records.UsageReports{Token: 5, Holder: "n2", Previous: "n1"}, ttl},
-			{records.UsageReports{Token: 5, Holder: "n2", Previous: "n3"}, 0},
-			{records.UsageReports{Token: 5, Holder: "n1", Previous: "n2"}, 0},
+			{last: records.UsageReports{Token: 5, Holder: "n2", CallMillis: 4000}},
+			{records.UsageReports{Token: 5, Holder: "n2", CallMillis: 400}, 2 * time.Second, 2 * time.Second},
+			{records.UsageReports{Token: 5, Holder: "n2", CallMillis: 4000}, 8 * time.Second, 2 * time.Second},
+			{records.UsageReports{Token: 5, Holder: "n2", Previous: "n1"}, ttl, 0},
+			{records.UsageReports{Token: 5, Holder: "n2", Previous: "n3"}, 0, 0},
+			{records.UsageReports{Token: 5, Holder: "n1", Previous: "n2"}, 0, 0},
 			// The store was restored since: the last holder may still act.
-			{records.UsageReports{Token: int64(platform.NewRevision(2, 5)), Holder: "n2"}, ttl},
+			{records.UsageReports{Token: int64(platform.NewRevision(2, 5)), Holder: "n2"}, ttl, 0},
 		} {
 			store := standin.New(standin.Options{Seed: 1})
 			value, err := test.last.Encode()
 			assert.NilError(t, err)
 			_, err = store.CompareAndSwap(t.Context(), records.KeyUsageReports, value, 0, 0)
 			assert.NilError(t, err)
-			result := acquire(t, store)
+			result := acquire(t, store, test.lateCalls)
 			assert.NilError(t, result.Err)
 			assert.Equal(t, result.Wait, test.wait, "%+v", test.last)
 		}
--- a/duty/runner.go
+++ b/duty/runner.go
@@ -10,6 +10,10 @@
 	"samphireferry.example/ferry/platform/records"
 )
 
+// lateCallFactor is the factor on the longest recent call for which a new holder waits where the
+// API does not check tokens: a slow API may be getting slower.
+const lateCallFactor = 2
+
 // RunnerOptions configure a Runner.
 type RunnerOptions struct {
 	Store platform.Store
@@ -19,8 +23,8 @@
 	// did. Prefix is that of both.
 	Prefix, HolderKey, ReportKey string
 	TTL                          time.Duration
-	// LateCalls is how long a new holder waits because a call of the last one may be executed
-	// late; 0 where the API checks tokens.
+	// LateCalls is how long a new holder waits at least because a call of the last one may be
+	// executed late; 0 where the API checks tokens.
 	LateCalls time.Duration
 	// Clock returns the time by a clock that counts suspension.
 	Clock func() time.Duration
@@ -116,14 +120,18 @@
 // wait returns how long the new holder has to wait before it acts.
 func (r *Runner) wait(token platform.Revision, replaced, report platform.Entry) time.Duration {
 	last, err := records.DecodeUsageReports(report)
+	lateCalls := r.options.LateCalls
+	if lateCalls > 0 {
+		lateCalls = max(lateCalls, time.Duration(last.CallMillis)*lateCallFactor*time.Millisecond)
+	}
 	switch {
 	case replaced.Revision != 0, err != nil, report.Revision == 0 && token.Era() > 0, report.Revision != 0 && platform.Revision(last.Token).Era() != token.Era():
 		// The store was restored: the last holder may act until a TTL after its last renewal.
-		return r.options.TTL + r.options.LateCalls
+		return r.options.TTL + lateCalls
 	case last.Previous == r.options.Holder.Name && last.Holder != r.options.Holder.Name:
-		return max(r.options.TTL, r.options.LateCalls)
+		return max(r.options.TTL, lateCalls)
 	case last.Token != 0:
-		return r.options.LateCalls
+		return lateCalls
 	}
 	return 0
 }
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -41,6 +41,8 @@
 	// minCallsPerSecond is the rate of calls that is needed for a report of each window and
 	// repeats.
 	minCallsPerSecond = 1
+	// slowMemory is how long a slow call of the API is remembered.
+	slowMemory = time.Minute
 	// maxMissedWindows bounds the windows without a holder that are counted one by one.
 	maxMissedWindows = 1000
 )
@@ -120,7 +122,7 @@
 	counts          map[string]uint64
 	stored, sending bool
 	calls           int
-	nextAt          time.Time
+	sentAt, nextAt  time.Time
 }
 
 // Reporter decides what the holder of the duty stores and sends under one fencing token. Only
@@ -145,8 +147,11 @@
 	lost           bool
 	nextWriteAt    time.Time
 	nextSendAt     time.Time
-	failures       int
-	failingSince   time.Time
+	// slowest is the longest call of the last slowMemory, which ended at slowestAt.
+	slowest      time.Duration
+	slowestAt    time.Time
+	failures     int
+	failingSince time.Time
 	// pending holds missed windows for the next Step.
 	pending []Missed
 }
@@ -325,6 +330,7 @@
 		needed = needed || !closed.stored
 		record.Windows = append(record.Windows, records.UsageWindow{Window: w, Counts: closed.counts})
 	}
+	record.CallMillis = r.slowest.Milliseconds()
 	record.Done = slices.Sorted(maps.Keys(r.done))
 	if !needed {
 		return nil, false
@@ -406,6 +412,7 @@
 		}
 		closed.sending = true
 		closed.calls++
+		closed.sentAt = now
 		// Half of the rate is left for the calls of the last holder.
 		r.nextSendAt = now.Add(time.Duration(2 / max(r.settings.CallsPerSecond, minCallsPerSecond) * float64(time.Second)))
 		timeout := min(left, time.Duration(closed.calls)*r.settings.fraction(callFraction))
@@ -421,6 +428,9 @@
 		return err == nil
 	}
 	closed.sending = false
+	if took := now.Sub(closed.sentAt); took > r.slowest || now.Sub(r.slowestAt) > slowMemory {
+		r.slowest, r.slowestAt = took, now
+	}
 	switch {
 	case err == nil:
 		r.failures = 0
