--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -78,14 +78,17 @@
 		return nil, err
 	}
 	x.tried = append(x.tried, lease.Upstream.Name)
+	x.triedCanary = x.triedCanary || x.view.versions[x.service.Name].isCanary(lease.Upstream.Version)
 	x.checkHomes(lease.Upstream)
 	sent := time.Now()
 	defer func() {
 		x.deps.metrics.Histogram("ferry_attempt_seconds", "service", x.service.Name).UpdateDuration(sent)
 	}()
 	x.countLimited(lease.Upstream)
+	metered := x.deps.meter.sent(x.customerName(), lease)
 	response, err := x.deps.upstreams.Send(ctx, lease.Upstream, x.service, x.request)
 	if err == nil {
+		metered.responded(time.Since(sent))
 		x.observeLimit(lease.Upstream, sent, response.Header)
 		x.observeLeaving(lease, response.Header)
 		var got *upstreamResponse
@@ -104,6 +107,9 @@
 	if upstream.MayHaveRun(err) {
 		x.ran++
 	}
+	if response == nil {
+		metered.failed(time.Since(sent), upstream.MayHaveRun(err))
+	}
 	if status, header := upstream.ShedResponse(err); header != nil {
 		x.observeLimit(lease.Upstream, sent, header)
 		if !headers.IsMisdirected(status) {
@@ -168,15 +174,15 @@
 	if x.prefersNew && versions.mayFallBack(refusal) {
 		fallback = refusal
 		lease, refusal = x.acquireObject(x.objectHash(), versions.allows(false), denied)
+		if versions.phase == canary.Canary {
+			x.prefersNew = false
+			x.canary.returnChoice(true)
+		}
 	}
 	switch refusal {
 	case placement.NoCandidates:
 		return nil, fallback, errkind.New(errkind.NoUpstream, "")
 	case placement.AllBusy:
-		if x.moveToRoom() {
-			x.chooseVersion()
-			return x.choose(denied)
-		}
 		preferred, utilization := x.deps.pool.PreferredUpstream(time.Now(), x.placementQuery(x.objectHash(), versions.allows(x.prefersNew)))
 		return nil, fallback, errkind.New(errkind.Overloaded, fmt.Sprintf("upstream %s has %.2f requests for each slot", preferred, utilization))
 	}
@@ -406,7 +412,8 @@
 	}
 	x.observeLatency("served")
 	x.logServed(got)
-	x.responseStarted = true
+	x.beginResponse()
+	x.lengthKnown = got.complete || got.ContentLength >= 0
 	x.w.WriteHeader(got.Status)
 	if got.complete {
 		// A failed write means that the caller has disconnected.
--- a/edge/control.go
+++ b/edge/control.go
@@ -105,6 +105,8 @@
 	states stateCache
 	// instances holds the entry instances that are registered in the store, by key.
 	instances map[string]platform.Instance
+	// fleetReadAt is when the registrations that were read after that of this instance arrived.
+	fleetReadAt time.Time
 	// dividedAt is when the customers' rates were last divided.
 	dividedAt time.Time
 	// evacuationEnded is when the last evacuation of a failure domain ended, by domain.
@@ -125,6 +127,8 @@
 	// limited holds the services of which a priority is limited, as last logged.
 	limited map[string]bool
 	pulls   *pulls
+	// usage is nil where the deployment does not ask for usage reports.
+	usage *usageControl
 	// lateReportedAt is when a long wait of an event was last logged.
 	lateReportedAt time.Time
 }
@@ -156,6 +160,7 @@
 		pulls:           newPulls(),
 	}
 	c.rollouts = newRolloutControl(c)
+	c.usage = newUsageControl(c)
 	deps.metrics.Gauge("ferry_config_behind_seconds", func() float64 { return c.operator.behind(time.Now()).Seconds() })
 	deps.metrics.Gauge("ferry_config_lag_budget_seconds", func() float64 { return c.budget().Total().Seconds() })
 	c.members.SetRegions(deps.settings.Domains)
@@ -265,6 +270,9 @@
 	c.requestLoans(now)
 	c.assignAllocators(now)
 	c.operator.publishBehind(now)
+	if c.usage != nil {
+		c.usage.tick(now)
+	}
 	c.viewDirty = true
 }
 
@@ -302,6 +310,9 @@
 	c.viewDirty = true
 	c.members.AnnounceLeaving(now)
 	c.sendHeartbeats(now)
+	if c.usage != nil {
+		c.usage.leave()
+	}
 	c.deps.log.Info("leaving")
 }
 
@@ -332,8 +343,10 @@
 		c.deps.log.Info("reading the store for the failure domain", zap.Bool("reads", leads), zap.Stringer("revision", c.revision))
 	}
 	role := watchRole{reads: c.readsStore && c.settled(now), revision: c.revision, leaderCount: peers.LeaderCount()}
+	role.checks = role.reads && !c.storeUnavailable && peers.IsFirstLeader()
 	c.deps.watchRole.set(role)
 	// Until the first read of all records there is no revision to watch from.
+	role.checks = false
 	role.reads = peers.IsReader(minOperatorReaders) && c.operator.revision != 0 && c.settled(now)
 	role.revision = c.operator.revision
 	role.leaderCount = max(role.leaderCount, minOperatorReaders)
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -86,38 +86,6 @@
 	return x.deps.gate.Decide(x.started, x.overloadRequest(service), func() overload.Room { return x.deps.roomOf(service.Name) })
 }
 
-// moveToRoom moves a request that is about to be refused, and has not been sent, to another service of its
-// split that has room, once. The version is then to be chosen anew. It concerns splits of which a service has several priorities; other
-// splits keep to their weights.
-func (x *exchange) moveToRoom() bool {
-	split := x.view.splits[x.route.Name]
-	if split == nil || x.moved || len(x.tried) > 0 {
-		return false
-	}
-	services := split.services()
-	if !lo.SomeBy(services, func(s *routing.Service) bool { return x.deps.gate.Limits(s.Name) }) {
-		return false
-	}
-	for _, service := range services {
-		if service.Name == x.service.Name || !x.hasRoom(service) || !x.decideAt(service).Admitted {
-			continue
-		}
-		x.deps.metrics.Counter("ferry_moved_to_room_total", "from", x.service.Name, "to", service.Name).Inc()
-		x.moved, x.service = true, service
-		return true
-	}
-	return false
-}
-
-// hasRoom reports whether the upstreams of the service that may serve the request are known to have
-// spare capacity, and respond before its deadline.
-func (x *exchange) hasRoom(service *routing.Service) bool {
-	q := placement.Query{Service: service.Name, AllowsRegion: x.allowsRegion}
-	utilization, serviceTime, known := x.deps.pool.Room(time.Now(), q)
-	room := overload.Room{Known: known, Utilization: utilization, ServiceTime: serviceTime}
-	return room.Spare(time.Until(x.deadline))
-}
-
 func (x *exchange) overloadRequest(service *routing.Service) overload.Request {
 	return overload.Request{
 		Service:   service.Name,
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -37,6 +37,8 @@
 	permits   *permits
 	limiter   *admission.Limiter
 	gate      *overload.Gate
+	// meter counts attempts for usage reports; nil where the deployment does not ask for them.
+	meter *usageMeter
 	// buffers is the memory for the bodies of requests and responses.
 	buffers     *buffers.Budget
 	callerConns *connections
