quota: a rate is allocated early only where idle tokens leave room for it

Cause: with the rate of a growing demand allocated nearly whole, the simulated fleet of admission admitted 218 requests in a window where 199 are allowed, for a customer with 30 requests per second at 70 instances. Found with the tests of the refusals at once.

Change: the division in two steps stays where idle tokens exceed burst and allowance, in proportion. The demand of the own failure domain begins with 0, as that of the instance does.

--- a/quota/divider.go
+++ b/quota/divider.go
@@ -48,6 +48,10 @@
 	Allowance float64
 }
 
+// earlyReserve is the multiple of the idle tokens beyond burst and allowance that the rate of a
+// window leaves room for while a demand grows. Loans move further idle tokens to where the demand is.
+const earlyReserve = 2
+
 // burstFraction is the fraction of a customer's requests per window that may be
 // admitted at once. The rest is spread over the window.
 const burstFraction = 0.02
@@ -308,6 +312,10 @@
 		c.withinRate = withinRate
 		c.oversubscribed = total > oversubscribedFactor*c.Rate
 		c.countedDemand = d.nextCounted(c.countedDemand, c.announced.convergedLow(c.withinRate))
+		if len(c.domainDemand.samples) == 0 {
+			// The other domains have received no demand of this one either.
+			c.domainDemand.add(now, 0, d.peers.Convergence)
+		}
 		c.domainDemand.add(now, c.demand+c.direct.newest, d.peers.Convergence)
 		c.countedDomainDemand = d.nextCounted(c.countedDomainDemand, c.domainDemand.convergedLow(c.withinRate))
 	}
@@ -380,15 +388,16 @@
 	reliableDomain := 1 - equalFraction(c.Rate/float64(len(d.peers.Domains)+1))
 	domain := demandFraction(c.countedDomainDemand, c.domains, domainInstances*equal, early)
 	inDomain := demandFraction(c.countedDemand, c.direct, 1/domainInstances, early)
-	// What is divided equally is divided among all instances at once. As a product of an equal part
-	// of the domains and one within the domain it was a quarter of the rate while the demand grew.
-	return (1-reliableDomain)*equal +
-		(reliableDomain-reliable)*domain/domainInstances +
-		reliable*domain*inDomain
+	// What is divided equally is divided among all instances at once: as a product of an equal part
+	// of the domains and one within the domain, only a quarter of the rate is in use while the
+	// demand grows. That is right where idle tokens make up for the rest.
+	atOnce := (1-reliableDomain)*equal + (reliableDomain-reliable)*domain/domainInstances + reliable*domain*inDomain
+	inSteps := ((1-reliableDomain)*domainInstances*equal + reliableDomain*domain) * ((1-reliable)/domainInstances + reliable*inDomain)
+	return early*atOnce + (1-early)*inSteps
 }
 
-// earlyFraction returns the fraction of an announced growth that is divided equally before any instance
-// counts it. The buckets of a small customer hold more idle tokens in a large fleet than its burst
+// earlyFraction returns how far the rate may be in use while a growth has been announced and not
+// been counted: 1 for all of it, 0 for what the instances count. The buckets of a small customer hold more idle tokens in a large fleet than its burst
 // and allowance, since each holds minBurst at least; a demand that grows finds them full, and the
 // rate of a window has to make up for them.
 func (d *Divider) earlyFraction(c *customer) float64 {
@@ -398,7 +407,7 @@
 	if perWindow <= 0 {
 		return 0
 	}
-	return max(0, 1-excess/perWindow)
+	return max(0, 1-earlyReserve*excess/perWindow)
 }
 
 // demandFraction returns the fraction of a whole that a counted demand gets beside what the others
