--- a/admission/bucket.go
+++ b/admission/bucket.go
@@ -41,6 +41,11 @@
 	spendRequested float64
 	// partialToken is a fraction of a spend token, kept while a request waits.
 	partialToken float64
+	loans        loanYield
+	// owed is the number of tokens that the bucket must gain before it holds any more, charged
+	// is set from when it owed some until it is full.
+	owed    float64
+	charged bool
 }
 
 // Totals counts requests and tokens of one bucket since it was created.
@@ -88,7 +93,13 @@
 	}
 	b.refilledAt = now
 	capacity := max(0, float64(b.share.Burst)-b.reserved)
-	b.level = min(capacity, b.level+b.share.Rate*elapsed.Seconds())
+	gained := b.share.Rate * elapsed.Seconds()
+	repaid := min(gained, b.owed)
+	b.owed -= repaid
+	b.level = min(capacity, b.level+gained-repaid)
+	if b.level >= float64(b.share.Burst)-roundingTolerance {
+		b.charged = false
+	}
 }
 
 // configure replaces the share. A smaller burst cuts the tokens first, then the
@@ -111,6 +122,8 @@
 	b.reserved = 0
 	b.spendRequested = 0
 	b.partialToken = 0
+	b.loans = loanYield{}
+	b.owed, b.charged = 0, false
 	b.refilledAt = now
 }
 
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -115,6 +115,10 @@
 		x.readAfterClose = errkind.Of(err) == errkind.CallerGone
 		return err
 	}
+	err = x.limitByPriority()
+	if err != nil {
+		return err
+	}
 	err = x.prepare()
 	if err != nil {
 		return err
@@ -133,7 +137,8 @@
 }
 
 // admit charges the request to the customer's rate. When this instance has no token
-// left, it waits up to maxLoanWait for a loan from another instance.
+// left, it waits up to maxLoanWait for a loan from another instance, unless the customer is known
+// to be over its rate in the whole fleet.
 func (x *exchange) admit(ctx context.Context) error {
 	if x.customer == nil || x.customer.Rate <= 0 {
 		return nil
@@ -142,7 +147,15 @@
 	if bucket == nil {
 		return errkind.New(errkind.ShareUnconfirmed, "")
 	}
-	return x.deps.limiter.AdmitWait(ctx, bucket).Err()
+	decision := x.deps.limiter.AdmitWait(ctx, bucket)
+	if decision.OverRate {
+		x.deps.metrics.Counter("ferry_rate_refusals_at_once_total", "service", x.service.Name).Inc()
+	}
+	if !decision.Admitted && decision.RetryAfter > 0 {
+		// A return before the time that the gate expects would count as early.
+		decision.RetryAfter = max(decision.RetryAfter, x.deps.gate.RetryAfter(x.overloadRequest(x.service)))
+	}
+	return decision.Err()
 }
 
 // prepare builds the request to upstreams. Bodies of known or unknown length up to
