requesthead, headgate: one module decides what a request may contain, before net/http parses the head

Refused heads are replaced by a request without meaning, so that the handler writes the refusal behind earlier responses.

--- a/buffers/doc.go
+++ b/buffers/doc.go
@@ -1,5 +1,8 @@
-// Package buffers bounds the memory in which an instance holds the bodies of requests and
-// responses.
+// Package buffers bounds the memory in which an instance holds the heads and bodies of requests and
+// the bodies of responses.
+//
+// Heads are counted by what they cost in memory, which is many times their length when they are made
+// of short lines. They have a part of the limit for themselves, so that bodies always have the rest.
 //
 // Each request that runs has a Holder. The sum of all holders is bounded, not only each of them:
 // many bodies that never end would otherwise fill the memory together, and the process that runs
--- a/config/static/edge.go
+++ b/config/static/edge.go
@@ -65,10 +65,19 @@
 	Platform string
 	// MaxHeader bounds the header of a request. Default "32KiB".
 	MaxHeader units.Size
+	// MaxHeaderLines bounds the lines of the header of a request; 0 allows as many as fit into
+	// MaxHeader. Default 0.
+	MaxHeaderLines int
+	// MaxEmptyLines bounds the empty lines before a request; 0 allows as many as fit into MaxHeader.
+	// Default 0.
+	MaxEmptyLines int
+	// HeadShare is the part of the memory for heads and bodies that the heads of requests may hold.
+	// Default 0.5.
+	HeadShare float64
 	// MaxConnections bounds the connections of callers. Default 2000.
 	MaxConnections int
-	// Memory is the memory of the instance, a part of which holds the bodies of requests and
-	// responses. "0B" if it is not known. Default "0B".
+	// Memory is the memory of the instance, a part of which holds the heads and bodies of requests
+	// and the bodies of responses. "0B" if it is not known. Default "0B".
 	Memory units.Size
 	// HeaderTimeout bounds the time to send a request header. Default "5s".
 	HeaderTimeout time.Duration
@@ -130,6 +139,9 @@
 func (s *EdgeSettings) registerLimitFlags(fs *flag.FlagSet) {
 	s.MaxHeader = 32 << 10
 	fs.TextVar(&s.MaxHeader, "max-header", s.MaxHeader, "largest request header, with unit")
+	fs.IntVar(&s.MaxHeaderLines, "max-header-lines", 0, "largest number of lines of a request header; 0 allows as many as fit into max-header")
+	fs.IntVar(&s.MaxEmptyLines, "max-empty-lines", 0, "largest number of empty lines before a request; 0 allows as many as fit into max-header")
+	fs.Float64Var(&s.HeadShare, "head-share", 0.5, "part of the memory for heads and bodies that the heads of requests may hold")
 	fs.IntVar(&s.MaxConnections, "max-connections", 2000, "largest number of connections of callers")
 	fs.TextVar(&s.Memory, "memory", s.Memory, "memory of the instance, with unit; 0B if it is not known")
 	fs.DurationVar(&s.HeaderTimeout, "header-timeout", 5*time.Second, "longest time to send a request header")
@@ -167,6 +179,9 @@
 		checkAddress("rpc-listen", s.RPCListen),
 		checkPlatformURL(s.Platform),
 		checkRange("max-header", int64(s.MaxHeader), 1<<10, 1<<20),
+		checkRange("max-header-lines", int64(s.MaxHeaderLines), 0, 1<<20),
+		checkRange("max-empty-lines", int64(s.MaxEmptyLines), 0, 1<<20),
+		checkShare("head-share", s.HeadShare),
 		checkMemory(s.Memory),
 		checkRange("max-connections", int64(s.MaxConnections), 1, 1_000_000),
 		checkDuration("header-timeout", s.HeaderTimeout, 100*time.Millisecond, time.Minute),
--- a/edge/bodies.go
+++ b/edge/bodies.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// bufferedMemoryFraction is the fraction of an instance's memory in which it holds bodies.
+	// bufferedMemoryFraction is the fraction of an instance's memory in which it holds heads and bodies.
 	bufferedMemoryFraction = 0.25
 	// defaultBufferedBytes bounds the bodies of an instance whose memory is not set.
 	defaultBufferedBytes = 64 << 20
@@ -23,13 +23,14 @@
 // errNoMemory means that a body was not read because the instance holds too many bytes of others.
 var errNoMemory = errors.New("too little memory is left for the body")
 
-// newBuffers returns the budget for bodies of an instance with the memory in bytes; 0 if that is
-// not known.
-func newBuffers(memory int64) *buffers.Budget {
-	if memory == 0 {
-		return buffers.New(defaultBufferedBytes)
+// newBuffers returns the budget for heads and bodies of an instance with the memory in bytes; 0 if that
+// is not known. Heads may hold the share of it.
+func newBuffers(memory int64, headShare float64) *buffers.Budget {
+	limit := int64(defaultBufferedBytes)
+	if memory != 0 {
+		limit = int64(float64(memory) * bufferedMemoryFraction)
 	}
-	return buffers.New(int64(float64(memory) * bufferedMemoryFraction))
+	return buffers.NewWithHeads(limit, int64(float64(limit)*headShare))
 }
 
 // firstBuffer returns the size of the first buffer of a body with the stated length, -1 if there
--- a/edge/callerconn.go
+++ b/edge/callerconn.go
@@ -12,10 +12,15 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"samphireferry.example/ferry/headgate"
 )
 
 // callerListener accepts the connections of callers as callerConns.
-type callerListener struct{ net.Listener }
+type callerListener struct {
+	net.Listener
+	heads *headgate.Options
+}
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
@@ -32,29 +37,34 @@
 		// An error of Accept would end the server. The connection is unusable, which it finds itself.
 		return conn, nil
 	}
-	return &callerConn{TCPConn: socket, raw: raw, opened: time.Now()}, nil
+	return &callerConn{TCPConn: socket, gate: headgate.New(socket, l.heads), raw: raw, opened: time.Now()}, nil
 }
 
 // callerConn is the connection of a caller.
 type callerConn struct {
 	*net.TCPConn
+	gate   *headgate.Gate
 	raw    syscall.RawConn
 	opened time.Time
 	// ended is when a read first found the end of the connection, in nanoseconds since opened;
 	// 0 while none has.
 	ended atomic.Int64
-	// handling is set while a request of the connection is handled.
-	handling atomic.Bool
 }
 
+// HeadGate implements headgate.Gated.
+func (c *callerConn) HeadGate() *headgate.Gate { return c.gate }
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error { return headgate.CloseBehind(c.gate, c.TCPConn) }
+
 // Read implements net.Conn. It records when the end of the connection was found.
 //
 // While a request is handled, net/http reads one byte and takes an error for the close. A byte that
 // the caller has sent behind the request would end that watch, so such a read goes on to wait for the
 // close, and returns io.EOF together with the byte.
 func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	if n == 1 && len(p) == 1 && err == nil && c.handling.Load() {
+	n, err := c.gate.Read(p)
+	if n == 1 && err == nil && c.gate.IsAhead() {
 		err = c.awaitClose()
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/edge/callers_test.go
+++ b/edge/callers_test.go
@@ -65,7 +65,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	gated := gatedListener{Listener: listener, gate: make(chan struct{})}
-	go func() { _ = i.callerServer.Serve(callerListener{gated}) }()
+	go func() { _ = i.callerServer.Serve(callerListener{Listener: gated, heads: i.deps.heads}) }()
 	for n := range callers {
 		conn, err := net.Dial("tcp", listener.Addr().String())
 		assert.NilError(t, err)
--- a/edge/connections.go
+++ b/edge/connections.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"samphireferry.example/ferry/headgate"
 )
 
 const (
@@ -40,9 +42,7 @@
 // observe tracks a change of a connection's state. It is the ConnState hook of
 // http.Server.
 func (c *connections) observe(conn net.Conn, state http.ConnState) {
-	if caller, ok := conn.(*callerConn); ok {
-		caller.handling.Store(state == http.StateActive)
-	}
+	headgate.Observe(conn, state)
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -12,6 +12,7 @@
 
 	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/entryinstance"
+	"samphireferry.example/ferry/headgate"
 	"samphireferry.example/ferry/platform/headers"
 	"samphireferry.example/ferry/platform/records"
 	"samphireferry.example/ferry/telemetry"
@@ -81,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	i.serveOn(callerListener{listener}, i.callerServer)
+	i.serveOn(callerListener{Listener: listener, heads: i.deps.heads}, i.callerServer)
 	mux := http.NewServeMux()
 	mux.Handle("GET "+headers.PathDirectory, &directory{deps: i.deps})
 	err = i.serve(s.DirectoryListen, i.server(mux))
@@ -139,13 +140,17 @@
 	}
 }
 
-// serve listens on the address and serves it in the background.
+// serve listens on the address and serves it in the background. Its heads are bounded like those of
+// callers.
 func (i *Instance) serve(address string, server *http.Server) error {
 	listener, err := i.listen(address)
 	if err != nil {
 		return err
 	}
-	i.serveOn(listener, server)
+	server.Handler = headgate.Guard(server.Handler, writeRefusal)
+	server.ConnState = headgate.Observe
+	server.ConnContext = headgate.WithConn
+	i.serveOn(headgate.Listener{Listener: listener, Options: i.deps.heads}, server)
 	return nil
 }
 
--- a/edge/lifetime_test.go
+++ b/edge/lifetime_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"samphireferry.example/ferry/errkind"
+	"samphireferry.example/ferry/headgate"
 )
 
 // connect returns the two ends of a connection to a callerListener.
@@ -21,7 +22,7 @@
 	dialled, err := net.Dial("tcp", listener.Addr().String())
 	assert.NilError(t, err)
 	t.Cleanup(func() { dialled.Close() })
-	conn, err := callerListener{listener}.Accept()
+	conn, err := callerListener{Listener: listener, heads: &headgate.Options{}}.Accept()
 	assert.NilError(t, err)
 	t.Cleanup(func() { conn.Close() })
 	return dialled.(*net.TCPConn), conn.(*callerConn)
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -9,6 +9,7 @@
 	"samphireferry.example/ferry/buffers"
 	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/entryinstance"
+	"samphireferry.example/ferry/headgate"
 	"samphireferry.example/ferry/placement"
 	"samphireferry.example/ferry/platform"
 	"samphireferry.example/ferry/rpc/entrypb"
@@ -35,8 +36,9 @@
 	throttle  *throttle.Throttle
 	permits   *permits
 	limiter   *admission.Limiter
-	// buffers is the memory for the bodies of requests and responses.
+	// buffers is the memory for the heads and bodies of requests and the bodies of responses.
 	buffers     *buffers.Budget
+	heads       *headgate.Options
 	callerConns *connections
 	stopping    *stopping
 	// watchRole is that of the watch of all records, operatorWatchRole of the watch of the
--- a/edge/resolve.go
+++ b/edge/resolve.go
@@ -3,6 +3,7 @@
 import (
 	"samphireferry.example/ferry/errkind"
 	"samphireferry.example/ferry/platform/headers"
+	"samphireferry.example/ferry/requesthead"
 	"samphireferry.example/ferry/routing"
 )
 
@@ -11,7 +12,13 @@
 	if x.view.table == nil {
 		return errkind.New(errkind.NoConfiguration, "")
 	}
-	route, ok := x.view.table.Match(x.r.Host, x.r.URL.Path, x.r.Method)
+	route, ok, err := requesthead.Select(x.head, func(path string) (*routing.Route, bool) {
+		return x.view.table.Match(x.r.Host, path, x.r.Method)
+	})
+	if err != nil {
+		x.countHeadRefusal(err)
+		return err
+	}
 	if !ok {
 		return errkind.New(errkind.UnknownRoute, "")
 	}
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -16,6 +16,7 @@
 	"samphireferry.example/ferry/dispatch"
 	"samphireferry.example/ferry/errkind"
 	"samphireferry.example/ferry/platform/headers"
+	"samphireferry.example/ferry/requesthead"
 	"samphireferry.example/ferry/routing"
 )
 
@@ -30,13 +31,15 @@
 
 // ServeHTTP implements http.Handler.
 func (t *traffic) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{deps: t.deps, w: w, r: r, conn: callerConnOf(r), started: time.Now(), view: t.deps.views.load(), caller: headers.ParseCaller(r.Header)}
-	x.held = t.deps.buffers.Hold()
-	defer x.held.Release()
+	x := &exchange{deps: t.deps, w: w, r: r, conn: callerConnOf(r), started: time.Now(), view: t.deps.views.load()}
+	release, err := x.acceptHead()
+	defer release()
 	if t.deps.stopping.begun() {
 		w.Header().Set("Connection", "close")
 	}
-	err := x.serve()
+	if err == nil {
+		err = x.serve()
+	}
 	if err != nil {
 		x.refuse(err)
 	}
@@ -48,6 +51,7 @@
 	w        http.ResponseWriter
 	r        *http.Request
 	conn     *callerConn
+	head     requesthead.Head
 	started  time.Time
 	view     *view
 	caller   headers.Caller
@@ -62,7 +66,7 @@
 	// deadline is the earlier of the caller's deadline and the timeout of the route that
 	// matched on arrival.
 	deadline time.Time
-	// held is the memory of the bodies of the request and its response.
+	// held is the memory of the head and body of the request and of the body of its response.
 	held *buffers.Holder
 	// streamsBody is set when the request body is sent while it is read.
 	streamsBody bool
@@ -155,8 +159,8 @@
 		Route:         x.route,
 		Customer:      x.customer,
 		Method:        x.r.Method,
-		Path:          x.r.URL.EscapedPath(),
-		RawQuery:      x.r.URL.RawQuery,
+		Path:          x.head.Path,
+		RawQuery:      x.head.Query,
 		Host:          x.r.Host,
 		Header:        x.r.Header,
 		ContentLength: x.r.ContentLength,
@@ -234,6 +238,9 @@
 	if x.deps.callerConns.nearLimit() {
 		x.w.Header().Set("Connection", "close")
 	}
+	if x.request == nil && x.r.ContentLength != 0 {
+		x.setReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
 	writeRefusal(x.w, err)
 }
 
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -105,16 +105,18 @@
 		retries:           newRetryBudgets(settings.EdgeBounds),
 		throttle:          throttle.New(),
 		callerConns:       newConnections(settings.MaxConnections),
-		buffers:           newBuffers(int64(settings.Memory)),
+		buffers:           newBuffers(int64(settings.Memory), settings.HeadShare),
 		stopping:          &stopping{},
 		watchRole:         newWatchRoleState(),
 		operatorWatchRole: newWatchRoleState(),
 		limiter:           admission.NewLimiter(admission.Settings{MaxWait: maxLoanWait, MessagesPerSecond: maxLoanMessagesPerSecond}, time.Now()),
 	}
+	deps.heads = newHeads(settings, deps.buffers, deps.metrics)
 	deps.bounds.Store(&settings.EdgeBounds)
 	deps.metrics.Gauge("ferry_buffered_bytes", func() float64 {
 		held, _ := deps.buffers.Held()
 		return float64(held)
 	})
+	deps.metrics.Gauge("ferry_head_bytes", func() float64 { return float64(deps.buffers.Heads()) })
 	return deps, nil
 }
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -17,6 +17,8 @@
 	Internal Kind = iota
 	// BadRequest is a request that is not valid HTTP or JSON.
 	BadRequest
+	// HeadTooLarge is a request head over the configured size or number of lines.
+	HeadTooLarge
 	// BodyTooLarge is a request body over the configured size in bytes.
 	BodyTooLarge
 	// BodyTooLargeSent is a request body of unknown length that exceeded the
@@ -148,6 +150,7 @@
 var table = [kindCount]Row{
 	Internal:               {"internal", http.StatusInternalServerError, Unknown, RetrySameKey, shortRetry, "internal error"},
 	BadRequest:             {"bad_request", http.StatusBadRequest, NotRun, RetryNever, 0, "the request is not valid"},
+	HeadTooLarge:           {"head_too_large", http.StatusRequestHeaderFieldsTooLarge, NotRun, RetryNever, 0, "the request head is too large"},
 	BodyTooLarge:           {"body_too_large", http.StatusRequestEntityTooLarge, NotRun, RetryNever, 0, "the request body is too large"},
 	BodyTooLargeSent:       {"body_too_large_sent", http.StatusRequestEntityTooLarge, Unknown, RetryNever, 0, "the request body is too large"},
 	BodyIncomplete:         {"body_incomplete", http.StatusBadRequest, NotRun, RetryLater, 0, "the request body did not arrive whole"},
--- /dev/null
+++ b/headgate/conn.go
@@ -0,0 +1,119 @@
+package headgate
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"samphireferry.example/ferry/buffers"
+)
+
+const (
+	// lingerTime is how long a connection stays open behind a refusal: one that is closed with unread
+	// bytes is reset, which can destroy the response on its way.
+	lingerTime = 500 * time.Millisecond
+	// maxLingering bounds the connections that stay open so, and the descriptors that they hold.
+	maxLingering = 64
+)
+
+// lingering counts the connections that stay open behind a refusal.
+var lingering atomic.Int64
+
+// Gated is a connection whose requests pass a gate.
+type Gated interface{ HeadGate() *Gate }
+
+// Conn is a connection whose requests pass a gate.
+type Conn struct {
+	net.Conn
+	gate *Gate
+}
+
+// HeadGate implements Gated.
+func (c *Conn) HeadGate() *Gate { return c.gate }
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) { return c.gate.Read(p) }
+
+// Close implements net.Conn.
+func (c *Conn) Close() error { return CloseBehind(c.gate, c.Conn) }
+
+// CloseBehind closes the connection of the gate, later if a head was refused.
+func CloseBehind(g *Gate, conn net.Conn) error {
+	if !g.Refused() {
+		return conn.Close()
+	}
+	if lingering.Add(1) > maxLingering {
+		lingering.Add(-1)
+		return conn.Close()
+	}
+	if half, ok := conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+	time.AfterFunc(lingerTime, func() {
+		_ = conn.Close()
+		lingering.Add(-1)
+	})
+	return nil
+}
+
+// Listener accepts connections as Conns.
+type Listener struct {
+	net.Listener
+	Options *Options
+}
+
+// Accept implements net.Listener.
+func (l Listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{Conn: conn, gate: New(conn, l.Options)}, nil
+}
+
+// Observe is the ConnState hook of a server whose connections are Gated.
+func Observe(conn net.Conn, state http.ConnState) {
+	gated, ok := conn.(Gated)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		gated.HeadGate().Next()
+	case http.StateClosed, http.StateHijacked:
+		gated.HeadGate().Release()
+	}
+}
+
+type connKey struct{}
+
+// WithConn is the ConnContext hook of a server whose connections are Gated.
+func WithConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// Take returns the memory held for the head of the request, or the refusal of the head. It returns nil
+// for a request of a connection without a gate.
+func Take(r *http.Request) (*buffers.Holder, error) {
+	gated, ok := r.Context().Value(connKey{}).(Gated)
+	if !ok {
+		return nil, nil
+	}
+	return gated.HeadGate().Take(r)
+}
+
+// Guard returns a handler that passes on requests with an accepted head. Others are passed to refuse,
+// which writes the refusal; their connection is closed.
+func Guard(next http.Handler, refuse func(http.ResponseWriter, error)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := Take(r)
+		if err != nil {
+			w.Header().Set("Connection", "close")
+			refuse(w, err)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -7,6 +7,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -158,6 +159,10 @@
 	}
 	u.Path = path
 	u.RawPath = e.req.Path
+	if u.EscapedPath() != e.req.Path && !strings.HasPrefix(e.req.Path, "//") {
+		// The path has bytes that net/url would escape; it is sent as it was received.
+		u.Opaque = e.req.Path
+	}
 	return u
 }
 
