--- a/headgate/gate.go
+++ b/headgate/gate.go
@@ -171,7 +171,7 @@
 
 // scan inspects the text of a head. It returns the end of the head, or 0 if it is not complete.
 func (g *Gate) scan(text []byte) (int, error) {
-	if len(text) == 0 {
+	if !begins(text) {
 		return 0, nil
 	}
 	return g.scanner.Scan(text)
@@ -188,6 +188,10 @@
 	return copy(p, text[:n])
 }
 
+// begins reports whether the text behind the empty lines is that of a head, and not the beginning of
+// another empty line.
+func begins(text []byte) bool { return len(text) > 0 && text[0] != '\r' }
+
 // acceptHead ends the inspection of a head.
 func (g *Gate) acceptHead() {
 	g.busy, g.taken = true, false
@@ -239,7 +243,7 @@
 
 // readMore reads more of a head. The memory for it is held, and is refused when others hold too much.
 func (g *Gate) readMore() error {
-	if !g.begun && len(g.in) > 0 {
+	if !g.begun && begins(g.in) {
 		g.begun = true
 		_ = g.source.SetReadDeadline(time.Now().Add(g.options.Timeout))
 	}
@@ -295,12 +299,14 @@
 // skipEmptyLines returns the text without the empty lines at its beginning.
 func (g *Gate) skipEmptyLines(text []byte) ([]byte, error) {
 	for len(text) > 0 {
-		line, ok := bytes.CutPrefix(text, []byte("\r"))
+		line, found := bytes.CutPrefix(text, []byte("\r"))
 		switch {
-		case len(line) == 0 && ok:
+		case len(line) == 0:
 			// The line feed has not arrived.
 			return text, nil
-		case len(line) == 0 || line[0] != '\n':
+		case line[0] != '\n' && found:
+			return nil, requesthead.Refuse(requesthead.BadSyntax, errkind.BadRequest, "a carriage return without a line feed")
+		case line[0] != '\n':
 			return text, nil
 		}
 		text = line[1:]
