--- a/caller/server.go
+++ b/caller/server.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/net/netutil"
 
+	"samphireferry.example/ferry/headgate"
 	"samphireferry.example/ferry/telemetry"
 )
 
@@ -22,6 +23,12 @@
 type Settings struct {
 	// MaxHeaderBytes is the maximum size of the request header, in bytes. Default 32 KiB.
 	MaxHeaderBytes int
+	// MaxHeaderLines and MaxEmptyLines are the maximum numbers of lines of a request header and of
+	// empty lines before a request; 0 allows as many as fit into MaxHeaderBytes. Default 0.
+	MaxHeaderLines int
+	MaxEmptyLines  int
+	// HeadMemoryBytes is the memory that the headers of all requests may hold, in bytes. Default 32 MiB.
+	HeadMemoryBytes int64
 	// MaxConnections is the maximum number of open connections. Default 10,000.
 	MaxConnections int
 	// HeaderTimeout limits the time to receive a request header. Default 5 s.
@@ -44,6 +51,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		MaxHeaderBytes:       32 << 10,
+		HeadMemoryBytes:      32 << 20,
 		MaxConnections:       10_000,
 		HeaderTimeout:        5 * time.Second,
 		BodyTimeout:          5 * time.Second,
@@ -73,6 +81,7 @@
 	api      http.Handler
 	http     *http.Server
 	listener net.Listener
+	heads    *headgate.Options
 	leaving  atomic.Bool
 	stopped  chan struct{}
 	// latency records the time in seconds from the request header to the end of a
@@ -88,12 +97,15 @@
 		stopped:  make(chan struct{}),
 		latency:  services.Metrics.Histogram("ferry_request_seconds"),
 	}
+	s.heads = s.newHeads()
 	s.api = s.newAPI()
 	s.http = &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: settings.HeaderTimeout,
 		IdleTimeout:       settings.IdleTimeout,
 		MaxHeaderBytes:    settings.MaxHeaderBytes,
+		ConnState:         headgate.Observe,
+		ConnContext:       headgate.WithConn,
 		ErrorLog:          zap.NewStdLog(services.Log.Named("http")),
 	}
 	return s
@@ -101,7 +113,7 @@
 
 // Provision starts to serve on the listener in the background.
 func (s *Server) Provision(listener net.Listener) {
-	s.listener = netutil.LimitListener(listener, s.settings.MaxConnections)
+	s.listener = headgate.Listener{Listener: netutil.LimitListener(listener, s.settings.MaxConnections), Options: s.heads}
 	go func() {
 		defer close(s.stopped)
 		err := s.http.Serve(s.listener)
@@ -142,11 +154,12 @@
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if isAPIPath(r.URL.Path) {
+	head, err := s.acceptHead(w, r)
+	if err == nil && isAPIPath(r.URL.Path) {
 		s.api.ServeHTTP(w, r)
 		return
 	}
-	s.serveTraffic(w, r)
+	s.serveTraffic(w, r, head, err)
 }
 
 // Paths that the entry instance serves itself. Routes must not use them.
--- a/caller/traffic.go
+++ b/caller/traffic.go
@@ -13,6 +13,7 @@
 	"samphireferry.example/ferry/config/dynamic"
 	"samphireferry.example/ferry/dispatch"
 	"samphireferry.example/ferry/errkind"
+	"samphireferry.example/ferry/requesthead"
 	"samphireferry.example/ferry/routing"
 )
 
@@ -25,6 +26,7 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	id      string
+	head    requesthead.Head
 	body    *requestBody
 	request *dispatch.Request
 	claim   Claim
@@ -32,11 +34,14 @@
 	headWritten bool
 }
 
-func (s *Server) serveTraffic(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{server: s, w: w, r: r, id: uuid.NewString()}
+// serveTraffic serves a request with the accepted head, or refuses it with the error.
+func (s *Server) serveTraffic(w http.ResponseWriter, r *http.Request, head requesthead.Head, err error) {
+	x := &exchange{server: s, w: w, r: r, id: uuid.NewString(), head: head}
 	w.Header().Set(dispatch.HeaderRequestID, x.id)
 	start := time.Now()
-	err := x.serve()
+	if err == nil {
+		err = x.serve()
+	}
 	if err == nil {
 		s.latency.UpdateDuration(start)
 		return
@@ -56,7 +61,13 @@
 	if err != nil {
 		return err
 	}
-	route, ok := table.Match(x.r.Host, x.r.URL.Path, x.r.Method)
+	route, ok, err := requesthead.Select(x.head, func(path string) (*routing.Route, bool) {
+		return table.Match(x.r.Host, path, x.r.Method)
+	})
+	if err != nil {
+		x.server.countHeadRefusal(err)
+		return err
+	}
 	if !ok {
 		return errkind.New(errkind.UnknownRoute, "")
 	}
@@ -109,7 +120,7 @@
 	if err != nil {
 		return err
 	}
-	if key != "" && containsKey(x.r.URL.EscapedPath(), key) {
+	if key != "" && containsKey(x.head.Path, key) {
 		return errkind.New(errkind.BadRequest, "the path contains the key")
 	}
 	if x.r.ContentLength > route.MaxBody {
@@ -120,8 +131,8 @@
 		Route:         route,
 		Customer:      customer,
 		Method:        x.r.Method,
-		Path:          x.r.URL.EscapedPath(),
-		RawQuery:      forwardedQuery(x.r.URL.RawQuery, table.KeyParameters, key),
+		Path:          x.head.Path,
+		RawQuery:      forwardedQuery(x.head.Query, table.KeyParameters, key),
 		Host:          x.r.Host,
 		Header:        forwardedHeader(x.r.Header, table.KeyHeaders, key),
 		ContentLength: x.r.ContentLength,
--- a/config/static/settings.go
+++ b/config/static/settings.go
@@ -43,6 +43,14 @@
 	AllowPlaintext bool
 	// MaxHeader bounds the header of a request. Default "32KiB".
 	MaxHeader units.Size
+	// MaxHeaderLines bounds the lines of the header of a request; 0 allows as many as fit into
+	// MaxHeader. Default 0.
+	MaxHeaderLines int
+	// MaxEmptyLines bounds the empty lines before a request; 0 allows as many as fit into MaxHeader.
+	// Default 0.
+	MaxEmptyLines int
+	// HeadMemory bounds the memory that the headers of all requests hold together. Default "32MiB".
+	HeadMemory units.Size
 	// MaxConnections bounds the connections of callers. Default 10000.
 	MaxConnections int
 	// HeaderTimeout bounds the time to send a request header. Default "5s".
@@ -109,6 +117,10 @@
 func (s *Settings) registerLimitFlags(fs *flag.FlagSet) {
 	s.MaxHeader = 32 << 10
 	fs.TextVar(&s.MaxHeader, "max-header", s.MaxHeader, "largest request header, with unit")
+	fs.IntVar(&s.MaxHeaderLines, "max-header-lines", 0, "largest number of lines of a request header; 0 allows as many as fit into max-header")
+	fs.IntVar(&s.MaxEmptyLines, "max-empty-lines", 0, "largest number of empty lines before a request; 0 allows as many as fit into max-header")
+	s.HeadMemory = 32 << 20
+	fs.TextVar(&s.HeadMemory, "head-memory", s.HeadMemory, "memory that the headers of all requests may hold together, with unit")
 	fs.IntVar(&s.MaxConnections, "max-connections", 10_000, "largest number of connections of callers")
 	fs.DurationVar(&s.HeaderTimeout, "header-timeout", 5*time.Second, "longest time to send a request header")
 	fs.DurationVar(&s.BodyTimeout, "body-timeout", 5*time.Second, "longest pause within a request body")
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -268,6 +268,9 @@
 func callerSettings(s *static.Settings) caller.Settings {
 	settings := caller.DefaultSettings()
 	settings.MaxHeaderBytes = int(s.MaxHeader)
+	settings.MaxHeaderLines = s.MaxHeaderLines
+	settings.MaxEmptyLines = s.MaxEmptyLines
+	settings.HeadMemoryBytes = int64(s.HeadMemory)
 	settings.MaxConnections = s.MaxConnections
 	settings.HeaderTimeout = s.HeaderTimeout
 	settings.BodyTimeout = s.BodyTimeout
--- a/requesthead/refusal.go
+++ b/requesthead/refusal.go
@@ -14,7 +14,7 @@
 	// TooManyBytes, TooManyLines and TooManyEmptyLines are heads over the Limits.
 	TooManyBytes      Reason = "bytes"
 	TooManyLines      Reason = "lines"
-	TooManyEmptyLines Reason = "empty_lines"
+	TooManyEmptyLines Reason = "empty"
 	// TooSlow is a head that was not complete in time. Its connection is closed without a response.
 	TooSlow Reason = "time"
 	// NoMemory is a head for which the process has no memory left.
@@ -26,9 +26,9 @@
 	// BadPath is a path that programs read differently.
 	BadPath Reason = "path"
 	// RepeatedField is a field that must not occur twice.
-	RepeatedField Reason = "repeated_field"
+	RepeatedField Reason = "repeated"
 	// OutOfStep is a request that the server has parsed from other bytes than the inspected head.
-	OutOfStep Reason = "out_of_step"
+	OutOfStep Reason = "unmatched"
 )
 
 // Refusal is the error for a head that is refused. It wraps an errkind.Error.
