--- a/headgate/gate.go
+++ b/headgate/gate.go
@@ -248,7 +248,8 @@
 		_ = g.source.SetReadDeadline(time.Now().Add(g.options.Timeout))
 	}
 	if len(g.in) == cap(g.in) {
-		size := max(firstBuffer, 2*cap(g.in))
+		// The scanner refuses a head that fills the largest buffer.
+		size := min(max(firstBuffer, 2*cap(g.in)), max(g.options.Limits.Bytes, cap(g.in)+1))
 		if !g.hold().GrowHead(int64(size - cap(g.in))) {
 			return noMemory()
 		}
