--- a/edge/parts.go
+++ b/edge/parts.go
@@ -9,6 +9,7 @@
 	"samphireferry.example/ferry/buffers"
 	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/entryinstance"
+	"samphireferry.example/ferry/headgate"
 	"samphireferry.example/ferry/overload"
 	"samphireferry.example/ferry/placement"
 	"samphireferry.example/ferry/platform"
@@ -39,8 +40,9 @@
 	gate      *overload.Gate
 	// meter counts attempts for usage reports; nil where the deployment does not ask for them.
 	meter *usageMeter
-	// buffers is the memory for the bodies of requests and responses.
+	// buffers is the memory for the heads and bodies of requests and the bodies of responses.
 	buffers     *buffers.Budget
+	heads       *headgate.Options
 	callerConns *connections
 	stopping    *stopping
 	// watchRole is that of the watch of all records, operatorWatchRole of the watch of the
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -106,13 +106,14 @@
 		retries:           newRetryBudgets(settings.EdgeBounds),
 		throttle:          throttle.New(),
 		callerConns:       newConnections(settings.MaxConnections),
-		buffers:           newBuffers(int64(settings.Memory)),
+		buffers:           newBuffers(int64(settings.Memory), settings.HeadShare),
 		stopping:          &stopping{},
 		watchRole:         newWatchRoleState(),
 		operatorWatchRole: newWatchRoleState(),
 		gate:              overload.NewGate(rand.Float64),
 		limiter:           admission.NewLimiter(admission.Settings{MaxWait: maxLoanWait, MessagesPerSecond: maxLoanMessagesPerSecond, RefuseFutile: true, Jitter: rand.Float64}, time.Now()),
 	}
+	deps.heads = newHeads(settings, deps.buffers, deps.metrics)
 	deps.bounds.Store(&settings.EdgeBounds)
 	if settings.ReportsUsage() {
 		deps.meter = newUsageMeter(settings.UsageWindow)
@@ -121,5 +122,6 @@
 		held, _ := deps.buffers.Held()
 		return float64(held)
 	})
+	deps.metrics.Gauge("ferry_head_bytes", func() float64 { return float64(deps.buffers.Heads()) })
 	return deps, nil
 }
