placement: choose by expected completion where upstreams state their pace

Cause: ReadLoad rejected a report of four figures, so upstreams on shared machines counted as having no report at all, and requests went to queues that nobody knew of.

Change: three or four figures are read, more are ignored. The fourth, how long work takes there now, stretches the expected time to a response and says nothing after 0.6 s. In a service whose upstreams state it, the choice is by expected completion among the first two upstreams of the object, for half of the instances three. Reported loads fade towards the mean of the service. Pace alone moves no request between regions. Services whose upstreams state three figures are chosen for as before (the hash of 20,000 choices is unchanged).

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -176,6 +176,7 @@
 		preferred, utilization := x.deps.pool.PreferredUpstream(time.Now(), x.placementQuery(x.objectHash(), versions.allows(x.prefersNew)))
 		return nil, fallback, errkind.New(errkind.Overloaded, fmt.Sprintf("upstream %s has %.2f requests for each slot", preferred, utilization))
 	}
+	x.countChoice(lease)
 	return lease, fallback, nil
 }
 
@@ -495,7 +496,7 @@
 
 func loadOf(header http.Header) placement.Load {
 	report, ok := headers.ReadLoad(header)
-	return placement.Load{Known: ok, Requests: report.Running + report.Waiting}
+	return placement.Load{Known: ok, Requests: report.Running + report.Waiting, Pace: report.Pace}
 }
 
 func refusedLoad(err error) placement.Load {
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -101,7 +101,7 @@
 		store:             store,
 		peers:             do.MustInvoke[*entryinstance.Pool](i),
 		upstreams:         do.MustInvoke[*upstream.Client](i),
-		pool:              placement.NewPool(placement.Location{FailureDomain: settings.FailureDomain, Region: settings.Region}),
+		pool:              placement.NewPool(placement.Location{FailureDomain: settings.FailureDomain, Region: settings.Region, Instance: settings.Name}),
 		retries:           newRetryBudgets(settings.EdgeBounds),
 		throttle:          throttle.New(),
 		callerConns:       newConnections(settings.MaxConnections),
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -29,6 +29,15 @@
 // pass these reports on to each other, since in a large fleet each of them sends
 // requests to a given upstream too seldom to know its load.
 //
+// # Shared machines
+//
+// Some upstreams state with a response how long work takes there at that moment, since others use
+// their machine too. In a service with such upstreams the choice is by the expected time to a
+// response, of the first two or three upstreams in the object's order: the extra one depends on
+// the instance, so that the excess of an object goes to different ones from different instances.
+// A stated pace counts less with age and for 0.6 s at most. A request never leaves its
+// region for the pace alone.
+//
 // # Cold upstreams
 //
 // A cold upstream can serve few requests. Settings.Cold holds the rate that this
--- a/placement/lease.go
+++ b/placement/lease.go
@@ -38,6 +38,9 @@
 type Load struct {
 	Known    bool
 	Requests int
+	// Pace is how long work takes there at that moment, in percent of the usual time; 0 when
+	// the upstream does not state it.
+	Pace int
 }
 
 // Lease reserves capacity at an upstream for one request.
@@ -53,6 +56,8 @@
 	// Utilization is the estimated number of requests per slot of the upstream when
 	// the lease was acquired, this request included.
 	Utilization float64
+	// Choice tells why the upstream was chosen, in a service whose upstreams state their pace.
+	Choice Choice
 }
 
 // Release returns the lease and records the result of the attempt, whose response has
@@ -68,7 +73,7 @@
 		before = now
 	}
 	if load.Known {
-		l.pool.learn(now, t, load.Requests)
+		l.pool.learn(now, t, load)
 	}
 	switch result {
 	case Answered, Shed:
@@ -118,7 +123,7 @@
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
 	if load.Known {
-		l.pool.learn(now, l.target, load.Requests)
+		l.pool.learn(now, l.target, load)
 	}
 }
 
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"samphireferry.example/ferry/registry"
 	"samphireferry.example/ferry/routing"
 )
@@ -34,11 +36,16 @@
 type Location struct {
 	FailureDomain string
 	Region        string
+	// Instance is the name of this instance. The extra upstream that some instances consider
+	// for an object depends on it.
+	Instance string
 }
 
 // Pool holds the upstreams of all services. It is safe for concurrent use.
 type Pool struct {
 	self Location
+	// salt is the hash of the name of the instance.
+	salt uint64
 
 	mu       sync.Mutex
 	settings Settings
@@ -53,15 +60,15 @@
 	// learned holds the loads in responses to this instance, oldest first.
 	learned  []Report
 	services map[string]*service
-	// ready and usable are buffers of candidates.
-	ready, usable []ranked
+	// ready is a buffer of candidates.
+	ready []ranked
 	// departures holds the statements of upstreams that they leave, by id.
 	departures map[string]departure
 }
 
 // NewPool returns a pool without upstreams.
 func NewPool(self Location) *Pool {
-	return &Pool{self: self, cold: map[string]ColdLimit{}, targets: map[string]*target{}, services: map[string]*service{}, departures: map[string]departure{}, byHash: map[uint64]*target{}}
+	return &Pool{self: self, salt: xxhash.Sum64String(self.Instance), cold: map[string]ColdLimit{}, targets: map[string]*target{}, services: map[string]*service{}, departures: map[string]departure{}, byHash: map[uint64]*target{}}
 }
 
 // Settings are the inputs of the pool besides the upstreams and their limits.
@@ -358,7 +365,13 @@
 	if candidates.len() == 0 {
 		return nil, NoCandidates
 	}
-	chosen := p.choose(now, s, candidates, q)
+	var chosen *target
+	var choice Choice
+	if s.paced {
+		chosen, choice = p.chooseByCompletion(now, s, candidates, q)
+	} else {
+		chosen = p.choose(now, s, candidates, q)
+	}
 	if chosen == nil {
 		return nil, AllBusy
 	}
@@ -367,7 +380,7 @@
 		chosen.cold.take()
 	}
 	chosen.inFlight++
-	return &Lease{pool: p, service: s, target: chosen, Upstream: chosen.endpoint, acquiredAt: now, cold: cold, Utilization: p.load(now, s, chosen) / float64(chosen.upstream.Slots)}, Chosen
+	return &Lease{pool: p, service: s, target: chosen, Upstream: chosen.endpoint, acquiredAt: now, cold: cold, Choice: choice, Utilization: p.load(now, s, chosen) / float64(chosen.upstream.Slots)}, Chosen
 }
 
 // Allows reports whether the request may still be sent to the upstream of the lease: that has
@@ -409,14 +422,14 @@
 	}
 	candidates := p.candidates(now, s, q)
 	var shortest time.Duration
-	eligible := 0
+	eligible, considered := 0, p.considered(s, q.Object)
 	for n := range candidates.len() {
 		t := candidates.at(n)
 		if !p.withinColdLimit(now, t) || !q.admits(t.upstream.ID) {
 			continue
 		}
 		eligible++
-		if eligible > upstreamsPerObject {
+		if eligible > considered {
 			break
 		}
 		left := t.shedUntil.Sub(now)
--- a/placement/ranking.go
+++ b/placement/ranking.go
@@ -42,9 +42,11 @@
 			break
 		}
 		best := 0
+		region, rank := rest[0].region, rest[0].rank
 		for i := range rest {
-			if compareRanked(rest[i], rest[best]) < 0 {
-				best = i
+			c := &rest[i]
+			if c.region < region || c.region == region && c.rank > rank {
+				best, region, rank = i, c.region, c.rank
 			}
 		}
 		rest[0], rest[best] = rest[best], rest[0]
@@ -57,19 +59,20 @@
 // fewer than 1/minUsableDivisor of them are usable. The ranking is valid until the next call.
 func (p *Pool) candidates(now time.Time, s *service, q Query) *ranking {
 	regions := s.shares.orderRegions(q.Object, s.regions)
-	p.ready, p.usable = p.ready[:0], p.usable[:0]
+	p.ready = p.ready[:0]
+	usable := 0
 	for _, t := range s.targets {
 		if !t.accepts() || !p.allows(t, q) {
 			continue
 		}
-		candidate := ranked{target: t, region: slices.Index(regions, t.region), rank: t.rank(q.Object)}
-		p.ready = append(p.ready, candidate)
+		p.ready = append(p.ready, ranked{target: t, region: slices.Index(regions, t.region), rank: t.rank(q.Object)})
 		if t.usable(now) {
-			p.usable = append(p.usable, candidate)
+			usable++
 		}
 	}
-	if len(p.usable) < len(p.ready)/minUsableDivisor {
+	if usable == len(p.ready) || usable < len(p.ready)/minUsableDivisor {
 		return &ranking{candidates: p.ready}
 	}
-	return &ranking{candidates: p.usable}
+	p.ready = slices.DeleteFunc(p.ready, func(c ranked) bool { return !c.target.usable(now) })
+	return &ranking{candidates: p.ready}
 }
--- a/placement/reports.go
+++ b/placement/reports.go
@@ -22,13 +22,15 @@
 }
 
 // learn records the load in a response to this instance.
-func (p *Pool) learn(now time.Time, t *target, requests int) {
-	t.recordLoad(now, requests)
+func (p *Pool) learn(now time.Time, t *target, load Load) {
+	t.recordLoad(now, load.Requests)
+	p.recordPace(now, t, load.Pace)
+	p.observeUtilization(t)
 	stale := 0
 	for stale < len(p.learned) && (now.Sub(p.learned[stale].At) > maxReportAge || len(p.learned)-stale >= maxLearned) {
 		stale++
 	}
-	p.learned = append(p.learned[stale:], Report{Upstream: t.hash, Requests: requests, At: now})
+	p.learned = append(p.learned[stale:], Report{Upstream: t.hash, Requests: load.Requests, At: now})
 }
 
 // Reports returns the newest load of each upstream in responses to this instance that are not
@@ -63,5 +65,6 @@
 			continue
 		}
 		t.reported, t.reportedAt, t.inFlightAtReport = r.Requests, r.At, t.inFlight
+		p.observeUtilization(t)
 	}
 }
--- a/placement/service.go
+++ b/placement/service.go
@@ -23,6 +23,11 @@
 	// serviceTime is a moving average of the time that an upstream works on a request,
 	// excluding the wait in its queue; 0 before the first sample.
 	serviceTime time.Duration
+	// paced is set once an upstream of the service has stated its pace to this instance;
+	// announced is set with the first choice after that.
+	paced, announced bool
+	// meanUtilization is a moving average of the reported requests per slot.
+	meanUtilization float64
 }
 
 // place is where upstreams are.
--- a/placement/target.go
+++ b/placement/target.go
@@ -40,6 +40,10 @@
 	reported         int
 	inFlightAtReport int
 	reportedAt       time.Time
+	// pace is how long work takes at the upstream, in percent of the usual time, as it stated
+	// at pacedAt; 0 if it never did.
+	pace    int
+	pacedAt time.Time
 
 	// lastResponseAt is when the last response arrived that was no failure; a refusal
 	// counts.
