placement: stable assignment of objects, by slots and with few moves

Cause: the order within a region ignored slots (16.9 and 5.5 objects a slot at upstreams of 3 and 9), and the shares of regions followed slots and demand at once, so that objects of other upstreams moved whenever some were added or removed.

Change: with the setting stable-assignment (default false), one weighted rendezvous hash over all upstreams gives region and upstream. Factors of the regions stay when upstreams join or leave, evacuated upstreams stay in the race so that their objects stay in the region, and the shares move only as far as the room demands. Joins and leaves take effect within the bound on shifts between regions. ferry_stable_share_steps_total counts steps in which objects move. Without the setting the choices are as before (pinned hash, unchanged).

Ruled out by trials: two steps with weights, Maglev's table, bounded loads, shares that follow the demand without a range, and joins and leaves with immediate effect.

--- a/config/static/edge.go
+++ b/config/static/edge.go
@@ -79,6 +79,9 @@
 	// Grace is the time between SIGTERM and the end of the process. Default "6s".
 	Grace time.Duration
 	EdgeBounds
+	// StableAssignment makes few objects change their upstream when upstreams are added or removed,
+	// and gives upstreams objects by their slots. All instances need the same value. Default false.
+	StableAssignment bool
 	// LogLevel is debug, info, warn or error. Default "info".
 	LogLevel string
 	// Check validates the settings and exits.
@@ -122,6 +125,7 @@
 	fs.StringVar(&s.MetricsListen, "metrics-listen", "", "IP address and port of the metrics")
 	fs.StringVar(&s.Platform, "platform", "", "base URL of the platform's store (required)")
 	s.registerLimitFlags(fs)
+	fs.BoolVar(&s.StableAssignment, "stable-assignment", false, "assign objects to upstreams by slots and with few moves; the same for all instances")
 	fs.StringVar(&s.LogLevel, "log-level", "info", "debug, info, warn or error")
 	fs.BoolVar(&s.Check, "check", false, "check the settings and exit")
 	fs.BoolVar(&s.ShowVersion, "version", false, "print the version and exit")
--- a/edge/demand.go
+++ b/edge/demand.go
@@ -97,7 +97,9 @@
 			add(demandKeyOf(load), source.region, float64(load.GetMilliPerSecond())/milliPerUnit)
 		}
 	}
-	c.deps.pool.StepShares(now, demand, pinned)
+	for _, service := range c.deps.pool.StepShares(now, demand, pinned) {
+		c.deps.metrics.Counter("ferry_stable_share_steps_total", "service", service).Inc()
+	}
 	for service, regions := range demand {
 		c.deps.log.Debug("shares of the regions",
 			zap.String("service", service),
--- a/edge/records.go
+++ b/edge/records.go
@@ -426,6 +426,7 @@
 		Connections:    map[string]int{},
 		MaxConnections: map[string]int{},
 		Senders:        c.poolPeers.senders,
+		Stable:         c.deps.settings.StableAssignment,
 	}
 	if c.table != nil {
 		for _, service := range c.table.Services {
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -10,6 +10,13 @@
 // coordination. When an upstream joins or leaves, only the objects that it gains or
 // loses change their upstream.
 //
+// # Stable assignment
+//
+// With Settings.Stable, object, region and upstream are matched in one weighted rendezvous hash over
+// all upstreams: an upstream gets objects in proportion to its slots, and few objects move when
+// upstreams join, leave or are evacuated. The shares of the regions stay as they are while the
+// room allows it.
+//
 // # Regions
 //
 // A region keeps the requests of its own callers while its slots suffice with a margin,
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -62,6 +62,10 @@
 	services map[string]*service
 	// ready is a buffer of candidates.
 	ready []ranked
+	// regionTimes, firsts and positions are buffers of stableCandidates.
+	regionTimes []float64
+	firsts      []*target
+	positions   []int
 	// departures holds the statements of upstreams that they leave, by id.
 	departures map[string]departure
 }
@@ -85,6 +89,8 @@
 	Connections map[string]int
 	// Senders is the number of instances in this region, which share its upstreams.
 	Senders int
+	// Stable selects the stable assignment of objects: by slots, and with few moves.
+	Stable bool
 }
 
 // Configure replaces the settings, whose maps must not be modified afterwards. Only settings
@@ -104,6 +110,9 @@
 		}
 		if evacuatedChanged {
 			p.setInitialShares(s)
+			if settings.Stable && s.arrivals > 0 {
+				s.keepStable(settings.Evacuated)
+			}
 		}
 	}
 }
@@ -118,6 +127,9 @@
 	for _, id := range gone {
 		if t := p.targets[id]; t != nil {
 			p.remove(t, concerned)
+			if s := p.services[t.upstream.Service]; p.settings.Stable {
+				s.stable.leave(t)
+			}
 			delete(p.targets, id)
 			delete(p.byHash, t.hash)
 		}
@@ -125,6 +137,7 @@
 	}
 	for _, u := range changed {
 		t := p.targets[u.ID]
+		joins := t == nil || t.upstream.Service != u.Service
 		if t != nil {
 			p.remove(t, concerned)
 		}
@@ -137,6 +150,9 @@
 		p.targets[u.ID] = t
 		p.byHash[t.hash] = t
 		p.add(t, concerned)
+		if s := p.services[u.Service]; p.settings.Stable && joins && s.arrivals > 0 {
+			s.stable.join(t)
+		}
 	}
 	for name, s := range concerned {
 		if len(s.targets) == 0 {
@@ -144,6 +160,9 @@
 			continue
 		}
 		p.setInitialShares(s)
+		if p.settings.Stable && s.arrivals > 0 {
+			s.keepStable(p.settings.Evacuated)
+		}
 	}
 }
 
@@ -171,6 +190,9 @@
 func (p *Pool) setInitialShares(s *service) {
 	if s.arrivals == 0 {
 		s.shares.byRegion = targetShares(p.self.Region, nil, s.slots(p.settings.Evacuated), 0)
+		if p.settings.Stable {
+			s.startStable(p.settings.Evacuated)
+		}
 	}
 }
 
@@ -245,16 +267,25 @@
 
 // StepShares moves the region shares of each service one step towards the shares that
 // its demand calls for: that of requests which may run in several regions, by region of the
-// callers, and pinned, that of the others by region where they run.
-func (p *Pool) StepShares(now time.Time, demand, pinned map[string]Demand) {
+// callers, and pinned, that of the others by region where they run. It returns the services in
+// the stable assignment some of whose objects move for it.
+func (p *Pool) StepShares(now time.Time, demand, pinned map[string]Demand) (moved []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, s := range p.services {
 		usable := func(t *target) bool { return t.usable(now) }
 		perSlot := maxLocalUtilization / max(s.serviceTime, minServiceTime).Seconds()
 		slots := freeSlots(demand[name], pinned[name], p.slotsAtRate(s, usable, perSlot), perSlot)
-		s.shares.step(now, targetShares(p.self.Region, demand[name], slots, perSlot))
+		target := targetShares(p.self.Region, demand[name], slots, perSlot)
+		if p.settings.Stable {
+			if p.stepStable(now, s, demand[name], target, slots, perSlot) {
+				moved = append(moved, name)
+			}
+			continue
+		}
+		s.shares.step(now, target)
 	}
+	return moved
 }
 
 // slotsAtRate returns the number of slots by region, without evacuated failure domains. It
--- a/placement/ranking.go
+++ b/placement/ranking.go
@@ -58,6 +58,9 @@
 // candidates returns the usable upstreams that may serve the request. It includes the ejected ones when
 // fewer than 1/minUsableDivisor of them are usable. The ranking is valid until the next call.
 func (p *Pool) candidates(now time.Time, s *service, q Query) *ranking {
+	if p.settings.Stable {
+		return p.stableCandidates(now, s, q)
+	}
 	regions := s.shares.orderRegions(q.Object, s.regions)
 	p.ready = p.ready[:0]
 	usable := 0
--- a/placement/service.go
+++ b/placement/service.go
@@ -15,6 +15,7 @@
 	// capacity holds what the upstreams have together, by place.
 	capacity map[place]capacity
 	shares   shares
+	stable   stableShares
 	spill    spillLimiter
 	// arrivals counts requests; retries are not counted.
 	arrivals uint64
--- a/placement/target.go
+++ b/placement/target.go
@@ -33,6 +33,11 @@
 	endpoint *routing.Upstream
 	region   string
 	hash     uint64
+	// perSlot is the inverse of the number of slots.
+	perSlot float64
+	// part is the part of the objects for which the upstream takes part in the stable assignment:
+	// 1, but for those that join and for those that have left.
+	part float64
 
 	inFlight int
 	// reported is the number of requests in the newest load report, of which
@@ -59,7 +64,7 @@
 
 func newTarget(u *registry.Upstream, settings Settings) *target {
 	endpoint := endpointOf(u, settings)
-	return &target{upstream: u, endpoint: &endpoint, region: endpoint.Region, hash: xxhash.Sum64String(u.ID)}
+	return &target{upstream: u, endpoint: &endpoint, region: endpoint.Region, hash: xxhash.Sum64String(u.ID), perSlot: 1 / float64(max(u.Slots, 1)), part: 1}
 }
 
 func (t *target) place() place { return place{t.upstream.FailureDomain, t.region} }
@@ -71,6 +76,7 @@
 	}
 	changed := next
 	t.endpoint = &changed
+	t.perSlot = 1 / float64(max(changed.Slots, 1))
 }
 
 // load estimates the number of requests at the upstream from all entry instances. Before its
