placement: upstreams that join may start anew or move to another service

Cause: the stable assignment kept the former target of an upstream that started anew or moved to another service while its joining was not complete. If that service lost the region, the next update ended the process with an index out of range.

Change: a new start takes the part of the former one, and an upstream that moves leaves its former service. TestAJoiningRegionMayMoveToAnotherService panics without the change; the random updates of TestStableSharesFollowRandomUpdates pass with and without it.

--- a/placement/pool.go
+++ b/placement/pool.go
@@ -137,9 +137,13 @@
 	}
 	for _, u := range changed {
 		t := p.targets[u.ID]
-		joins := t == nil || t.upstream.Service != u.Service
+		old := t
 		if t != nil {
 			p.remove(t, concerned)
+			if s := p.services[t.upstream.Service]; p.settings.Stable && t.upstream.Service != u.Service {
+				s.stable.leave(t)
+				old = nil
+			}
 		}
 		if t == nil || t.upstream.Started != u.Started || t.upstream.Address != u.Address {
 			t = newTarget(u, p.settings)
@@ -150,8 +154,8 @@
 		p.targets[u.ID] = t
 		p.byHash[t.hash] = t
 		p.add(t, concerned)
-		if s := p.services[u.Service]; p.settings.Stable && joins && s.arrivals > 0 {
-			s.stable.join(t)
+		if p.settings.Stable {
+			p.joinStable(old, t)
 		}
 	}
 	for name, s := range concerned {
@@ -166,6 +170,20 @@
 	}
 }
 
+// joinStable makes an upstream take part in the stable assignment of its service, in the place of
+// its former start if there is one.
+func (p *Pool) joinStable(old, t *target) {
+	s := p.services[t.upstream.Service]
+	switch {
+	case old != nil:
+		s.stable.replace(old, t)
+	case s.arrivals > 0:
+		s.stable.join(t)
+	default:
+		t.part = 1
+	}
+}
+
 // add adds an upstream to its service, and the service to the concerned ones.
 func (p *Pool) add(t *target, concerned map[string]*service) {
 	name := t.upstream.Service
--- a/placement/stable.go
+++ b/placement/stable.go
@@ -229,8 +229,17 @@
 
 // leave keeps the upstream in the race for the objects that it had, so that they stay in its region.
 func (w *stableShares) leave(t *target) {
-	w.joining = slices.DeleteFunc(w.joining, func(known *target) bool { return known == t })
-	w.left = append(w.left, t)
+	w.joining = slices.DeleteFunc(w.joining, func(known *target) bool { return known.hash == t.hash })
+	left := *t
+	w.left = append(w.left, &left)
+}
+
+// replace lets another start of an upstream take its part.
+func (w *stableShares) replace(old, next *target) {
+	next.part = old.part
+	if n := slices.Index(w.joining, old); n >= 0 {
+		w.joining[n] = next
+	}
 }
 
 // takeEffect lets upstreams that join or have left take effect for as many objects as keep the
@@ -510,26 +519,26 @@
 	part := fraction(mix(q.Object))
 	for _, t := range s.targets {
 		region := slices.Index(s.regions, t.region)
-		time := negativeLog(t.rank(q.Object)) * t.perSlot
+		drawn := negativeLog(t.rank(q.Object)) * t.perSlot
 		if t.part <= part {
-			time = math.Inf(1)
+			drawn = math.Inf(1)
 		}
-		if time < p.regionTimes[region] {
-			p.regionTimes[region] = time
+		if drawn < p.regionTimes[region] {
+			p.regionTimes[region] = drawn
 			p.firsts[region] = t
 		}
 		if !t.accepts() || !p.allows(t, q) {
 			continue
 		}
-		p.ready = append(p.ready, ranked{target: t, region: region, rank: ^math.Float64bits(time)})
+		p.ready = append(p.ready, ranked{target: t, region: region, rank: ^math.Float64bits(drawn)})
 		if t.usable(now) {
 			usable++
 		}
 	}
 	for _, t := range s.stable.left {
 		region := slices.Index(s.regions, t.region)
-		if time := negativeLog(t.rank(q.Object)) * t.perSlot; t.part > part && time < p.regionTimes[region] {
-			p.regionTimes[region] = time
+		if drawn := negativeLog(t.rank(q.Object)) * t.perSlot; t.part > part && drawn < p.regionTimes[region] {
+			p.regionTimes[region] = drawn
 			p.firsts[region] = t
 		}
 	}
@@ -563,8 +572,8 @@
 	p.positions = p.positions[:0]
 	for r, own := range p.regionTimes {
 		before := 0
-		for other, time := range p.regionTimes {
-			if time < own || time == own && s.regions[other] < s.regions[r] {
+		for other, drawn := range p.regionTimes {
+			if drawn < own || drawn == own && s.regions[other] < s.regions[r] {
 				before++
 			}
 		}
--- a/placement/stable_test.go
+++ b/placement/stable_test.go
@@ -260,6 +260,77 @@
 	}
 }
 
+// TestStableSharesFollowRandomUpdates guards against shares that are kept for upstreams which have
+// moved to another service, started anew or left with their region.
+func TestStableSharesFollowRandomUpdates(t *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 6))
+		a := newAssignment(true, "small", 50, 200)
+		all := regionUpstreams(threeRegions())
+		for range 60 {
+			var changed []*registry.Upstream
+			var gone []string
+			region := []string{"large", "middle", "small"}[random.IntN(3)]
+			for _, u := range all {
+				next := *u
+				switch random.IntN(12) {
+				case 0:
+					gone = append(gone, u.ID)
+				case 1:
+					next.Started = random.Int64N(5)
+					changed = append(changed, &next)
+				case 2:
+					next.Service = []string{"lookup", "other"}[random.IntN(2)]
+					next.Slots = 1 + random.IntN(9)
+					changed = append(changed, &next)
+				case 3:
+					if strings.HasPrefix(u.ID, region) {
+						gone = append(gone, u.ID)
+					}
+				}
+			}
+			a.Update(changed, gone)
+			a.step(random.IntN(3))
+			a.preferred()
+		}
+		a.Update(all, nil)
+		a.step(300)
+		s := a.services["lookup"]
+		assert.Equal(t, len(s.stable.joining)+len(s.stable.left), 0)
+		total := 0.0
+		for r, share := range s.stable.shares(s.regionSlots()) {
+			total += share
+			assert.Assert(t, math.Abs(share-a.Shares("lookup")[s.regions[r]]) < 1e-6)
+		}
+		assert.Assert(t, math.Abs(total-1) < 1e-6)
+		for _, u := range s.targets {
+			assert.Equal(t, u.part, 1.0)
+		}
+	}
+}
+
+// TestAJoiningRegionMayMoveToAnotherService guards against a crash: upstreams that were still joining
+// were kept for a service that no longer had their region.
+func TestAJoiningRegionMayMoveToAnotherService(t *testing.T) {
+	a := newAssignment(true, "small", 50, 200)
+	all := regionUpstreams(threeRegions())
+	var middle, moved []*registry.Upstream
+	var gone []string
+	for _, u := range all {
+		if strings.HasPrefix(u.ID, "middle") {
+			next := *u
+			next.Service = "other"
+			middle, moved, gone = append(middle, u), append(moved, &next), append(gone, u.ID)
+		}
+	}
+	a.Update(nil, gone[1:])
+	a.step(100)
+	a.Update(middle, nil)
+	assert.Assert(t, len(a.services["lookup"].stable.joining) > 0)
+	a.Update(moved, nil)
+	a.preferred()
+}
+
 // TestAColdUpstreamIsPassedOverInTheStableOrder shows that the limits of cold upstreams come first.
 func TestAColdUpstreamIsPassedOverInTheStableOrder(t *testing.T) {
 	p := newPool(3, Settings{Stable: true})
