--- a/config/static/edge.go
+++ b/config/static/edge.go
@@ -161,6 +161,9 @@
 	Grace time.Duration
 	EdgeBounds
 	EdgeDuties
+	// StableAssignment makes few objects change their upstream when upstreams are added or removed,
+	// and gives upstreams objects by their slots. All instances need the same value. Default false.
+	StableAssignment bool
 	// LogLevel is debug, info, warn or error. Default "info".
 	LogLevel string
 	// Check validates the settings and exits.
@@ -205,6 +208,7 @@
 	fs.StringVar(&s.Platform, "platform", "", "base URL of the platform's store (required)")
 	s.registerLimitFlags(fs)
 	s.EdgeDuties.registerFlags(fs)
+	fs.BoolVar(&s.StableAssignment, "stable-assignment", false, "assign objects to upstreams by slots and with few moves; the same for all instances")
 	fs.StringVar(&s.LogLevel, "log-level", "info", "debug, info, warn or error")
 	fs.BoolVar(&s.Check, "check", false, "check the settings and exit")
 	fs.BoolVar(&s.ShowVersion, "version", false, "print the version and exit")
