--- a/admission/bucket.go
+++ b/admission/bucket.go
@@ -86,9 +86,14 @@
 	if elapsed <= 0 {
 		return
 	}
+	b.level = b.refilled(elapsed)
 	b.refilledAt = now
+}
+
+// refilled returns the number of tokens after the time since the last refill.
+func (b *Bucket) refilled(elapsed time.Duration) float64 {
 	capacity := max(0, float64(b.share.Burst)-b.reserved)
-	b.level = min(capacity, b.level+b.share.Rate*elapsed.Seconds())
+	return min(capacity, b.level+b.share.Rate*elapsed.Seconds())
 }
 
 // configure replaces the share. A smaller burst cuts the tokens first, then the
@@ -168,9 +173,12 @@
 // retryAfter returns the time until the bucket has a whole token without loans. If
 // its share has no rate, it is the time in which the whole rate of the customer
 // yields one. It is at most maxRetryAfter.
-func (b *Bucket) retryAfter() time.Duration {
+func (b *Bucket) retryAfter() time.Duration { return b.retryAfterAt(b.level) }
+
+// retryAfterAt is retryAfter for the number of tokens.
+func (b *Bucket) retryAfterAt(level float64) time.Duration {
 	rate := b.share.Rate
-	missing := 1 - b.level
+	missing := 1 - level
 	if rate <= 0 {
 		rate = b.share.Customer.Rate
 		missing = 1
--- a/canary/steer.go
+++ b/canary/steer.go
@@ -156,13 +156,8 @@
 func (s *Split) Next(route string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	credit, ok := s.credits[route]
-	if !ok {
-		credit = s.phase(route)
-	}
-	credit += s.share(route)
+	credit, chosen := s.due(route)
 	s.earned += s.shares.Default
-	chosen := credit >= 1 && s.chosen+1 <= s.earned+s.shares.Slack+s.shares.Ahead
 	if chosen {
 		s.chosen++
 		credit--
@@ -171,6 +166,26 @@
 	return chosen
 }
 
+// Peek reports whether Next would choose a request of the route, and the share of its requests
+// that go to the new version. It counts nothing.
+func (s *Split) Peek(route string) (chosen bool, share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, chosen = s.due(route)
+	return chosen, s.share(route)
+}
+
+// due returns the credit of the route with its next request, and whether that goes to the new
+// version.
+func (s *Split) due(route string) (credit float64, chosen bool) {
+	credit, ok := s.credits[route]
+	if !ok {
+		credit = s.phase(route)
+	}
+	credit += s.share(route)
+	return credit, credit >= 1 && s.chosen+1 <= s.earned+s.shares.Default+s.shares.Slack+s.shares.Ahead
+}
+
 // Return takes back the choice of a request that the new version did not get after all. If no
 // upstream got it, sent is false, and the request does not count for the share either.
 func (s *Split) Return(route string, chosen, sent bool) {
--- a/edge/split.go
+++ b/edge/split.go
@@ -52,13 +52,26 @@
 func (s *split) next() *routing.Service {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	best := s.earn(s.credits)
+	s.credits[best]--
+	return s.parts[best].Service
+}
+
+// peek returns the service that next would return, and the parts. It changes nothing.
+func (s *split) peek() (*routing.Service, []routing.WeightedService) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.parts[s.earn(slices.Clone(s.credits))].Service, s.parts
+}
+
+// earn adds the weights to the credits and returns the position of the highest credit.
+func (s *split) earn(credits []float64) int {
 	best := 0
 	for i, part := range s.parts {
-		s.credits[i] += part.Weight
-		if s.credits[i] > s.credits[best] {
+		credits[i] += part.Weight
+		if credits[i] > credits[best] {
 			best = i
 		}
 	}
-	s.credits[best]--
-	return s.parts[best].Service
+	return best
 }
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -450,7 +450,6 @@
 func (p *Pool) choose(now time.Time, s *service, candidates *ranking, q Query) *target {
 	var fallback *target
 	maxUtilization := s.maxUtilization(q.TimeLeft)
-	maxFallbackUtilization := min(1+maxQueuePerSlot, maxUtilization)
 	eligible := 0
 	for n := range candidates.len() {
 		t := candidates.at(n)
@@ -465,13 +464,14 @@
 			continue
 		}
 		utilization := (p.load(now, s, t) + 1) / float64(t.upstream.Slots)
-		otherRegion := t.region != candidates.at(0).region
-		switch {
-		case eligible == 1 && utilization <= min(1+maxPreferredQueuePerSlot, maxUtilization), !otherRegion && utilization <= maxSecondaryUtilization:
+		switch fitOf(eligible == 1, t.region != candidates.at(0).region, utilization, maxUtilization) {
+		case fitChosen:
 			return t
-		case otherRegion && utilization <= maxSecondaryUtilization && s.spill.tryTake():
-			return t
-		case eligible == 1 && utilization <= maxFallbackUtilization:
+		case fitSpill:
+			if s.spill.tryTake() {
+				return t
+			}
+		case fitFallback:
 			fallback = t
 		}
 	}
--- a/placement/ranking.go
+++ b/placement/ranking.go
@@ -18,6 +18,11 @@
 	rank   uint64
 }
 
+// newRanked returns the place of the upstream for the object, whose order of regions is given.
+func newRanked(regions []string, t *target, object uint64) ranked {
+	return ranked{target: t, region: slices.Index(regions, t.region), rank: t.rank(object)}
+}
+
 func compareRanked(a, b ranked) int {
 	return cmp.Or(cmp.Compare(a.region, b.region), cmp.Compare(b.rank, a.rank))
 }
@@ -62,7 +67,7 @@
 		if !t.accepts() || !p.allows(t, q) {
 			continue
 		}
-		candidate := ranked{target: t, region: slices.Index(regions, t.region), rank: t.rank(q.Object)}
+		candidate := newRanked(regions, t, q.Object)
 		p.ready = append(p.ready, candidate)
 		if t.usable(now) {
 			p.usable = append(p.usable, candidate)
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -88,7 +88,22 @@
 func (t *Throttle) Admits(now time.Time, upstream string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.upstreams[upstream]
+	return t.admits(now, t.upstreams[upstream])
+}
+
+// WouldAdmit is Admits without a change of any state.
+func (t *Throttle) WouldAdmit(now time.Time, upstream string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.upstreams[upstream]
+	if known == nil {
+		return true
+	}
+	unchanged := *known
+	return t.admits(now, &unchanged)
+}
+
+func (t *Throttle) admits(now time.Time, s *state) bool {
 	if s == nil || !s.limit.Limited || !s.assigned {
 		return true
 	}
