edge, operator/ctl: ferryctl where asks an instance where a request would go

The metrics address answers GET /where with the route, customer, rate left, priority, service, split, roll-out and the upstreams in order, each with its load, the age of its report and the reason for which it is passed over. It follows serve and choose, with the reads that change nothing in place of those that count. Customers are given by name; the answer has no key.

A refusal for the rate says whether the request would wait for a loan first, since such a request is often served.

--- a/admission/limiter_test.go
+++ b/admission/limiter_test.go
@@ -208,3 +208,25 @@
 	}
 	assert.Equal(t, len(l.PlanLoans(now)), 0)
 }
+
+// Guards against a question about the room of a customer that takes a token or counts as a
+// request.
+func TestRoomTakesNothing(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	l := newLimiter(t, now, shareOf(1, 10), 0)
+	b := l.Bucket("c")
+	assert.Equal(t, l.Room(now, b, time.Time{}).Decision.RetryAfter, time.Second)
+	assert.Assert(t, l.Room(now, b, time.Time{}).MayWait)
+	later := now.Add(DefaultMaxPause / 2)
+	l.Tick(later)
+	tokens := l.Room(later, b, time.Time{}).Tokens
+	assert.Equal(t, tokens, (DefaultMaxPause / 2).Seconds())
+	for range 100 {
+		assert.Equal(t, l.Room(later, b, time.Time{}).Tokens, tokens)
+	}
+	assert.Equal(t, b.Totals(), Totals{})
+	assert.Equal(t, b.level, 0.0)
+	assert.Equal(t, b.refilledAt, now)
+	l.Configure(later, shareOf(1, 10), false)
+	assert.Equal(t, l.Room(later, b, time.Time{}).Decision.Kind, errkind.ShareUnconfirmed)
+}
--- a/admission/room.go
+++ b/admission/room.go
@@ -17,10 +17,13 @@
 	Waiting int
 	// Decision is what Admit would decide on a request.
 	Decision Decision
+	// MayWait reports whether a request that Admit refuses may wait for a loan.
+	MayWait bool
 }
 
-// Room returns what the bucket's customer has left. It takes no token and counts nothing.
-func (l *Limiter) Room(now time.Time, b *Bucket) Room {
+// Room returns what the bucket's customer has left, for a request with the deadline. It takes no
+// token and counts nothing.
+func (l *Limiter) Room(now time.Time, b *Bucket, deadline time.Time) Room {
 	usable := l.usable(now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -32,6 +35,7 @@
 		r.Decision = admitted
 	default:
 		r.Decision = Decision{Kind: errkind.RateExceeded, RetryAfter: b.retryAfterAt(r.Tokens)}
+		r.MayWait = l.mayWait(now, b, deadline)
 	}
 	return r
 }
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -12,6 +12,7 @@
 
 	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/entryinstance"
+	"samphireferry.example/ferry/operator/where"
 	"samphireferry.example/ferry/platform/headers"
 	"samphireferry.example/ferry/platform/records"
 	"samphireferry.example/ferry/telemetry"
@@ -181,6 +182,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { i.deps.metrics.WritePrometheus(w) })
+	mux.Handle("GET "+where.Path, &whereHandler{deps: i.deps})
 	return i.serve(i.deps.settings.MetricsListen, i.server(mux))
 }
 
--- a/operator/ctl/ctl.go
+++ b/operator/ctl/ctl.go
@@ -115,7 +115,7 @@
 		Subcommands: []*ffcli.Command{
 			a.checkCommand(), a.publishCommand(), a.diffCommand(), a.getCommand(), a.statusCommand(),
 			a.drainCommand(), a.moveCommand(), a.rolloutCommand(), a.keyCommand(), a.entryInstancesCommand(),
-			a.certificateCommand(), a.explainCommand(),
+			a.certificateCommand(), a.explainCommand(), a.whereCommand(),
 		},
 		Exec: func(context.Context, []string) error {
 			if *version {
@@ -140,7 +140,7 @@
 // command returns a command with the flags that all commands share.
 func (a *app) command(name, usage, help string, fs *flag.FlagSet, run func(ctx context.Context, args []string) error) *ffcli.Command {
 	fs.StringVar(&a.platformURL, "platform", "", "URL of the platform, such as http://10.0.0.9:7000")
-	fs.StringVar(&a.entryURL, "entry", "", "URL of an entry instance: its operator address for status, its caller address for entry-instances")
+	fs.StringVar(&a.entryURL, "entry", "", "URL of an entry instance: its operator address for status, its caller address for entry-instances, its metrics address for where")
 	fs.DurationVar(&a.timeout, "timeout", defaultTimeout, "time limit of the command")
 	fs.BoolVar(&a.json, "json", false, "print JSON")
 	return &ffcli.Command{
--- a/throttle/limit_test.go
+++ b/throttle/limit_test.go
@@ -65,3 +65,18 @@
 	throttle.Tick(at(40), all)
 	assert.Equal(t, len(throttle.Limits()), 0)
 }
+
+// Guards against a question about an upstream that refills or takes its permits.
+func TestWouldAdmitChangesNothing(t *testing.T) {
+	th := New()
+	assert.Assert(t, th.WouldAdmit(at(0), "u"))
+	th.Observe(at(0), at(0), "u", true, 10)
+	th.Assign(at(0), func(string) Allocator { return Allocator{Self: true, Fraction: 1} })
+	before := *th.upstreams["u"]
+	assert.Assert(t, !th.WouldAdmit(at(0), "u"))
+	for range 100 {
+		assert.Assert(t, th.WouldAdmit(at(0.5), "u"))
+	}
+	assert.Equal(t, *th.upstreams["u"], before)
+	assert.Assert(t, th.Admits(at(0.5), "u"))
+}
