--- a/placement/explain_test.go
+++ b/placement/explain_test.go
@@ -104,7 +104,8 @@
 // one explains each of them first.
 func TestExplainAgreesWithAcquire(t *testing.T) {
 	for seed := range uint64(20) {
-		explained, plain := randomPool(), randomPool()
+		local := 1 + 2*int(seed%2)
+		explained, plain := mixedPool(local), mixedPool(local)
 		random := rand.New(rand.NewPCG(seed, 1))
 		var leases [][2]*Lease
 		outcomes := map[Refusal]int{}
@@ -139,12 +140,14 @@
 	}
 }
 
-// randomPool returns a pool of two regions with a cold upstream, a draining one and few connections.
-func randomPool() *Pool {
-	p := newPool(3, Settings{Connections: map[string]int{"lookup": 6}, Senders: 3})
+// mixedPool returns a pool of two regions with local upstreams in the nearer one, of which the second
+// is cold, a draining one and few connections. With one local upstream, objects spill.
+func mixedPool(local int) *Pool {
+	p := newPool(local, Settings{Connections: map[string]int{"lookup": 6}, Senders: 3})
 	draining := upstreamIn("drains", "east-1")
 	draining.State = registry.Draining
 	p.Update([]*registry.Upstream{upstreamIn("west-a", "west-1"), upstreamIn("west-b", "west-1"), draining}, nil)
+	p.services["lookup"].shares.byRegion = map[string]float64{"east": 0.9, "west": 0.1}
 	p.SetCold("u01", ColdLimit{Until: at(5), Rate: 3})
 	return p
 }
