--- a/docs/names_test.go
+++ b/docs/names_test.go
@@ -24,6 +24,7 @@
 	"samphireferry.example/ferry/load"
 	"samphireferry.example/ferry/operator"
 	"samphireferry.example/ferry/operator/ctl"
+	"samphireferry.example/ferry/placement"
 	"samphireferry.example/ferry/shift"
 	"samphireferry.example/ferry/standin/command"
 	"samphireferry.example/ferry/telemetry"
@@ -96,6 +97,13 @@
 	assert.DeepEqual(t, names(firstColumnName, section(t, text, "### Retries")), sorted(telemetry.RetryReasons()))
 }
 
+// Guards against a reason of `ferryctl where` that the page doesn't explain.
+func TestOperationsPageListsAllReasonsForAnUpstream(t *testing.T) {
+	reasons := placement.ReasonNames()
+	slices.Sort(reasons)
+	assert.DeepEqual(t, names(firstColumnName, section(t, page(t, "OPERATIONS.md"), "### Where a request goes")), reasons)
+}
+
 // metricNames returns the names of all metrics in the code.
 func metricNames(t *testing.T) []string {
 	t.Helper()
@@ -200,6 +208,7 @@
 		sorted([]dynamic.RouteKind{dynamic.AtMostOnce}),
 		names(firstColumnName, section(t, page(t, "OPERATIONS.md"), "## Counters")),
 		names(logField, source(t, "../edge")),
+		placement.ReasonNames(),
 		// Fields of a refusal, and values of labels.
 		{"request_id", "not_sent", "compare_and_swap"},
 	} {
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -44,20 +44,27 @@
 	ReasonPaused
 	// ReasonNoConnection means that requests in flight use all connections to it.
 	ReasonNoConnection
-	// ReasonQueueTooLong means that it has too many requests for each slot.
+	// ReasonQueueTooLong means that it is the first that may serve the request, and has too many
+	// requests for each slot.
 	ReasonQueueTooLong
+	// ReasonBusy means that it is the second one, and has less spare capacity than it needs to
+	// take over.
+	ReasonBusy
 	// ReasonOtherRegion means that no further request may leave the region now.
 	ReasonOtherRegion
 )
 
-// String returns the name of the reason.
-func (r Reason) String() string {
-	return [...]string{
-		"chosen", "less_preferred", "not_of_object", "draining", "leaving", "evacuated", "version", "home_region", "tried",
-		"ejected", "cold_limit", "rate_limit", "paused", "no_connection", "queue_too_long", "other_region",
-	}[r]
+var reasonNames = [...]string{
+	"chosen", "less_preferred", "not_of_object", "draining", "leaving", "evacuated", "version", "home_region", "tried",
+	"ejected", "cold_limit", "rate_limit", "paused", "no_connection", "queue_too_long", "busy", "other_region",
 }
 
+// String returns the name of the reason.
+func (r Reason) String() string { return reasonNames[r] }
+
+// ReasonNames returns the names of all reasons.
+func ReasonNames() []string { return slices.Clone(reasonNames[:]) }
+
 // Explanation is what Acquire would decide on a request.
 type Explanation struct {
 	// Chosen is the upstream that would get the request; nil if Refusal is not Chosen.
@@ -217,6 +224,9 @@
 	case found == fitFallback:
 		w.fallback = t
 	}
+	if w.eligible > 1 {
+		return ReasonBusy
+	}
 	return ReasonQueueTooLong
 }
 
--- a/placement/explain_test.go
+++ b/placement/explain_test.go
@@ -93,6 +93,17 @@
 	e = p.Explain(at(1), query(7))
 	assert.Equal(t, e.Refusal, AllBusy)
 	assert.Equal(t, e.Candidates[1].Reason, ReasonOtherRegion)
+	p.targets["u00"].inFlight = (1+maxQueuePerSlot)*slots - 1
+	e = p.Explain(at(1), query(7))
+	assert.Equal(t, e.Candidates[0].Reason, ReasonChosen, "no other one has room")
+	lease, refusal := p.Acquire(at(1), query(7))
+	assert.Equal(t, refusal, Chosen)
+	assert.Equal(t, lease.Upstream, e.Chosen)
+	p.targets["u00"].shedUntil = at(2)
+	for _, id := range []string{"west-a", "west-b"} {
+		p.targets[id].inFlight = slots
+	}
+	assert.Equal(t, p.Explain(at(1), query(7)).Candidates[1].Reason, ReasonBusy)
 	assert.Equal(t, p.Explain(at(1), Query{Service: "unknown"}).Refusal, NoCandidates)
 	for _, u := range p.targets {
 		u.ejectedUntil = at(3)
