--- a/operator/where/where.go
+++ b/operator/where/where.go
@@ -1,4 +1,3 @@
-// Package where holds the answer of an entry instance to the question where a request would go.
 package where
 
 // Path is the path of the question at the metrics address of an instance.
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -46,5 +46,10 @@
 // says. The statement holds for one start at one address, also while the entry has lapsed. When
 // all upstreams of a service leave, its requests are refused.
 //
+// # Explanations
+//
+// Explain names, for each upstream of a service, why a request would go there or why the upstream
+// is passed over. It changes no state.
+//
 // The package does no I/O and takes the time as an argument.
 package placement
