--- a/admission/bucket.go
+++ b/admission/bucket.go
@@ -91,17 +91,21 @@
 	if elapsed <= 0 {
 		return
 	}
+	b.level, b.owed = b.refilled(elapsed)
 	b.refilledAt = now
-	capacity := max(0, float64(b.share.Burst)-b.reserved)
-	gained := b.share.Rate * elapsed.Seconds()
-	repaid := min(gained, b.owed)
-	b.owed -= repaid
-	b.level = min(capacity, b.level+gained-repaid)
 	if b.level >= float64(b.share.Burst)-roundingTolerance {
 		b.charged = false
 	}
 }
 
+// refilled returns the tokens after the time since the last refill, and those that are still owed.
+func (b *Bucket) refilled(elapsed time.Duration) (level, owed float64) {
+	gained := b.share.Rate * elapsed.Seconds()
+	repaid := min(gained, b.owed)
+	capacity := max(0, float64(b.share.Burst)-b.reserved)
+	return min(capacity, b.level+gained-repaid), b.owed - repaid
+}
+
 // configure replaces the share. A smaller burst cuts the tokens first, then the
 // reserved capacity.
 func (b *Bucket) configure(now time.Time, share sharetable.Share) {
@@ -181,9 +185,12 @@
 // retryAfter returns the time until the bucket has a whole token without loans. If
 // its share has no rate, it is the time in which the whole rate of the customer
 // yields one. It is at most maxRetryAfter.
-func (b *Bucket) retryAfter() time.Duration {
+func (b *Bucket) retryAfter() time.Duration { return b.retryAfterAt(b.level) }
+
+// retryAfterAt is retryAfter for the number of tokens.
+func (b *Bucket) retryAfterAt(level float64) time.Duration {
 	rate := b.share.Rate
-	missing := 1 - b.level
+	missing := 1 - level
 	if rate <= 0 {
 		rate = b.share.Customer.Rate
 		missing = 1
