--- a/placement/doc.go
+++ b/placement/doc.go
@@ -10,6 +10,13 @@
 // coordination. When an upstream joins or leaves, only the objects that it gains or
 // loses change their upstream.
 //
+// # Stable assignment
+//
+// With Settings.Stable, object, region and upstream are matched in one weighted rendezvous hash over
+// all upstreams: an upstream gets objects in proportion to its slots, and few objects move when
+// upstreams join, leave or are evacuated. The shares of the regions stay as they are while the
+// room allows it.
+//
 // # Regions
 //
 // A region keeps the requests of its own callers while its slots suffice with a margin,
@@ -29,6 +36,15 @@
 // pass these reports on to each other, since in a large fleet each of them sends
 // requests to a given upstream too seldom to know its load.
 //
+// # Shared machines
+//
+// Some upstreams state with a response how long work takes there at that moment, since others use
+// their machine too. In a service with such upstreams the choice is by the expected time to a
+// response, of the first two or three upstreams in the object's order: the extra one depends on
+// the instance, so that the excess of an object goes to different ones from different instances.
+// A stated pace counts less with age and for 0.6 s at most. A request never leaves its
+// region for the pace alone.
+//
 // # Cold upstreams
 //
 // A cold upstream can serve few requests. Settings.Cold holds the rate that this
@@ -46,5 +62,10 @@
 // says. The statement holds for one start at one address, also while the entry has lapsed. When
 // all upstreams of a service leave, its requests are refused.
 //
+// # Explanations
+//
+// Explain names, for each upstream of a service, why a request would go there or why the upstream
+// is passed over. It changes no state.
+//
 // The package does no I/O and takes the time as an argument.
 package placement
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"samphireferry.example/ferry/registry"
 	"samphireferry.example/ferry/routing"
 )
@@ -34,11 +36,16 @@
 type Location struct {
 	FailureDomain string
 	Region        string
+	// Instance is the name of this instance. The extra upstream that some instances consider
+	// for an object depends on it.
+	Instance string
 }
 
 // Pool holds the upstreams of all services. It is safe for concurrent use.
 type Pool struct {
 	self Location
+	// salt is the hash of the name of the instance.
+	salt uint64
 
 	mu       sync.Mutex
 	settings Settings
@@ -53,15 +60,19 @@
 	// learned holds the loads in responses to this instance, oldest first.
 	learned  []Report
 	services map[string]*service
-	// ready and usable are buffers of candidates.
-	ready, usable []ranked
+	// ready is a buffer of candidates.
+	ready []ranked
+	// regionTimes, firsts and positions are buffers of stableCandidates.
+	regionTimes []float64
+	firsts      []*target
+	positions   []int
 	// departures holds the statements of upstreams that they leave, by id.
 	departures map[string]departure
 }
 
 // NewPool returns a pool without upstreams.
 func NewPool(self Location) *Pool {
-	return &Pool{self: self, cold: map[string]ColdLimit{}, targets: map[string]*target{}, services: map[string]*service{}, departures: map[string]departure{}, byHash: map[uint64]*target{}}
+	return &Pool{self: self, salt: xxhash.Sum64String(self.Instance), cold: map[string]ColdLimit{}, targets: map[string]*target{}, services: map[string]*service{}, departures: map[string]departure{}, byHash: map[uint64]*target{}}
 }
 
 // Settings are the inputs of the pool besides the upstreams and their limits.
@@ -78,6 +89,8 @@
 	Connections map[string]int
 	// Senders is the number of instances in this region, which share its upstreams.
 	Senders int
+	// Stable selects the stable assignment of objects: by slots, and with few moves.
+	Stable bool
 }
 
 // Configure replaces the settings, whose maps must not be modified afterwards. Only settings
@@ -97,6 +110,9 @@
 		}
 		if evacuatedChanged {
 			p.setInitialShares(s)
+			if settings.Stable && s.arrivals > 0 {
+				s.keepStable(settings.Evacuated)
+			}
 		}
 	}
 }
@@ -111,6 +127,9 @@
 	for _, id := range gone {
 		if t := p.targets[id]; t != nil {
 			p.remove(t, concerned)
+			if s := p.services[t.upstream.Service]; p.settings.Stable {
+				s.stable.leave(t)
+			}
 			delete(p.targets, id)
 			delete(p.byHash, t.hash)
 		}
@@ -118,8 +137,13 @@
 	}
 	for _, u := range changed {
 		t := p.targets[u.ID]
+		old := t
 		if t != nil {
 			p.remove(t, concerned)
+			if s := p.services[t.upstream.Service]; p.settings.Stable && t.upstream.Service != u.Service {
+				s.stable.leave(t)
+				old = nil
+			}
 		}
 		if t == nil || t.upstream.Started != u.Started || t.upstream.Address != u.Address {
 			t = newTarget(u, p.settings)
@@ -130,6 +154,9 @@
 		p.targets[u.ID] = t
 		p.byHash[t.hash] = t
 		p.add(t, concerned)
+		if p.settings.Stable {
+			p.joinStable(old, t)
+		}
 	}
 	for name, s := range concerned {
 		if len(s.targets) == 0 {
@@ -137,6 +164,23 @@
 			continue
 		}
 		p.setInitialShares(s)
+		if p.settings.Stable && s.arrivals > 0 {
+			s.keepStable(p.settings.Evacuated)
+		}
+	}
+}
+
+// joinStable makes an upstream take part in the stable assignment of its service, in the place of
+// its former start if there is one.
+func (p *Pool) joinStable(old, t *target) {
+	s := p.services[t.upstream.Service]
+	switch {
+	case old != nil:
+		s.stable.replace(old, t)
+	case s.arrivals > 0:
+		s.stable.join(t)
+	default:
+		t.part = 1
 	}
 }
 
@@ -164,6 +208,9 @@
 func (p *Pool) setInitialShares(s *service) {
 	if s.arrivals == 0 {
 		s.shares.byRegion = targetShares(p.self.Region, nil, s.slots(p.settings.Evacuated), 0)
+		if p.settings.Stable {
+			s.startStable(p.settings.Evacuated)
+		}
 	}
 }
 
@@ -238,16 +285,25 @@
 
 // StepShares moves the region shares of each service one step towards the shares that
 // its demand calls for: that of requests which may run in several regions, by region of the
-// callers, and pinned, that of the others by region where they run.
-func (p *Pool) StepShares(now time.Time, demand, pinned map[string]Demand) {
+// callers, and pinned, that of the others by region where they run. It returns the services in
+// the stable assignment some of whose objects move for it.
+func (p *Pool) StepShares(now time.Time, demand, pinned map[string]Demand) (moved []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, s := range p.services {
 		usable := func(t *target) bool { return t.usable(now) }
 		perSlot := maxLocalUtilization / max(s.serviceTime, minServiceTime).Seconds()
 		slots := freeSlots(demand[name], pinned[name], p.slotsAtRate(s, usable, perSlot), perSlot)
-		s.shares.step(now, targetShares(p.self.Region, demand[name], slots, perSlot))
+		target := targetShares(p.self.Region, demand[name], slots, perSlot)
+		if p.settings.Stable {
+			if p.stepStable(now, s, demand[name], target, slots, perSlot) {
+				moved = append(moved, name)
+			}
+			continue
+		}
+		s.shares.step(now, target)
 	}
+	return moved
 }
 
 // slotsAtRate returns the number of slots by region, without evacuated failure domains. It
@@ -358,7 +414,13 @@
 	if candidates.len() == 0 {
 		return nil, NoCandidates
 	}
-	chosen := p.choose(now, s, candidates, q)
+	var chosen *target
+	var choice Choice
+	if s.paced {
+		chosen, choice = p.chooseByCompletion(now, s, candidates, q)
+	} else {
+		chosen = p.choose(now, s, candidates, q)
+	}
 	if chosen == nil {
 		return nil, AllBusy
 	}
@@ -367,7 +429,7 @@
 		chosen.cold.take()
 	}
 	chosen.inFlight++
-	return &Lease{pool: p, service: s, target: chosen, Upstream: chosen.endpoint, acquiredAt: now, cold: cold, Utilization: p.load(now, s, chosen) / float64(chosen.upstream.Slots)}, Chosen
+	return &Lease{pool: p, service: s, target: chosen, Upstream: chosen.endpoint, acquiredAt: now, cold: cold, Choice: choice, Utilization: p.load(now, s, chosen) / float64(chosen.upstream.Slots)}, Chosen
 }
 
 // Allows reports whether the request may still be sent to the upstream of the lease: that has
@@ -409,14 +471,14 @@
 	}
 	candidates := p.candidates(now, s, q)
 	var shortest time.Duration
-	eligible := 0
+	eligible, considered := 0, p.considered(s, q.Object)
 	for n := range candidates.len() {
 		t := candidates.at(n)
 		if !p.withinColdLimit(now, t) || !q.admits(t.upstream.ID) {
 			continue
 		}
 		eligible++
-		if eligible > upstreamsPerObject {
+		if eligible > considered {
 			break
 		}
 		left := t.shedUntil.Sub(now)
@@ -450,7 +512,6 @@
 func (p *Pool) choose(now time.Time, s *service, candidates *ranking, q Query) *target {
 	var fallback *target
 	maxUtilization := s.maxUtilization(q.TimeLeft)
-	maxFallbackUtilization := min(1+maxQueuePerSlot, maxUtilization)
 	eligible := 0
 	for n := range candidates.len() {
 		t := candidates.at(n)
@@ -465,13 +526,14 @@
 			continue
 		}
 		utilization := (p.load(now, s, t) + 1) / float64(t.upstream.Slots)
-		otherRegion := t.region != candidates.at(0).region
-		switch {
-		case eligible == 1 && utilization <= min(1+maxPreferredQueuePerSlot, maxUtilization), !otherRegion && utilization <= maxSecondaryUtilization:
+		switch fitOf(eligible == 1, t.region != candidates.at(0).region, utilization, maxUtilization) {
+		case fitChosen:
 			return t
-		case otherRegion && utilization <= maxSecondaryUtilization && s.spill.tryTake():
-			return t
-		case eligible == 1 && utilization <= maxFallbackUtilization:
+		case fitSpill:
+			if s.spill.tryTake() {
+				return t
+			}
+		case fitFallback:
 			fallback = t
 		}
 	}
--- a/placement/ranking.go
+++ b/placement/ranking.go
@@ -18,6 +18,11 @@
 	rank   uint64
 }
 
+// newRanked returns the place of the upstream for the object, whose order of regions is given.
+func newRanked(regions []string, t *target, object uint64) ranked {
+	return ranked{target: t, region: slices.Index(regions, t.region), rank: t.rank(object)}
+}
+
 func compareRanked(a, b ranked) int {
 	return cmp.Or(cmp.Compare(a.region, b.region), cmp.Compare(b.rank, a.rank))
 }
@@ -42,9 +47,11 @@
 			break
 		}
 		best := 0
+		region, rank := rest[0].region, rest[0].rank
 		for i := range rest {
-			if compareRanked(rest[i], rest[best]) < 0 {
-				best = i
+			c := &rest[i]
+			if c.region < region || c.region == region && c.rank > rank {
+				best, region, rank = i, c.region, c.rank
 			}
 		}
 		rest[0], rest[best] = rest[best], rest[0]
@@ -56,20 +63,24 @@
 // candidates returns the usable upstreams that may serve the request. It includes the ejected ones when
 // fewer than 1/minUsableDivisor of them are usable. The ranking is valid until the next call.
 func (p *Pool) candidates(now time.Time, s *service, q Query) *ranking {
+	if p.settings.Stable {
+		return p.stableCandidates(now, s, q)
+	}
 	regions := s.shares.orderRegions(q.Object, s.regions)
-	p.ready, p.usable = p.ready[:0], p.usable[:0]
+	p.ready = p.ready[:0]
+	usable := 0
 	for _, t := range s.targets {
 		if !t.accepts() || !p.allows(t, q) {
 			continue
 		}
-		candidate := ranked{target: t, region: slices.Index(regions, t.region), rank: t.rank(q.Object)}
-		p.ready = append(p.ready, candidate)
+		p.ready = append(p.ready, newRanked(regions, t, q.Object))
 		if t.usable(now) {
-			p.usable = append(p.usable, candidate)
+			usable++
 		}
 	}
-	if len(p.usable) < len(p.ready)/minUsableDivisor {
+	if usable == len(p.ready) || usable < len(p.ready)/minUsableDivisor {
 		return &ranking{candidates: p.ready}
 	}
-	return &ranking{candidates: p.usable}
+	p.ready = slices.DeleteFunc(p.ready, func(c ranked) bool { return !c.target.usable(now) })
+	return &ranking{candidates: p.ready}
 }
