placement: the queue of the preferred upstream is as long as in other services

Cause: the limit of 0.8 waiting requests for each slot refused requests that the rule without a stated pace would let wait.

--- a/placement/completion.go
+++ b/placement/completion.go
@@ -21,8 +21,8 @@
 	// than the preferred one of the region takes a request: it must not wait there.
 	maxAlternateUtilization = 1.0
 	// maxCompletionQueuePerSlot is the number of waiting requests per slot up to which a request
-	// may wait at the preferred upstream. Simulated: 1.0 lets them wait a tenth longer than 0.7.
-	maxCompletionQueuePerSlot = 0.8
+	// may wait at the preferred upstream, as in services whose upstreams state no pace.
+	maxCompletionQueuePerSlot = maxQueuePerSlot
 	// utilizationDecay is the time in which the weight of a reported load falls to 1/e, about
 	// four service times. The mean of all upstreams has the rest of the weight.
 	utilizationDecay = 2 * time.Second
