--- a/canary/rollout.go
+++ b/canary/rollout.go
@@ -239,7 +239,7 @@
 	return r.Started.Add(max(r.Order.Within-r.drainTime-decisionMargin, shortest))
 }
 
-// Next returns what is due now. complete reports whether this instance hears all others.
+// Next returns what is due now. complete reports whether the counts of all others are fresh here.
 func (r *Rollout) Next(now time.Time, complete bool) Decision {
 	switch {
 	case r.Recorded.Final():
--- a/edge/usage_counts.go
+++ b/edge/usage_counts.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// prune forgets counts of windows whose reports are overdue.
+// prune removes counts of windows whose reports are overdue.
 func (u *usageControl) prune(current int64) {
 	first := current - int64(u.settings.Late/u.settings.Window) - 2
 	expected := lo.SliceToMap(u.expected(), func(e usage.Expected) (uint64, bool) { return e.Source, true })
@@ -116,19 +116,19 @@
 	}
 }
 
-// news returns what the target lacks.
-func news(to *outbox, reports []usage.SourceReport, open, last int64) []usage.SourceReport {
-	return lo.FilterMap(reports, func(r usage.SourceReport, _ int) (usage.SourceReport, bool) { return to.News(r, open, last) })
+// unacked returns the parts of the reports that the target has not acknowledged.
+func unacked(to *outbox, reports []usage.SourceReport, open, last int64) []usage.SourceReport {
+	return lo.FilterMap(reports, func(r usage.SourceReport, _ int) (usage.SourceReport, bool) { return to.Unacked(r, open, last) })
 }
 
 func (u *usageControl) sendToPeer(to *outbox, peer *membership.Peer, reports []usage.SourceReport, open, last int64) {
 	to.SetTarget(peer.RPCAddress + " " + peer.Incarnation)
-	u.send(to, peer.RPCAddress, news(to, reports, open, last), false)
+	u.send(to, peer.RPCAddress, unacked(to, reports, open, last), false)
 }
 
 func (u *usageControl) sendToHolder(holder records.DutyHolder, reports []usage.SourceReport, open, last int64) {
 	u.toHolder.SetTarget(holder.Incarnation)
-	u.send(u.toHolder, holder.RPCAddress, news(u.toHolder, reports, open, last), true)
+	u.send(u.toHolder, holder.RPCAddress, unacked(u.toHolder, reports, open, last), true)
 }
 
 // send sends the reports in the background, unless there are none or a message is on its way.
--- a/edge/watchcheck.go
+++ b/edge/watchcheck.go
@@ -12,9 +12,8 @@
 
 // Connections may go silent without a close while new ones work. A watch on such a connection ends
 // only after its wait, up to 4 s later, and requests went to upstreams for 2.9 to 3.5 s after they
-// had reported that they drain; the bound is 2 s from the moment at which the instance is in touch
-// again. The steps of the check together take at most 2.5 s: an interval, two reads and the
-// time for the response of the watch.
+// had reported that they drain, where 2 s are allowed. The steps of the check together take at
+// most 2.5 s: an interval, two reads and the time for the response of the watch.
 const (
 	watchCheckInterval = time.Second
 	// watchCheckTimeout bounds a read of the check. A slow store responds within 0.2 s.
--- a/usage/clock.go
+++ b/usage/clock.go
@@ -20,8 +20,8 @@
 
 // Clock estimates true time. The wall clock of an instance may jump by seconds and back, so the
 // estimate is the sum of a clock since boot, which never jumps, and a median of offsets: of the
-// own wall clock over a minute and, if enough peers are heard, of their clocks and the own one.
-// An instance that hears too few uses the median that its leader states.
+// own wall clock over a minute and, if enough peers respond, of their clocks and the own one.
+// An instance with too few peers uses the median that its leader states.
 type Clock struct {
 	samples   []time.Duration
 	next      int
@@ -72,7 +72,7 @@
 // Own returns the time by the own clock, without the jumps.
 func (c *Clock) Own(boot time.Duration) time.Time { return timeAt(boot, median(c.samples)) }
 
-// Group returns the median time of the clocks that are heard. It returns false if there are
+// Group returns the median time of the clocks that are known. It returns false if there are
 // too few.
 func (c *Clock) Group(boot time.Duration) (time.Time, bool) {
 	offsets := []time.Duration{median(c.samples)}
--- a/usage/counter.go
+++ b/usage/counter.go
@@ -104,7 +104,7 @@
 	w.Customers[customer] = uint64(next)
 }
 
-// Report returns the counts of the source at the time, and forgets old windows.
+// Report returns the counts of the source at the time, and removes old windows.
 func (c *Counter) Report(source uint64, now time.Time) SourceReport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/usage/table.go
+++ b/usage/table.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// Prune forgets windows before the given one, and sources that have reported none since. Of an
+// Prune removes windows before the given one, and sources that have reported none since. Of an
 // expected source it keeps the last whole window, which Lacking needs.
 func (t *Table) Prune(first int64, expected func(source uint64) bool) {
 	for source, r := range t.sources {
@@ -88,10 +88,10 @@
 // of all others.
 func (t *Table) Lacking(window int64, expected []Expected) (lacking map[string]uint64, complete bool) {
 	lacking, complete = map[string]uint64{}, true
-	heard := map[string]bool{}
+	reporting := map[string]bool{}
 	for _, e := range expected {
 		if r := t.sources[e.Source]; r != nil && r.DoneThrough >= window {
-			heard[e.Domain] = true
+			reporting[e.Domain] = true
 		}
 	}
 	unknown := uint64(0)
@@ -102,7 +102,7 @@
 		}
 		complete = false
 		switch {
-		case heard[e.Domain]:
+		case reporting[e.Domain]:
 		case r == nil:
 			unknown++
 		default:
@@ -145,22 +145,22 @@
 // Target returns the process to which reports go.
 func (o *Outbox) Target() string { return o.target }
 
-// News returns the parts of the report that the target lacks, of windows up to the last one, and
+// Unacked returns the parts of the report that the target has not acknowledged, of windows up to the last one, and
 // false if there are none. Windows before the first open one are sent once and not revised:
 // their reports are closed, unless the target is new.
-func (o *Outbox) News(r SourceReport, open, last int64) (SourceReport, bool) {
+func (o *Outbox) Unacked(r SourceReport, open, last int64) (SourceReport, bool) {
 	acked := o.acked[r.Source]
 	if acked == nil {
 		acked = &ackedReport{doneThrough: -1, versions: map[int64]uint32{}}
 	}
-	news := SourceReport{Source: r.Source, DoneThrough: min(r.DoneThrough, last), Windows: map[int64]Counts{}}
+	rest := SourceReport{Source: r.Source, DoneThrough: min(r.DoneThrough, last), Windows: map[int64]Counts{}}
 	for window, counts := range r.Windows {
 		seen := acked.versions[window]
 		if window <= last && counts.Version > seen && (seen == 0 || window >= open) {
-			news.Windows[window] = counts
+			rest.Windows[window] = counts
 		}
 	}
-	return news, len(news.Windows) > 0 || news.DoneThrough > acked.doneThrough
+	return rest, len(rest.Windows) > 0 || rest.DoneThrough > acked.doneThrough
 }
 
 // Acked records that the target has received the reports.
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -141,16 +141,16 @@
 
 	outbox := &usage.Outbox{}
 	outbox.SetTarget("leader")
-	news, ok := outbox.News(report(10, 3, 8), 0, 10)
-	assert.Assert(t, ok && len(news.Windows) == 1)
-	outbox.Acked("leader", []usage.SourceReport{news})
-	_, ok = outbox.News(report(10, 3, 8), 0, 10)
+	rest, ok := outbox.Unacked(report(10, 3, 8), 0, 10)
+	assert.Assert(t, ok && len(rest.Windows) == 1)
+	outbox.Acked("leader", []usage.SourceReport{rest})
+	_, ok = outbox.Unacked(report(10, 3, 8), 0, 10)
 	assert.Assert(t, !ok, "nothing new")
-	_, ok = outbox.News(report(10, 4, 9), 0, 10)
+	_, ok = outbox.Unacked(report(10, 4, 9), 0, 10)
 	assert.Assert(t, ok, "a revision of an open window")
-	_, ok = outbox.News(report(10, 4, 9), 11, 10)
+	_, ok = outbox.Unacked(report(10, 4, 9), 11, 10)
 	assert.Assert(t, !ok, "a revision of a closed window")
 	outbox.SetTarget("next leader")
-	_, ok = outbox.News(report(10, 4, 9), 11, 10)
+	_, ok = outbox.Unacked(report(10, 4, 9), 11, 10)
 	assert.Assert(t, ok, "the next leader has nothing")
 }
