--- a/config/static/edge.go
+++ b/config/static/edge.go
@@ -164,6 +164,9 @@
 	// StableAssignment makes few objects change their upstream when upstreams are added or removed,
 	// and gives upstreams objects by their slots. All instances need the same value. Default false.
 	StableAssignment bool
+	// ChooseByCompletion chooses the upstream that is expected to complete a request first, where
+	// upstreams state how long work takes there. Default false.
+	ChooseByCompletion bool
 	// LogLevel is debug, info, warn or error. Default "info".
 	LogLevel string
 	// Check validates the settings and exits.
@@ -209,6 +212,7 @@
 	s.registerLimitFlags(fs)
 	s.EdgeDuties.registerFlags(fs)
 	fs.BoolVar(&s.StableAssignment, "stable-assignment", false, "assign objects to upstreams by slots and with few moves; the same for all instances")
+	fs.BoolVar(&s.ChooseByCompletion, "choose-by-completion", false, "choose upstreams by expected completion where they state how long work takes")
 	fs.StringVar(&s.LogLevel, "log-level", "info", "debug, info, warn or error")
 	fs.BoolVar(&s.Check, "check", false, "check the settings and exit")
 	fs.BoolVar(&s.ShowVersion, "version", false, "print the version and exit")
--- a/edge/records.go
+++ b/edge/records.go
@@ -435,6 +435,7 @@
 		MaxConnections: map[string]int{},
 		Senders:        c.poolPeers.senders,
 		Stable:         c.deps.settings.StableAssignment,
+		IgnorePace:     !c.deps.settings.ChooseByCompletion,
 	}
 	if c.table != nil {
 		for _, service := range c.table.Services {
--- a/placement/completion.go
+++ b/placement/completion.go
@@ -44,7 +44,7 @@
 
 // recordPace records how long work takes at the upstream, in percent of the usual time.
 func (p *Pool) recordPace(now time.Time, t *target, pace int) {
-	if pace <= 0 {
+	if pace <= 0 || p.settings.IgnorePace {
 		return
 	}
 	t.pace, t.pacedAt = pace, now
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -87,6 +87,8 @@
 	// Connections maps a service to the number of connections that this instance keeps
 	// to each of its upstreams.
 	Connections map[string]int
+	// IgnorePace makes the choice follow the queues alone, whatever upstreams state of their pace.
+	IgnorePace bool
 	// Senders is the number of instances in this region, which share its upstreams.
 	Senders int
 	// Stable selects the stable assignment of objects: by slots, and with few moves.
