--- a/canary/rollout.go
+++ b/canary/rollout.go
@@ -30,8 +30,8 @@
 	// minKnown is how long an instance has known a roll-out before it decides without enough
 	// evidence: after a restart it lacks the counts of its peers.
 	minKnown = 3 * time.Second
-	// partialViewDelay is how long an instance that does not hear all others leaves that
-	// decision to those that do.
+	// partialViewDelay is how long an instance that lacks fresh counts of others leaves that
+	// decision to those that have them.
 	partialViewDelay = time.Second
 )
 
--- a/canary/rollout_test.go
+++ b/canary/rollout_test.go
@@ -48,7 +48,7 @@
 	}
 }
 
-// due returns the phase that is due at an instance that hears all others.
+// due returns the phase that is due at an instance with fresh counts of all others.
 func due(r *Rollout, seconds float64) Phase { return r.Next(at(seconds), true).Phase }
 
 func TestGoodVersionIsPromoted(t *testing.T) {
@@ -96,7 +96,7 @@
 }
 
 // TestDecisionWithoutEvidenceWaitsForTheCounts guards against a decision by an instance that
-// has just started or does not hear all others, and lacks their counts.
+// has just started, or lacks fresh counts of others.
 func TestDecisionWithoutEvidenceWaitsForTheCounts(t *testing.T) {
 	r := longRollout()
 	count(r, false, 20, 0)
--- a/edge/watchcheck_test.go
+++ b/edge/watchcheck_test.go
@@ -44,7 +44,7 @@
 
 // Guards against upstreams that are used for seconds after they have reported that they drain, since
 // the connection of the leader's watch went silent just before (DRAIN). The bound on drains is 2 s;
-// instances are in touch again from 3 s after the connections went silent on.
+// it binds instances again from 3 s after the connections went silent.
 func TestASilentWatchIsRestartedInTime(t *testing.T) {
 	for name, silentReads := range map[string]bool{"new connections": false, "idle connections are silent too": true} {
 		t.Run(name, func(t *testing.T) {
--- a/overload/fairness.go
+++ b/overload/fairness.go
@@ -56,7 +56,7 @@
 	return c
 }
 
-// forget removes the customers that have no requests any more.
+// forget removes the customers without recent requests.
 func (l *level) forget(now time.Time) {
 	if len(l.customers) < minRemembered {
 		return
--- a/overload/fleet_test.go
+++ b/overload/fleet_test.go
@@ -145,7 +145,7 @@
 
 func (f *fleet) cut() bool { return f.elapsed() >= f.cutFrom && f.elapsed() < f.cutUntil }
 
-// connected reports whether the regions are in touch.
+// connected reports whether the regions can reach each other.
 func (f *fleet) connected(a, b int) bool {
 	return !f.cut() || (a == regions-1) == (b == regions-1)
 }
