--- a/review/second/main.go
+++ b/review/second/main.go
@@ -18,6 +18,7 @@
 type scenario func(s *system, trouble bool) (bool, error)
 
 var scenarios = map[string]scenario{
+	"stalled-log":    stalledLog,
 	"pipelined-stop": pipelinedStop,
 }
 
