--- a/review/second/main.go
+++ b/review/second/main.go
@@ -4,7 +4,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // The exit codes of a case.
@@ -47,6 +49,13 @@
 		return failedToRun
 	}
 	defer s.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-signals
+		s.close()
+		os.Exit(failedToRun)
+	}()
 	wasBroken, err := course(s, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		record.note("cannot run: %v", err)
--- a/review/second/system.go
+++ b/review/second/system.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -97,7 +98,11 @@
 	return err
 }
 
+// closing is set once no instance may be started any more.
+var closing atomic.Bool
+
 func (s *system) close() {
+	closing.Store(true)
 	for _, e := range s.entries {
 		e.signal(syscall.SIGKILL)
 		e.wait()
@@ -190,6 +195,9 @@
 func (e *entry) start() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if closing.Load() {
+		return errors.New("the case has ended")
+	}
 	e.command = exec.Command(e.program, "-config", e.config)
 	if e.log != nil {
 		e.command.Stdout, e.command.Stderr = e.log, e.log
