linger: a response that has been written arrives, whatever its caller has sent behind it

Cause: a response counted as delivered once it was written. What the caller has not taken yet lies in the send buffer of the socket, and the kernel drops it when the socket is closed with unread bytes, or when bytes come after the close. Only connections with a refused head were closed later, 64 at a time, after a fixed 0.5 s; the limit of connections of ferry-entry hid the socket even from that.

Change: package linger closes all connections of callers: it ends the own direction, discards what comes, and closes the socket once the caller has closed or makes no progress. A stop waits for it within the grace period.

--- a/caller/server.go
+++ b/caller/server.go
@@ -16,6 +16,7 @@
 	"golang.org/x/net/netutil"
 
 	"samphireferry.example/ferry/headgate"
+	"samphireferry.example/ferry/linger"
 	"samphireferry.example/ferry/telemetry"
 )
 
@@ -61,6 +62,9 @@
 	}
 }
 
+// lingerDivisor is the part of the connection limit that may linger after their close.
+const lingerDivisor = 10
+
 // Services are the dependencies of the server on the rest of the entry instance.
 type Services struct {
 	Tables         TableSource
@@ -82,6 +86,7 @@
 	http     *http.Server
 	listener net.Listener
 	heads    *headgate.Options
+	closer   *linger.Closer
 	leaving  atomic.Bool
 	stopped  chan struct{}
 	// latency records the time in seconds from the request header to the end of a
@@ -95,6 +100,7 @@
 		settings: settings,
 		services: services,
 		stopped:  make(chan struct{}),
+		closer:   linger.NewCloser(max(1, settings.MaxConnections/lingerDivisor)),
 		latency:  services.Metrics.Histogram("ferry_request_seconds"),
 	}
 	s.heads = s.newHeads()
@@ -113,7 +119,8 @@
 
 // Provision starts to serve on the listener in the background.
 func (s *Server) Provision(listener net.Listener) {
-	s.listener = headgate.Listener{Listener: netutil.LimitListener(listener, s.settings.MaxConnections), Options: s.heads}
+	lingering := linger.Listener{Listener: listener, Closer: s.closer}
+	s.listener = headgate.Listener{Listener: netutil.LimitListener(lingering, s.settings.MaxConnections), Options: s.heads}
 	go func() {
 		defer close(s.stopped)
 		err := s.http.Serve(s.listener)
@@ -135,11 +142,14 @@
 	case <-time.After(s.settings.LeaveDelay):
 	case <-ctx.Done():
 	}
+	s.closer.Unbound()
 	err := s.http.Shutdown(ctx)
 	if err != nil {
 		_ = s.http.Close()
 	}
 	<-s.stopped
+	// The end of the process resets connections on which responses are still on their way.
+	s.closer.Wait(ctx)
 	return errors.Wrap(err, "requests were aborted at the end of the shutdown timeout")
 }
 
--- a/edge/callerconn.go
+++ b/edge/callerconn.go
@@ -14,12 +14,14 @@
 	"golang.org/x/sys/unix"
 
 	"samphireferry.example/ferry/headgate"
+	"samphireferry.example/ferry/linger"
 )
 
 // callerListener accepts the connections of callers as callerConns.
 type callerListener struct {
 	net.Listener
-	heads *headgate.Options
+	heads  *headgate.Options
+	closer *linger.Closer
 }
 
 // Accept implements net.Listener.
@@ -37,12 +39,13 @@
 		// An error of Accept would end the server. The connection is unusable, which it finds itself.
 		return conn, nil
 	}
-	return &callerConn{TCPConn: socket, gate: headgate.New(socket, l.heads), raw: raw, opened: time.Now()}, nil
+	lingering := l.closer.Conn(socket)
+	return &callerConn{Conn: lingering, gate: headgate.New(lingering, l.heads), raw: raw, opened: time.Now()}, nil
 }
 
 // callerConn is the connection of a caller.
 type callerConn struct {
-	*net.TCPConn
+	*linger.Conn
 	gate   *headgate.Gate
 	raw    syscall.RawConn
 	opened time.Time
@@ -54,9 +57,6 @@
 // HeadGate implements headgate.Gated.
 func (c *callerConn) HeadGate() *headgate.Gate { return c.gate }
 
-// Close implements net.Conn.
-func (c *callerConn) Close() error { return headgate.CloseBehind(c.gate, c.TCPConn) }
-
 // Read implements net.Conn. It records when the end of the connection was found.
 //
 // While a request is handled, net/http reads one byte and takes an error for the close. A byte that
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -13,6 +13,7 @@
 	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/entryinstance"
 	"samphireferry.example/ferry/headgate"
+	"samphireferry.example/ferry/linger"
 	"samphireferry.example/ferry/operator/where"
 	"samphireferry.example/ferry/platform/headers"
 	"samphireferry.example/ferry/platform/records"
@@ -84,7 +85,7 @@
 	if err != nil {
 		return err
 	}
-	i.serveOn(callerListener{Listener: listener, heads: i.deps.heads}, i.callerServer)
+	i.serveOn(callerListener{Listener: listener, heads: i.deps.heads, closer: i.deps.closer}, i.callerServer)
 	mux := http.NewServeMux()
 	mux.Handle("GET "+headers.PathDirectory, &directory{deps: i.deps})
 	err = i.serve(s.DirectoryListen, i.server(mux))
@@ -160,7 +161,7 @@
 	server.Handler = headgate.Guard(server.Handler, writeRefusal)
 	server.ConnState = headgate.Observe
 	server.ConnContext = headgate.WithConn
-	i.serveOn(headgate.Listener{Listener: listener, Options: i.deps.heads}, server)
+	i.serveOn(headgate.Listener{Listener: linger.Listener{Listener: listener, Closer: i.deps.closer}, Options: i.deps.heads}, server)
 	return nil
 }
 
--- a/edge/lifetime_test.go
+++ b/edge/lifetime_test.go
@@ -11,6 +11,7 @@
 
 	"samphireferry.example/ferry/errkind"
 	"samphireferry.example/ferry/headgate"
+	"samphireferry.example/ferry/linger"
 )
 
 // connect returns the two ends of a connection to a callerListener.
@@ -22,7 +23,7 @@
 	dialled, err := net.Dial("tcp", listener.Addr().String())
 	assert.NilError(t, err)
 	t.Cleanup(func() { dialled.Close() })
-	conn, err := callerListener{Listener: listener, heads: &headgate.Options{}}.Accept()
+	conn, err := callerListener{Listener: listener, heads: &headgate.Options{}, closer: linger.NewCloser(1)}.Accept()
 	assert.NilError(t, err)
 	t.Cleanup(func() { conn.Close() })
 	return dialled.(*net.TCPConn), conn.(*callerConn)
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -10,6 +10,7 @@
 	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/entryinstance"
 	"samphireferry.example/ferry/headgate"
+	"samphireferry.example/ferry/linger"
 	"samphireferry.example/ferry/overload"
 	"samphireferry.example/ferry/placement"
 	"samphireferry.example/ferry/platform"
@@ -44,7 +45,9 @@
 	buffers     *buffers.Budget
 	heads       *headgate.Options
 	callerConns *connections
-	stopping    *stopping
+	// closer closes the connections of all listeners but that of other entry instances.
+	closer   *linger.Closer
+	stopping *stopping
 	// watchRole is that of the watch of all records, operatorWatchRole of the watch of the
 	// operator's records.
 	watchRole         *watchRoleState
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -1,10 +1,13 @@
 package edge
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"samphireferry.example/ferry/errkind"
+	"samphireferry.example/ferry/internal/smallwindow"
 	"samphireferry.example/ferry/platform/headers"
 	"samphireferry.example/ferry/shutdown"
 	standin "samphireferry.example/ferry/standin/platform"
@@ -125,6 +129,18 @@
 	<-closed
 }
 
+// waitListenerClosed waits until the instance accepts no connections.
+func (i *instance) waitListenerClosed() {
+	i.t.Helper()
+	eventually(i.t, "the listener is closed", func() bool {
+		conn, err := net.Dial("tcp", i.deps.settings.Listen)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	})
+}
+
 // Guards against a stop that takes requests for longer because the store does not respond.
 func TestASilentStoreDoesNotDelayTheStop(t *testing.T) {
 	s := newSystem(t)
@@ -154,15 +170,84 @@
 		i.stop()
 		close(stopped)
 	}()
-	eventually(t, "the listener is closed", func() bool {
-		conn, err := net.Dial("tcp", i.deps.settings.Listen)
-		if err == nil {
-			_ = conn.Close()
-		}
-		return err != nil
-	})
+	i.waitListenerClosed()
 	assert.Equal(t, logs.FilterMessage("entry of this instance was not removed").Len(), 0, "the stop has waited for the store")
 	close(release)
 	assert.Equal(t, (<-running).status, http.StatusOK)
 	<-stopped
 }
+
+// Guards against a response that a caller gets in part, followed by a reset, because a stop closes its
+// connection while bytes behind the request are unread and the response is on its way (LOST).
+func TestStopDeliversResponsesToCallersThatSendAhead(t *testing.T) {
+	const responseBytes = 60_000
+	next := rawRequest(http.MethodGet, "/read/7", "second", "", "")
+	for name, c := range map[string]struct {
+		// behind is what the caller sends before its request is answered, after what it sends once the
+		// connection has been closed.
+		behind, after string
+		// idle is set when the response has been written, and the connection is idle, before the stop begins.
+		idle bool
+	}{
+		"a request behind":             {next, "", false},
+		"a part of one behind":         {"GET /re", "", false},
+		"a request after the close":    {"", next, false},
+		"idle, one after the close":    {"", next, true},
+		"idle, nothing but a response": {"", "", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t)
+			s.configurePatient()
+			b := newFakeUpstream(t, "i-1")
+			i := s.startAdmitting(b)
+			body := strings.Repeat("r", responseBytes)
+			release, arrived := make(chan struct{}), make(chan struct{}, 2)
+			respond := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				arrived <- struct{}{}
+				<-release
+				fmt.Fprint(w, body)
+			})
+			b.handler.Store(&respond)
+			conn, err := smallwindow.Dial(i.deps.settings.Listen)
+			assert.NilError(t, err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, rawRequest(http.MethodGet, "/read/7", "first", "", ""))
+			assert.NilError(t, err)
+			<-arrived
+			// These bytes stay in the socket, as the head of the first request has been read.
+			_, err = io.WriteString(conn, c.behind)
+			assert.NilError(t, err)
+			stopped := make(chan struct{})
+			stop := func() {
+				go func() {
+					i.stop()
+					close(stopped)
+				}()
+			}
+			if c.idle {
+				close(release)
+				eventually(t, "the connection is idle", func() bool { unused, _ := i.deps.callerConns.count(); return unused == 1 })
+				stop()
+			} else {
+				stop()
+				i.waitListenerClosed()
+				close(release)
+			}
+			eventually(t, "the instance has closed the connection", func() bool {
+				unused, busy := i.deps.callerConns.count()
+				return unused+busy == 0
+			})
+			if c.after != "" {
+				_, err = io.WriteString(conn, c.after)
+				assert.NilError(t, err)
+			}
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			got, err := io.ReadAll(response.Body)
+			assert.NilError(t, err, "the response ends after %d bytes", len(got))
+			assert.Equal(t, string(got), body)
+			assert.NilError(t, conn.Close())
+			<-stopped
+		})
+	}
+}
--- a/edge/stopping.go
+++ b/edge/stopping.go
@@ -43,6 +43,7 @@
 	sleep(ctx, time.Until(plan.CloseListener()))
 	unused, busy := i.deps.callerConns.count()
 	i.deps.log.Info("listener closes", zap.Int("unused_connections", unused), zap.Int("busy_connections", busy))
+	i.deps.closer.Unbound()
 	ending := time.AfterFunc(time.Until(plan.EndRequests()), func() { i.endRequests(errStopping) })
 	defer ending.Stop()
 	// Shutdown looks for the end of the requests at intervals, so an error alone shows no cut.
@@ -51,6 +52,11 @@
 		i.deps.log.Warn("requests were cut at the end of the grace period", zap.Int("connections", busy), zap.Error(err))
 	}
 	i.flushUsage(ctx)
+	// Responses that have been written may still be on their way, and the end of the process resets
+	// their connections.
+	if left := i.deps.closer.Wait(ctx); left > 0 {
+		i.deps.log.Warn("callers had not got their responses at the end of the grace period", zap.Int("connections", left))
+	}
 	i.rpc.Close()
 	for _, server := range i.servers {
 		_ = server.Close()
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -10,6 +10,7 @@
 	"samphireferry.example/ferry/admission"
 	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/entryinstance"
+	"samphireferry.example/ferry/linger"
 	"samphireferry.example/ferry/membership"
 	"samphireferry.example/ferry/overload"
 	"samphireferry.example/ferry/placement"
@@ -38,6 +39,8 @@
 	// processor time on both sides: four for each control tick, at which they are
 	// planned.
 	maxLoanMessagesPerSecond = 40
+	// lingerFraction is the fraction of the connection limit that may linger after their close.
+	lingerFraction = 0.1
 	// maxStoreBackoff bounds the pause after failed store calls.
 	maxStoreBackoff = 400 * time.Millisecond
 	// storeTimeout bounds a store call; the store is slow at times.
@@ -106,6 +109,7 @@
 		retries:           newRetryBudgets(settings.EdgeBounds),
 		throttle:          throttle.New(),
 		callerConns:       newConnections(settings.MaxConnections),
+		closer:            linger.NewCloser(max(1, int(lingerFraction*float64(settings.MaxConnections)))),
 		buffers:           newBuffers(int64(settings.Memory), settings.HeadShare),
 		stopping:          &stopping{},
 		watchRole:         newWatchRoleState(),
@@ -122,6 +126,7 @@
 		held, _ := deps.buffers.Held()
 		return float64(held)
 	})
+	deps.metrics.Gauge("ferry_connections_lingering", func() float64 { return float64(deps.closer.Lingering()) })
 	deps.metrics.Gauge("ferry_head_bytes", func() float64 { return float64(deps.buffers.Heads()) })
 	return deps, nil
 }
--- a/headgate/conn.go
+++ b/headgate/conn.go
@@ -4,26 +4,15 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"samphireferry.example/ferry/buffers"
 )
 
-const (
-	// lingerTime is how long a connection stays open behind a refusal: one that is closed with unread
-	// bytes is reset, which can destroy the response on its way.
-	lingerTime = 500 * time.Millisecond
-	// maxLingering bounds the connections that stay open so, and the descriptors that they hold.
-	maxLingering = 64
-	// UnreadBodyTimeout bounds the wait for a body that no handler reads. The server of net/http reads
-	// up to 256 KiB of the rest before it writes the response, and would wait without end for a body
-	// that never arrives.
-	UnreadBodyTimeout = 1 * time.Second
-)
-
-// lingering counts the connections that stay open behind a refusal.
-var lingering atomic.Int64
+// UnreadBodyTimeout bounds the wait for a body that no handler reads. The server of net/http reads
+// up to 256 KiB of the rest before it writes the response, and would wait without end for a body
+// that never arrives.
+const UnreadBodyTimeout = 1 * time.Second
 
 // Gated is a connection whose requests pass a gate.
 type Gated interface{ HeadGate() *Gate }
@@ -40,28 +29,6 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) { return c.gate.Read(p) }
 
-// Close implements net.Conn.
-func (c *Conn) Close() error { return CloseBehind(c.gate, c.Conn) }
-
-// CloseBehind closes the connection of the gate, later if a head was refused.
-func CloseBehind(g *Gate, conn net.Conn) error {
-	if !g.Refused() {
-		return conn.Close()
-	}
-	if lingering.Add(1) > maxLingering {
-		lingering.Add(-1)
-		return conn.Close()
-	}
-	if half, ok := conn.(interface{ CloseWrite() error }); ok {
-		_ = half.CloseWrite()
-	}
-	time.AfterFunc(lingerTime, func() {
-		_ = conn.Close()
-		lingering.Add(-1)
-	})
-	return nil
-}
-
 // Listener accepts connections as Conns.
 type Listener struct {
 	net.Listener
--- a/headgate/gate.go
+++ b/headgate/gate.go
@@ -67,7 +67,7 @@
 	body    requesthead.Body
 	raw     requesthead.Raw
 	refusal *requesthead.Refusal
-	// refused is set once a head has been refused.
+	// refused is set once a head has been refused, so that nothing more is read.
 	refused atomic.Bool
 	// held is the memory of the head, and of the bodies that the handler adds.
 	held atomic.Pointer[buffers.Holder]
@@ -383,6 +383,3 @@
 		held.Release()
 	}
 }
-
-// Refused reports whether a head was refused, so that nothing more is read.
-func (g *Gate) Refused() bool { return g.refused.Load() }
