entryinstance: header fields of a call and connections of peers are bounded

Change: a call may have 16 KiB of fields, connections have small buffers, and where the memory of the machine is known, a server accepts one connection for each 256 KiB of it; others wait.

Messages are as long as before, up to 4 MiB for each call: a client that reaches this port can still fill the memory with them, so the port must not be open to clients.

--- a/edge/config_lag_test.go
+++ b/edge/config_lag_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/entryinstance"
 	"samphireferry.example/ferry/internal/freeport"
 	"samphireferry.example/ferry/membership"
@@ -193,9 +194,9 @@
 		Name: name, Incarnation: membership.NewIncarnation(name, 1), Address: address, RpcAddress: address,
 		FailureDomain: "east-1", Region: "east",
 	}})
-	server, err := entryinstance.NewServer(rpcConfig(), p)
+	server, err := entryinstance.NewServer(rpcConfig(&static.EdgeSettings{}), p)
 	assert.NilError(t, err)
-	listener, err := entryinstance.Listen(rpcConfig(), address)
+	listener, err := entryinstance.Listen(rpcConfig(&static.EdgeSettings{}), address)
 	assert.NilError(t, err)
 	go func() { assert.Check(t, server.Serve(listener)) }()
 	t.Cleanup(server.Close)
--- a/edge/homes_lag_test.go
+++ b/edge/homes_lag_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap/zapcore"
 	"gotest.tools/v3/assert"
 
+	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/entryinstance"
 	"samphireferry.example/ferry/internal/freeport"
 	"samphireferry.example/ferry/membership"
@@ -71,9 +72,9 @@
 		Name: name, Incarnation: membership.NewIncarnation(name, 1), Address: address, RpcAddress: address,
 		FailureDomain: domain, Region: region,
 	}}}
-	server, err := entryinstance.NewServer(rpcConfig(), p)
+	server, err := entryinstance.NewServer(rpcConfig(&static.EdgeSettings{}), p)
 	assert.NilError(s.t, err)
-	listener, err := entryinstance.Listen(rpcConfig(), address)
+	listener, err := entryinstance.Listen(rpcConfig(&static.EdgeSettings{}), address)
 	assert.NilError(s.t, err)
 	go func() { assert.Check(s.t, server.Serve(listener)) }()
 	s.t.Cleanup(server.Close)
@@ -109,7 +110,7 @@
 // tell announces the record to the instance, as the peer does when it has put it in force.
 func tell(t *testing.T, i *instance, sender string, record platform.Entry) {
 	t.Helper()
-	pool, err := entryinstance.NewPool(rpcConfig())
+	pool, err := entryinstance.NewPool(rpcConfig(&static.EdgeSettings{}))
 	assert.NilError(t, err)
 	client, err := pool.Client(i.deps.identity.GetRpcAddress())
 	assert.NilError(t, err)
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -67,7 +67,7 @@
 		return nil, err
 	}
 	i.registrar.post, i.registrar.assumedFleet = i.control.post, assumedPerDomain*len(settings.Domains)
-	i.rpc, err = entryinstance.NewServer(rpcConfig(), &entryServer{control: i.control})
+	i.rpc, err = entryinstance.NewServer(rpcConfig(settings), &entryServer{control: i.control})
 	return i, err
 }
 
@@ -193,7 +193,7 @@
 }
 
 func (i *Instance) serveRPC() error {
-	listener, err := entryinstance.Listen(rpcConfig(), i.deps.settings.RPCListen)
+	listener, err := entryinstance.Listen(rpcConfig(i.deps.settings), i.deps.settings.RPCListen)
 	if err != nil {
 		return err
 	}
--- a/edge/permit_wait_test.go
+++ b/edge/permit_wait_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"samphireferry.example/ferry/canary"
+	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/entryinstance"
 	"samphireferry.example/ferry/internal/freeport"
 	"samphireferry.example/ferry/placement"
@@ -61,9 +62,9 @@
 	address, err := freeport.Next()
 	assert.NilError(t, err)
 	p := &permitWait{t: t, instance: i, address: address, granted: granted, onPermit: func() {}}
-	server, err := entryinstance.NewServer(rpcConfig(), p)
+	server, err := entryinstance.NewServer(rpcConfig(&static.EdgeSettings{}), p)
 	assert.NilError(t, err)
-	listener, err := entryinstance.Listen(rpcConfig(), address)
+	listener, err := entryinstance.Listen(rpcConfig(&static.EdgeSettings{}), address)
 	assert.NilError(t, err)
 	go func() { assert.Check(t, server.Serve(listener)) }()
 	t.Cleanup(server.Close)
--- a/edge/pull_test.go
+++ b/edge/pull_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"samphireferry.example/ferry/config/static"
 	"samphireferry.example/ferry/entryinstance"
 	"samphireferry.example/ferry/internal/freeport"
 	"samphireferry.example/ferry/membership"
@@ -59,9 +60,9 @@
 		StoreRevision: revision,
 		StoreAway:     true,
 	}}
-	server, err := entryinstance.NewServer(rpcConfig(), p)
+	server, err := entryinstance.NewServer(rpcConfig(&static.EdgeSettings{}), p)
 	assert.NilError(t, err)
-	listener, err := entryinstance.Listen(rpcConfig(), address)
+	listener, err := entryinstance.Listen(rpcConfig(&static.EdgeSettings{}), address)
 	assert.NilError(t, err)
 	go func() { assert.Check(t, server.Serve(listener)) }()
 	t.Cleanup(server.Close)
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -48,7 +48,9 @@
 )
 
 // rpcConfig allows plain text, since the platform provides no certificates.
-func rpcConfig() entryinstance.Config { return entryinstance.Config{AllowPlaintext: true} }
+func rpcConfig(settings *static.EdgeSettings) entryinstance.Config {
+	return entryinstance.Config{AllowPlaintext: true, MaxConnections: entryinstance.MaxConnectionsFor(int64(settings.Memory))}
+}
 
 func provideStore(i do.Injector) (platform.Store, error) {
 	settings := do.MustInvoke[*static.EdgeSettings](i)
@@ -67,8 +69,8 @@
 	return client, nil
 }
 
-func providePeers(do.Injector) (*entryinstance.Pool, error) {
-	return entryinstance.NewPool(rpcConfig())
+func providePeers(i do.Injector) (*entryinstance.Pool, error) {
+	return entryinstance.NewPool(rpcConfig(do.MustInvoke[*static.EdgeSettings](i)))
 }
 
 func provideUpstreams(do.Injector) (*upstream.Client, error) {
--- a/entryinstance/config.go
+++ b/entryinstance/config.go
@@ -17,6 +17,13 @@
 	ConnectionWindowBytes = 4 << 20
 	// MaxStreams bounds the concurrent calls of one connection.
 	MaxStreams = 4096
+	// maxFieldBytes bounds the header fields of one call, by their size in memory.
+	maxFieldBytes = 16 << 10
+	// bufferBytes is the size of the read and of the write buffer of a connection.
+	bufferBytes = 8 << 10
+	// connectionMemory is how much memory of the machine there is for each connection: most of it is for
+	// callers. A connection without calls needs about a fifth of it.
+	connectionMemory = 256 << 10
 	// DefaultCallTimeout is the timeout of unary calls without a deadline.
 	DefaultCallTimeout = 2 * time.Second
 
@@ -54,6 +61,8 @@
 	// IdleTimeout is the time after which a connection without calls is closed.
 	// Default 1 min.
 	IdleTimeout time.Duration
+	// MaxConnections bounds the connections that a server accepts; others wait. 0 sets no bound. Default 0.
+	MaxConnections int
 	// Invariants records violations; nil records nothing.
 	Invariants *invariant.Checker
 }
@@ -66,6 +75,9 @@
 	return c
 }
 
+// MaxConnectionsFor returns Config.MaxConnections for a machine with the memory in bytes, 0 for 0.
+func MaxConnectionsFor(memory int64) int { return int(memory / connectionMemory) }
+
 func setDefault(d *time.Duration, value time.Duration) {
 	if *d <= 0 {
 		*d = value
--- a/entryinstance/server.go
+++ b/entryinstance/server.go
@@ -6,6 +6,7 @@
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/health"
@@ -42,6 +43,10 @@
 		grpc.InitialWindowSize(StreamWindowBytes),
 		grpc.InitialConnWindowSize(ConnectionWindowBytes),
 		grpc.MaxConcurrentStreams(MaxStreams),
+		grpc.MaxHeaderListSize(maxFieldBytes),
+		grpc.ReadBufferSize(bufferBytes),
+		grpc.WriteBufferSize(bufferBytes),
+		grpc.SharedWriteBuffer(true),
 		grpc.ConnectionTimeout(connectTimeout),
 		grpc.KeepaliveParams(keepalive.ServerParameters{
 			Time:    config.KeepaliveTime,
@@ -92,6 +97,9 @@
 			return err
 		}
 	}
+	if s.config.MaxConnections > 0 {
+		listener = netutil.LimitListener(listener, s.config.MaxConnections)
+	}
 	return s.grpc.Serve(listener)
 }
 
