edge, caller: what clients make an instance hold stays within the memory of its machine

Clients that are not controlled ended processes: with heads of legal size made of many short lines, with bodies that did not arrive, trailers, and responses that they did not read.

Causes, by heap profiles and by switching the parts on one by one: - Memory counted as free while it was in use. A holder that was ended, or whose request was refused, gave its bytes back at once, but its request kept the parsed head for another 0.5 s, in which the rest of the body was waited for. Of 72 MB of heap, 50 MB were such heads, where 8 MiB are allowed. - Small holders, up to 16 KiB, are never ended, on any number of connections. - Nothing counted the connections themselves, the copies of bodies that are kept to be sent again, trailers, and the buffers of streamed responses; a caller that did not read kept its response without end. The listeners of the directory, of readiness, of metrics and of ferry-entry's operator had no limit of connections, the last one none of heads. - The heap doubled before it was collected.

Changes: - buffers: ended holders count until they are released; what is never ended takes half of the limit at most. The largest holder is found in constant time: the search through all of them stopped an instance with 16,000 requests in it. - connlimit, from edge's connections: beyond 0.8 of the limit, or what fits into a quarter of the memory, a new connection replaces the one that has waited for its caller longest. Connections to upstreams and those that linger count as well. - A request gives its memory back when it no longer uses it. Bodies in memory are sent again from there, and end the attempt without copies: bodies of 64 to 256 KiB can so be sent again too. Ended bodies leave their buffers to the next ones. - A write that a caller does not take fails after 10 s, or earlier if memory is scarce. - Where the memory is set, the garbage collector knows of it. ferry-entry has the setting.

--- a/buffers/budget.go
+++ b/buffers/budget.go
@@ -2,31 +2,34 @@
 
 import "sync"
 
-// Small is the number of bytes up to which a holder is never ended.
-const Small = 16 << 10
-
 // Budget is the memory for the heads and bodies of all requests that run. It is safe for concurrent
 // use.
 type Budget struct {
-	limit int64
-	// headLimit bounds the part of the limit that heads may hold.
-	headLimit int64
+	limits Limits
 
 	mu sync.Mutex
 	// held is the sum of the holders that have not been ended, in bytes, and heads the part of it
 	// for heads.
-	held    int64
-	heads   int64
-	holders map[*Holder]struct{}
-	ended   uint64
+	held  int64
+	heads int64
+	// ending and endingHeads are the same of holders that have been ended and not released.
+	ending      int64
+	endingHeads int64
+	// bySize and byHead hold the holders that may be ended and are not small.
+	bySize index
+	byHead index
+	ended  uint64
 }
 
-// New returns a budget of limit bytes, all of which heads may hold.
-func New(limit int64) *Budget { return NewWithHeads(limit, limit) }
-
-// NewWithHeads returns a budget of limit bytes, of which heads may hold headLimit bytes.
-func NewWithHeads(limit, headLimit int64) *Budget {
-	return &Budget{limit: limit, headLimit: headLimit, holders: map[*Holder]struct{}{}}
+// New returns a budget with the limits.
+func New(limits Limits) *Budget {
+	if limits.Heads == 0 {
+		limits.Heads = limits.Bytes
+	}
+	if limits.Small == 0 {
+		limits.Small = Small
+	}
+	return &Budget{limits: limits}
 }
 
 // Holder is the part of one request. Its methods may be called by one goroutine at a time.
@@ -38,16 +41,14 @@
 	head      int64
 	interrupt func()
 	ended     bool
+	released  bool
+	// bySize and byHead are the places in the indexes of the budget.
+	bySize place
+	byHead place
 }
 
 // Hold returns a holder of no bytes. It must be released.
-func (b *Budget) Hold() *Holder {
-	h := &Holder{budget: b}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.holders[h] = struct{}{}
-	return h
-}
+func (b *Budget) Hold() *Holder { return &Holder{budget: b} }
 
 // Interrupt sets what ends the read that makes the holder grow; nil while there is none, in which
 // the holder is not ended. It may be called by any goroutine, and at once if the holder has been
@@ -56,6 +57,7 @@
 	h.budget.mu.Lock()
 	h.interrupt = interrupt
 	ended := h.ended
+	h.budget.place(h)
 	h.budget.mu.Unlock()
 	if ended && interrupt != nil {
 		interrupt()
@@ -63,7 +65,8 @@
 }
 
 // Grow adds bytes that the holder is about to keep, and ends the largest holders if the sum
-// exceeds the limit. It reports whether this one may go on.
+// exceeds the limit. It reports whether this one may go on. It may not either, unless it stays small, while
+// holders that have been ended still use much memory.
 func (h *Holder) Grow(bytes int64) bool { return h.grow(bytes, 0) }
 
 // GrowHead is like Grow for bytes of the head. It ends holders with the largest heads, too, while the
@@ -77,20 +80,25 @@
 		b.mu.Unlock()
 		return false
 	}
+	if h.size+bytes > b.limits.Small && b.isEnding(bytes, head) {
+		b.mu.Unlock()
+		return false
+	}
 	h.size += bytes
 	b.held += bytes
 	h.head += head
 	b.heads += head
+	b.place(h)
 	var interrupts []func()
-	for b.heads > b.headLimit {
-		largest := b.largest(func(h *Holder) int64 { return h.head })
+	for b.heads > b.limits.Heads {
+		largest := b.byHead.largest()
 		if largest == nil {
 			break
 		}
 		interrupts = append(interrupts, b.end(largest))
 	}
-	for b.held > b.limit {
-		largest := b.largest(func(h *Holder) int64 { return h.size })
+	for b.held > b.limits.Bytes {
+		largest := b.bySize.largest()
 		if largest == nil {
 			break
 		}
@@ -104,25 +112,42 @@
 	return mayGoOn
 }
 
+// isEnding reports whether so much memory of ended holders is not free yet that further bytes would exceed
+// a limit by more than a quarter. The caller holds the mutex.
+func (b *Budget) isEnding(bytes, head int64) bool {
+	exceeds := func(sum, limit int64) bool { return sum > limit+limit/4 }
+	return b.ending > 0 && exceeds(b.held+b.ending+bytes, b.limits.Bytes) ||
+		head > 0 && b.endingHeads > 0 && exceeds(b.heads+b.endingHeads+head, b.limits.Heads)
+}
+
 // end ends the holder and returns its interrupt. The caller holds the mutex.
 func (b *Budget) end(h *Holder) func() {
 	h.ended = true
+	b.place(h)
 	b.held -= h.size
 	b.heads -= h.head
+	b.ending += h.size
+	b.endingHeads += h.head
 	b.ended++
 	return h.interrupt
 }
 
-// largest returns the largest holder that may be ended, by its size, or nil. The caller holds the
-// mutex.
-func (b *Budget) largest(size func(*Holder) int64) *Holder {
-	var largest *Holder
-	for h := range b.holders {
-		if !h.ended && h.interrupt != nil && size(h) > Small && (largest == nil || size(h) > size(largest)) {
-			largest = h
-		}
+// place updates the places of the holder in the indexes. The caller holds the mutex.
+func (b *Budget) place(h *Holder) {
+	size, head := h.size, h.head
+	if h.ended || h.released || h.interrupt == nil {
+		size, head = 0, 0
+	}
+	b.bySize.set(&h.bySize, h, above(size, b.limits.Small))
+	b.byHead.set(&h.byHead, h, above(head, b.limits.Small))
+}
+
+// above returns the size if it is above small, else 0.
+func above(size, small int64) int64 {
+	if size <= small {
+		return 0
 	}
-	return largest
+	return size
 }
 
 // Ended reports whether the holder was ended.
@@ -137,14 +162,18 @@
 	b := h.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if _, ok := b.holders[h]; !ok {
+	if h.released {
 		return
 	}
-	delete(b.holders, h)
-	if !h.ended {
-		b.held -= h.size
-		b.heads -= h.head
+	h.released = true
+	b.place(h)
+	if h.ended {
+		b.ending -= h.size
+		b.endingHeads -= h.head
+		return
 	}
+	b.held -= h.size
+	b.heads -= h.head
 }
 
 // Heads returns the part of Held for heads, in bytes.
@@ -158,7 +187,7 @@
 func (b *Budget) Scarce() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.held > b.limit/2
+	return b.held > b.limits.Bytes/2
 }
 
 // Held returns the sum of the holders that have not been ended, in bytes, and how many holders
--- a/buffers/budget_test.go
+++ b/buffers/budget_test.go
@@ -16,7 +16,7 @@
 }
 
 func TestTheLargestHolderIsEndedFirst(t *testing.T) {
-	b := New(100 << 10)
+	b := New(Limits{Bytes: 100 << 10})
 	small, smallEnded := hold(b, 10<<10)
 	large, largeEnded := hold(b, 60<<10)
 	assert.Assert(t, b.Scarce())
@@ -37,14 +37,14 @@
 }
 
 func TestAHolderThatIsTheLargestEndsItself(t *testing.T) {
-	b := New(100 << 10)
+	b := New(Limits{Bytes: 100 << 10})
 	h, interrupted := hold(b, 90<<10)
 	assert.Assert(t, !h.Grow(20<<10))
 	assert.Assert(t, *interrupted)
 }
 
 func TestSmallHoldersAreNotEnded(t *testing.T) {
-	b := New(10 * Small)
+	b := New(Limits{Bytes: 10 * Small})
 	for range 30 {
 		_, interrupted := hold(b, Small)
 		assert.Assert(t, !*interrupted)
@@ -54,7 +54,7 @@
 }
 
 func TestAHolderWithoutAReadIsNotEnded(t *testing.T) {
-	b := New(100 << 10)
+	b := New(Limits{Bytes: 100 << 10})
 	waiting := b.Hold()
 	assert.Assert(t, waiting.Grow(90<<10))
 	_, interrupted := hold(b, 20<<10)
@@ -66,7 +66,7 @@
 	const limit, most = 1 << 20, 100
 	for seed := range uint64(20) {
 		random := rand.New(rand.NewPCG(seed, 1))
-		b := New(limit)
+		b := New(Limits{Bytes: limit})
 		var holders []*Holder
 		for range 5000 {
 			switch {
--- a/caller/answer.go
+++ b/caller/answer.go
@@ -21,6 +21,12 @@
 		return x.dispatchError(err)
 	}
 	defer response.Body.Close()
+	x.interrupt(nil)
+	size := bufferSize(response.ContentLength)
+	// As many bytes were read ahead.
+	if !x.hold(2 * size) {
+		return x.dispatchError(errkind.New(errkind.AnswerTruncated, "too little memory is left for the response"))
+	}
 	removeHopHeaders(response.Header)
 	x.writeHead(response.Status, response.Header, response.ContentLength)
 	recorder := &bodyRecorder{limit: x.server.settings.MaxRecordedBodyBytes}
@@ -86,6 +92,7 @@
 func (x *exchange) stream(response *dispatch.Response, recorder *bodyRecorder) error {
 	controller := http.NewResponseController(x.w)
 	buffer := make([]byte, bufferSize(response.ContentLength))
+	x.boundWrite()
 	var writeErr error
 	for {
 		n, err := response.Body.Read(buffer)
@@ -113,7 +120,7 @@
 	if previousErr != nil {
 		return previousErr
 	}
-	_, err := x.w.Write(chunk)
+	err := x.write(chunk)
 	if err == nil && flush {
 		err = controller.Flush()
 	}
@@ -147,7 +154,7 @@
 	}
 	x.w.Header().Set("Ferry-Replayed", "true")
 	x.writeHead(recorded.Status, recorded.Header, int64(len(recorded.Body)))
-	_, _ = x.w.Write(recorded.Body)
+	_ = x.write(recorded.Body)
 	return nil
 }
 
--- a/caller/head.go
+++ b/caller/head.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"math"
 	"net/http"
 	"slices"
 
@@ -25,11 +26,21 @@
 	return &headgate.Options{
 		Limits:  requesthead.LimitsFor(s.settings.MaxHeaderBytes, s.settings.MaxHeaderLines, s.settings.MaxEmptyLines),
 		Timeout: s.settings.HeaderTimeout,
-		Budget:  buffers.New(s.settings.HeadMemoryBytes),
+		Budget:  buffers.New(s.memoryLimits()),
 		Count:   s.countReason,
 	}
 }
 
+// memoryLimits returns the limits of heads and bodies. Without the memory of the machine only heads are bounded.
+func (s *Server) memoryLimits() buffers.Limits {
+	if s.settings.MemoryBytes == 0 {
+		return buffers.Limits{Bytes: math.MaxInt64 / 2, Heads: s.settings.HeadMemoryBytes}
+	}
+	limits := buffers.LimitsFor(s.settings.MemoryBytes, s.settings.MaxConnections)
+	limits.Heads = min(limits.Bytes/2, s.settings.HeadMemoryBytes)
+	return limits
+}
+
 func (s *Server) countReason(reason requesthead.Reason) {
 	s.services.Metrics.Counter("ferry_heads_refused_total", "reason", string(reason)).Inc()
 }
@@ -43,11 +54,12 @@
 }
 
 // acceptHead decides whether the head of the request is accepted, before any other part reads it.
-func (s *Server) acceptHead(w http.ResponseWriter, r *http.Request) (requesthead.Head, error) {
-	_, err := headgate.Take(r)
+// The holder is nil for a request of a connection without a gate.
+func (s *Server) acceptHead(w http.ResponseWriter, r *http.Request) (requesthead.Head, *buffers.Holder, error) {
+	held, err := headgate.Take(r)
 	if err != nil {
 		w.Header().Set("Connection", "close")
-		return requesthead.Head{}, err
+		return requesthead.Head{}, nil, err
 	}
 	fields := headFields
 	if table := s.services.Tables.Table(); table != nil {
@@ -55,5 +67,5 @@
 	}
 	head, err := requesthead.Accept(r, fields)
 	s.countHeadRefusal(err)
-	return head, err
+	return head, held, err
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -12,9 +12,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
+	"github.com/google/uuid"
 	"go.uber.org/zap"
-	"golang.org/x/net/netutil"
 
+	"samphireferry.example/ferry/connlimit"
 	"samphireferry.example/ferry/headgate"
 	"samphireferry.example/ferry/linger"
 	"samphireferry.example/ferry/telemetry"
@@ -32,6 +33,8 @@
 	HeadMemoryBytes int64
 	// MaxConnections is the maximum number of open connections. Default 10,000.
 	MaxConnections int
+	// MemoryBytes is the memory of the instance, in bytes; 0 if it is not known. Default 0.
+	MemoryBytes int64
 	// HeaderTimeout limits the time to receive a request header. Default 5 s.
 	HeaderTimeout time.Duration
 	// BodyTimeout limits the time to wait for the next bytes of a request
@@ -62,8 +65,14 @@
 	}
 }
 
-// lingerDivisor is the part of the connection limit that may linger after their close.
-const lingerDivisor = 10
+const (
+	// lingerDivisor is the part of the connection limit that may linger after their close.
+	lingerDivisor = 10
+	// otherConnsDivisor is the part of the connection limit for a listener that serves no callers.
+	otherConnsDivisor = 10
+	// writeTimeout bounds the time in which a caller takes none of the bytes of a write.
+	writeTimeout = 10 * time.Second
+)
 
 // Services are the dependencies of the server on the rest of the entry instance.
 type Services struct {
@@ -73,10 +82,15 @@
 	Dispatcher     Dispatcher
 	Claims         Claimer
 	EntryInstances EntryInstances
-	Metrics        *telemetry.Metrics
-	Log            *zap.Logger
+	// Upstreams counts the connections to upstreams; nil for none.
+	Upstreams ConnectionCounter
+	Metrics   *telemetry.Metrics
+	Log       *zap.Logger
 }
 
+// ConnectionCounter counts open connections.
+type ConnectionCounter interface{ Connections() int }
+
 // Server serves callers over HTTP. Provision starts it and Cleanup shuts it down
 // gracefully.
 type Server struct {
@@ -87,6 +101,7 @@
 	listener net.Listener
 	heads    *headgate.Options
 	closer   *linger.Closer
+	conns    *connlimit.Table
 	leaving  atomic.Bool
 	stopped  chan struct{}
 	// latency records the time in seconds from the request header to the end of a
@@ -104,13 +119,14 @@
 		latency:  services.Metrics.Histogram("ferry_request_seconds"),
 	}
 	s.heads = s.newHeads()
+	s.conns = connlimit.New(settings.MaxConnections, connlimit.MostFor(settings.MemoryBytes), s.otherConnections)
 	s.api = s.newAPI()
 	s.http = &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: settings.HeaderTimeout,
 		IdleTimeout:       settings.IdleTimeout,
 		MaxHeaderBytes:    settings.MaxHeaderBytes,
-		ConnState:         headgate.Observe,
+		ConnState:         headgate.ObserveWith(s.conns.Observe),
 		ConnContext:       headgate.WithConn,
 		ErrorLog:          zap.NewStdLog(services.Log.Named("http")),
 	}
@@ -119,8 +135,7 @@
 
 // Provision starts to serve on the listener in the background.
 func (s *Server) Provision(listener net.Listener) {
-	lingering := linger.Listener{Listener: listener, Closer: s.closer}
-	s.listener = headgate.Listener{Listener: netutil.LimitListener(lingering, s.settings.MaxConnections), Options: s.heads}
+	s.listener = s.gated(listener)
 	go func() {
 		defer close(s.stopped)
 		err := s.http.Serve(s.listener)
@@ -130,6 +145,35 @@
 	}()
 }
 
+func (s *Server) gated(listener net.Listener) net.Listener {
+	return headgate.Listener{Listener: linger.Listener{Listener: listener, Closer: s.closer}, Options: s.heads}
+}
+
+// otherConnections returns the number of connections that take descriptors and memory beside those of callers.
+func (s *Server) otherConnections() int {
+	if s.services.Upstreams == nil {
+		return s.closer.Lingering()
+	}
+	return s.closer.Lingering() + s.services.Upstreams.Connections()
+}
+
+// Guarded returns a server for requests without a body on another listener, such as that of the operator, and
+// the listener to serve. Its heads and connections are bounded like those of callers.
+func (s *Server) Guarded(listener net.Listener, handler http.Handler) (*http.Server, net.Listener) {
+	conns := connlimit.New(max(1, s.settings.MaxConnections/otherConnsDivisor), 0, nil)
+	refuse := func(w http.ResponseWriter, err error) { writeProblem(w, "", err) }
+	return &http.Server{
+		Handler:           headgate.Guard(handler, refuse),
+		ReadHeaderTimeout: s.settings.HeaderTimeout,
+		IdleTimeout:       s.settings.IdleTimeout,
+		WriteTimeout:      writeTimeout,
+		MaxHeaderBytes:    s.settings.MaxHeaderBytes,
+		ConnState:         headgate.ObserveWith(conns.Observe),
+		ConnContext:       headgate.WithConn,
+		ErrorLog:          zap.NewStdLog(s.services.Log.Named("http")),
+	}, s.gated(listener)
+}
+
 // Leave marks the server as leaving: each response closes its connection.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
@@ -164,12 +208,13 @@
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	head, err := s.acceptHead(w, r)
+	head, held, err := s.acceptHead(w, r)
 	if err == nil && isAPIPath(r.URL.Path) {
 		s.api.ServeHTTP(w, r)
 		return
 	}
-	s.serveTraffic(w, r, head, err)
+	x := &exchange{server: s, w: w, r: r, id: uuid.NewString(), head: head, conn: headgate.ConnOf(r), held: held}
+	x.serveTraffic(err)
 }
 
 // Paths that the entry instance serves itself. Routes must not use them.
--- a/caller/traffic.go
+++ b/caller/traffic.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
-
+	"samphireferry.example/ferry/buffers"
 	"samphireferry.example/ferry/config/dynamic"
 	"samphireferry.example/ferry/dispatch"
 	"samphireferry.example/ferry/errkind"
@@ -30,20 +30,25 @@
 	body    *requestBody
 	request *dispatch.Request
 	claim   Claim
+	// conn is the connection of the caller, and held the memory of the request and its response. Both are
+	// nil for a connection without a gate.
+	conn net.Conn
+	held *buffers.Holder
 	// headWritten is set when the response's status has been sent.
 	headWritten bool
 }
 
-// serveTraffic serves a request with the accepted head, or refuses it with the error.
-func (s *Server) serveTraffic(w http.ResponseWriter, r *http.Request, head requesthead.Head, err error) {
-	x := &exchange{server: s, w: w, r: r, id: uuid.NewString(), head: head}
-	w.Header().Set(dispatch.HeaderRequestID, x.id)
+// serveTraffic serves a request whose head was accepted, or refuses it with the error.
+func (x *exchange) serveTraffic(err error) {
+	x.w.Header().Set(dispatch.HeaderRequestID, x.id)
 	start := time.Now()
+	// The server still has to send what is left in its buffers.
+	defer x.boundWrite()
 	if err == nil {
 		err = x.serve()
 	}
 	if err == nil {
-		s.latency.UpdateDuration(start)
+		x.server.latency.UpdateDuration(start)
 		return
 	}
 	x.refuse(err)
@@ -139,8 +144,10 @@
 	}
 	x.addForwardedFor()
 	if x.r.ContentLength != 0 {
-		x.body = newRequestBody(x.r.Body, http.NewResponseController(x.w), route.MaxBody, x.server.settings.BodyTimeout)
+		x.body = newRequestBody(x.r, http.NewResponseController(x.w), route.MaxBody, x.server.settings.BodyTimeout)
+		x.body.held, x.body.waiting = x.held, x.setWaiting
 		x.request.Body = x.body
+		return x.holdBody()
 	}
 	return nil
 }
--- a/config/static/settings.go
+++ b/config/static/settings.go
@@ -53,6 +53,9 @@
 	HeadMemory units.Size
 	// MaxConnections bounds the connections of callers. Default 10000.
 	MaxConnections int
+	// Memory is the memory of the instance, parts of which hold the heads and bodies of requests and the
+	// connections. "0B" if it is not known. Default "0B".
+	Memory units.Size
 	// HeaderTimeout bounds the time to send a request header. Default "5s".
 	HeaderTimeout time.Duration
 	// BodyTimeout bounds the time between two pieces of a request body. Default "5s".
@@ -122,6 +125,7 @@
 	s.HeadMemory = 32 << 20
 	fs.TextVar(&s.HeadMemory, "head-memory", s.HeadMemory, "memory that the headers of all requests may hold together, with unit")
 	fs.IntVar(&s.MaxConnections, "max-connections", 10_000, "largest number of connections of callers")
+	fs.TextVar(&s.Memory, "memory", s.Memory, "memory of the instance, with unit; 0B if it is not known")
 	fs.DurationVar(&s.HeaderTimeout, "header-timeout", 5*time.Second, "longest time to send a request header")
 	fs.DurationVar(&s.BodyTimeout, "body-timeout", 5*time.Second, "longest pause within a request body")
 	fs.DurationVar(&s.IdleTimeout, "idle-timeout", 90*time.Second, "longest time that an unused connection stays open")
--- a/config/static/validate.go
+++ b/config/static/validate.go
@@ -134,6 +134,7 @@
 		checkRange("max-header-lines", int64(s.MaxHeaderLines), 0, 1<<20),
 		checkRange("max-empty-lines", int64(s.MaxEmptyLines), 0, 1<<20),
 		checkRange("head-memory", int64(s.HeadMemory), 1<<20, 1<<40),
+		checkMemory(s.Memory),
 		checkRange("max-connections", int64(s.MaxConnections), 1, 1_000_000),
 		checkDuration("header-timeout", s.HeaderTimeout, 100*time.Millisecond, time.Minute),
 		checkDuration("body-timeout", s.BodyTimeout, 100*time.Millisecond, 10*time.Minute),
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -131,9 +131,10 @@
 }
 
 func (i *Instance) serveOperator() {
-	i.operator = &http.Server{Handler: i.operatorHandler(), ReadHeaderTimeout: i.settings.HeaderTimeout}
+	operator, listener := i.callers.Guarded(i.operatorListener, i.operatorHandler())
+	i.operator = operator
 	i.running.Go(func() {
-		err := i.operator.Serve(i.operatorListener)
+		err := operator.Serve(listener)
 		if !errors.Is(err, http.ErrServerClosed) {
 			i.log.Error("operator server stopped", errorField(err))
 		}
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -19,6 +19,7 @@
 }
 
 func run(settings *static.Settings, output io.Writer) error {
+	program.LimitMemory(int64(settings.Memory))
 	log, err := telemetry.NewLog(output, settings.LogLevel)
 	if err != nil {
 		return err
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -88,6 +88,7 @@
 	settings := do.MustInvoke[*static.Settings](i)
 	config := entryinstance.Config{
 		AllowPlaintext: settings.AllowPlaintext,
+		MaxConnections: entryinstance.MaxConnectionsFor(int64(settings.Memory)),
 		Invariants:     do.MustInvoke[*invariant.Checker](i),
 	}
 	if settings.TLSCert != "" {
@@ -254,6 +255,7 @@
 		return nil, err
 	}
 	return caller.NewServer(callerSettings(deps.settings), caller.Services{
+		Upstreams:      deps.upstreams,
 		Tables:         deps.views,
 		Admitter:       &admitter{deps: deps},
 		Freshness:      deps,
@@ -272,6 +274,7 @@
 	settings.MaxEmptyLines = s.MaxEmptyLines
 	settings.HeadMemoryBytes = int64(s.HeadMemory)
 	settings.MaxConnections = s.MaxConnections
+	settings.MemoryBytes = int64(s.Memory)
 	settings.HeaderTimeout = s.HeaderTimeout
 	settings.BodyTimeout = s.BodyTimeout
 	settings.IdleTimeout = s.IdleTimeout
--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -27,6 +26,8 @@
 	maxBufferedResponse = 256 << 10
 	// refusalRetryAfter is the Retry-After delay sent to a refused caller, at least.
 	refusalRetryAfter = 300 * time.Millisecond
+	// streamBufferBytes is the size of the buffer through which a streamed response passes.
+	streamBufferBytes = 32 << 10
 	// maxTriedUpstreams bounds the upstreams that one request is sent to.
 	maxTriedUpstreams = 4
 	// streamWriteGrace is the time after the deadline of a request at which writing a
@@ -418,7 +419,8 @@
 	x.w.WriteHeader(got.Status)
 	if got.complete {
 		// A failed write means that the caller has disconnected.
-		_, _ = x.w.Write(got.buffered)
+		_, _ = callerWriter{x}.Write(got.buffered)
+		freeBuffer(got.buffered)
 		return nil
 	}
 	return x.stream(ctx, got)
@@ -427,9 +429,13 @@
 // stream writes a body that has not ended yet to the caller. The end of the body
 // completes the attempt.
 func (x *exchange) stream(ctx *lifetime, got *upstreamResponse) error {
-	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(streamWriteGrace))
+	x.writeBy = x.deadline.Add(streamWriteGrace)
 	rest := &streamedBody{Reader: got.Body}
-	_, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(got.buffered), rest))
+	_, err := callerWriter{x}.Write(got.buffered)
+	freeBuffer(got.buffered)
+	if err == nil {
+		err = x.copyBody(rest)
+	}
 	_ = got.Body.Close()
 	switch {
 	case rest.err == io.EOF, got.Status >= http.StatusInternalServerError:
@@ -446,6 +452,18 @@
 	return nil
 }
 
+// copyBody writes the rest of a response to the caller while it is read.
+func (x *exchange) copyBody(rest io.Reader) error {
+	buffer := newBuffer(streamBufferBytes)
+	defer freeBuffer(buffer)
+	x.held.Interrupt(func() {})
+	if !x.held.Grow(int64(cap(buffer))) {
+		return errNoMemory
+	}
+	_, err := io.CopyBuffer(callerWriter{x}, rest, buffer[:cap(buffer)])
+	return err
+}
+
 // streamedBody records the error with which a body ended.
 type streamedBody struct {
 	io.Reader
--- a/edge/callers_test.go
+++ b/edge/callers_test.go
@@ -90,7 +90,7 @@
 	assert.Equal(t, status, http.StatusOK)
 	// Connections are accepted in order: those of all other callers are open or have ended.
 	eventually(t, "the connections of callers that left have ended", func() bool {
-		unused, busy := i.deps.callerConns.count()
+		unused, busy := i.deps.callerConns.Count()
 		return unused+busy == 1
 	})
 	gone := i.deps.metrics.Counter("ferry_callers_gone_total", "stage", string(goneUnread)).Get()
--- a/edge/finish.go
+++ b/edge/finish.go
@@ -13,9 +13,7 @@
 )
 
 const (
-	// lingerTime is how long a connection whose request body has not ended stays open after the
-	// response. A close while bytes of the caller arrive resets the connection, and the reset may
-	// overtake the response.
+	// lingerTime is how long the rest of a request body is waited for after the response.
 	lingerTime = 500 * time.Millisecond
 	// maxLingerBytes bounds the bytes of such a body that are read after the response. A caller
 	// whose body ends within them keeps its connection.
@@ -30,6 +28,10 @@
 type callerBody struct {
 	// ended is set once the whole body has been read.
 	ended atomic.Bool
+	// request is the request of the body.
+	request *http.Request
+	// waiting records that the caller is waited for.
+	waiting func(bool)
 
 	mu     sync.Mutex
 	inner  io.Reader
@@ -39,8 +41,8 @@
 // newCallerBody returns the body of the request. It keeps the server from reading the body before
 // it writes the response: that read takes as long as the caller likes, waits for a read in progress,
 // and takes bytes that an upstream still has to get.
-func newCallerBody(w http.ResponseWriter, r *http.Request) *callerBody {
-	b := &callerBody{inner: r.Body}
+func newCallerBody(w http.ResponseWriter, r *http.Request, waiting func(bool)) *callerBody {
+	b := &callerBody{inner: r.Body, request: r, waiting: waiting}
 	if r.ContentLength == 0 {
 		b.ended.Store(true)
 		return b
@@ -57,9 +59,13 @@
 	if b.closed {
 		return 0, errExchangeEnded
 	}
+	b.waiting(true)
 	n, err := b.inner.Read(p)
+	b.waiting(false)
 	if err == io.EOF {
 		b.ended.Store(true)
+		// Trailers are not forwarded, and cost many times their length.
+		b.request.Trailer = nil
 	}
 	return n, err
 }
@@ -84,6 +90,7 @@
 // beginResponse is called just before the header of the response is written.
 func (x *exchange) beginResponse() {
 	x.responseStarted = true
+	defer x.boundWrite()
 	if x.body.ended.Load() {
 		return
 	}
@@ -91,32 +98,39 @@
 		x.w.Header().Set("Connection", "close")
 	}
 	// A caller that sends its whole body before it reads would hold the response otherwise.
-	x.setWriteDeadline()
-}
-
-// setWriteDeadline bounds the writes of the response. The server lifts it after the request.
-func (x *exchange) setWriteDeadline() {
 	end := x.deadline
 	if now := time.Now(); end.Before(now) {
 		end = now
 	}
-	_ = http.NewResponseController(x.w).SetWriteDeadline(end.Add(streamWriteGrace))
+	x.writeBy = end.Add(streamWriteGrace)
 }
 
 // finish ends the exchange with the caller once the response has been written. If the request body
 // has not ended by then, nothing reads it but finish, which closes the connection unless the body
-// ends soon: what remains of it must not count as the next request.
+// ends soon: what remains of it must not count as the next request. The connection lingers after its
+// close, so that the response arrives.
 func (x *exchange) finish() {
 	if x.body.ended.Load() {
 		return
 	}
 	_ = http.NewResponseController(x.w).Flush()
+	if x.w.Header().Get("Connection") == "close" {
+		x.countUnread("closed")
+		x.releaseMemory()
+		if x.lengthKnown {
+			x.abort()
+		}
+		x.setReadDeadline(time.Unix(0, 0))
+		x.body.close()
+		return
+	}
 	end := time.Now().Add(lingerTime)
 	if !x.lengthKnown && x.deadline.Before(end) {
 		// The server writes the end of such a response after this.
 		end = x.deadline
 	}
 	x.setReadDeadline(end)
+	x.releaseMemory()
 	x.body.close()
 	var err error
 	if !x.body.ended.Load() {
@@ -138,6 +152,13 @@
 	x.setReadDeadline(time.Unix(0, 0))
 }
 
+// releaseMemory returns the memory of the request while its connection is still in use.
+func (x *exchange) releaseMemory() {
+	x.r.Header = nil
+	x.request = nil
+	x.held.Release()
+}
+
 // countUnread counts a request whose body had not been read when its response was written.
 func (x *exchange) countUnread(rest string) {
 	x.deps.metrics.Counter("ferry_bodies_unread_total", "rest", rest).Inc()
--- a/edge/instance.go
+++ b/edge/instance.go
@@ -76,7 +76,7 @@
 func (i *Instance) Start() error {
 	s := i.deps.settings
 	i.callerServer = i.server(&traffic{deps: i.deps})
-	i.callerServer.ConnState = i.deps.callerConns.observe
+	i.callerServer.ConnState = headgate.ObserveWith(i.deps.callerConns.Observe)
 	i.callerServer.ConnContext = withCallerConn
 	requests, endRequests := context.WithCancelCause(context.Background())
 	i.callerServer.BaseContext = func(net.Listener) context.Context { return requests }
@@ -159,7 +159,8 @@
 		return err
 	}
 	server.Handler = headgate.Guard(server.Handler, writeRefusal)
-	server.ConnState = headgate.Observe
+	server.WriteTimeout = writeTimeout
+	server.ConnState = headgate.ObserveWith(i.deps.otherConns.Observe)
 	server.ConnContext = headgate.WithConn
 	i.serveOn(headgate.Listener{Listener: linger.Listener{Listener: listener, Closer: i.deps.closer}, Options: i.deps.heads}, server)
 	return nil
--- a/edge/main.go
+++ b/edge/main.go
@@ -23,6 +23,7 @@
 }
 
 func run(settings *static.EdgeSettings, parse func() (*static.EdgeSettings, error), output io.Writer) error {
+	program.LimitMemory(int64(settings.Memory))
 	metrics := telemetry.New()
 	log, err := telemetry.NewBoundedLog(output, settings.LogLevel, metrics)
 	if err != nil {
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -8,6 +8,7 @@
 	"samphireferry.example/ferry/admission"
 	"samphireferry.example/ferry/buffers"
 	"samphireferry.example/ferry/config/static"
+	"samphireferry.example/ferry/connlimit"
 	"samphireferry.example/ferry/entryinstance"
 	"samphireferry.example/ferry/headgate"
 	"samphireferry.example/ferry/linger"
@@ -44,7 +45,9 @@
 	// buffers is the memory for the heads and bodies of requests and the bodies of responses.
 	buffers     *buffers.Budget
 	heads       *headgate.Options
-	callerConns *connections
+	callerConns *connlimit.Table
+	// otherConns are the connections of the directory, the readiness check and the metrics.
+	otherConns *connlimit.Table
 	// closer closes the connections of all listeners but that of other entry instances.
 	closer   *linger.Closer
 	stopping *stopping
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -226,7 +226,7 @@
 			}
 			if c.idle {
 				close(release)
-				eventually(t, "the connection is idle", func() bool { unused, _ := i.deps.callerConns.count(); return unused == 1 })
+				eventually(t, "the connection is idle", func() bool { unused, _ := i.deps.callerConns.Count(); return unused == 1 })
 				stop()
 			} else {
 				stop()
@@ -234,7 +234,7 @@
 				close(release)
 			}
 			eventually(t, "the instance has closed the connection", func() bool {
-				unused, busy := i.deps.callerConns.count()
+				unused, busy := i.deps.callerConns.Count()
 				return unused+busy == 0
 			})
 			if c.after != "" {
--- a/edge/stopping.go
+++ b/edge/stopping.go
@@ -41,14 +41,14 @@
 	go i.control.post(leave{})
 	go i.unregister(ctx)
 	sleep(ctx, time.Until(plan.CloseListener()))
-	unused, busy := i.deps.callerConns.count()
+	unused, busy := i.deps.callerConns.Count()
 	i.deps.log.Info("listener closes", zap.Int("unused_connections", unused), zap.Int("busy_connections", busy))
 	i.deps.closer.Unbound()
 	ending := time.AfterFunc(time.Until(plan.EndRequests()), func() { i.endRequests(errStopping) })
 	defer ending.Stop()
 	// Shutdown looks for the end of the requests at intervals, so an error alone shows no cut.
 	err := i.callerServer.Shutdown(ctx)
-	if _, busy = i.deps.callerConns.count(); err != nil && busy > 0 {
+	if _, busy = i.deps.callerConns.Count(); err != nil && busy > 0 {
 		i.deps.log.Warn("requests were cut at the end of the grace period", zap.Int("connections", busy), zap.Error(err))
 	}
 	i.flushUsage(ctx)
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -19,11 +19,17 @@
 	"samphireferry.example/ferry/platform/headers"
 	"samphireferry.example/ferry/requesthead"
 	"samphireferry.example/ferry/routing"
+	"samphireferry.example/ferry/upstream"
 )
 
-// maxBufferedBody is the largest request body in bytes that is read whole before it is
-// sent, so that a slow caller occupies no upstream.
-const maxBufferedBody = 256 << 10
+const (
+	// maxBufferedBody is the largest request body in bytes that is read whole before it is
+	// sent, so that a slow caller occupies no upstream.
+	maxBufferedBody = 256 << 10
+	// streamedBodyBytes is the memory of a body that is sent while it is read: what is kept of it to be sent
+	// again, and the buffers of its way.
+	streamedBodyBytes = 128 << 10
+)
 
 // traffic is the HTTP handler for requests of callers.
 type traffic struct {
@@ -35,7 +41,7 @@
 	x := &exchange{deps: t.deps, w: w, r: r, conn: callerConnOf(r), started: time.Now(), view: t.deps.views.load()}
 	release, err := x.acceptHead()
 	defer release()
-	x.body = newCallerBody(w, r)
+	x.body = newCallerBody(w, r, x.setWaiting)
 	if t.deps.stopping.begun() {
 		w.Header().Set("Connection", "close")
 	}
@@ -46,6 +52,8 @@
 		x.refuse(err)
 	}
 	x.finish()
+	// The server still has to send what is left in its buffers.
+	x.boundWrite()
 }
 
 // exchange is the processing of one request of a caller.
@@ -81,6 +89,8 @@
 	streamsBody bool
 	// responseStarted is set just before the header of the response is written.
 	responseStarted bool
+	// writeBy bounds all writes of the response; zero where each write has its own bound.
+	writeBy time.Time
 	// lengthKnown is set when the response has a length or no body, so that all of it has been
 	// sent once it is flushed.
 	lengthKnown bool
@@ -180,19 +190,14 @@
 		return nil
 	}
 	if x.r.ContentLength > maxBufferedBody {
-		x.streamsBody = true
-		x.request.Body = x.body
-		return nil
+		return x.streamBody(x.body)
 	}
 	x.setReadDeadline(x.deadline)
 	interrupt := func() { x.setReadDeadline(time.Unix(0, 0)) }
 	body, err := readHeld(x.body, x.r.ContentLength, maxBufferedBody+1, x.held, interrupt, neverStop)
 	switch {
 	case errors.Is(err, errNoMemory):
-		x.deps.metrics.Counter("ferry_bodies_ended_total", "body", "request").Inc()
-		refusal := errkind.Wrap(err, errkind.Overloaded, "")
-		refusal.RetryAfter = refusalRetryAfter
-		return refusal
+		return x.refuseBody()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return errkind.Wrap(err, errkind.DeadlineExceeded, "the request body did not arrive")
 	case err != nil:
@@ -200,15 +205,34 @@
 	}
 	if len(body) > maxBufferedBody {
 		x.setReadDeadline(time.Time{})
-		x.streamsBody = true
-		x.request.Body = io.MultiReader(bytes.NewReader(body), x.body)
-		return nil
+		return x.streamBody(io.MultiReader(bytes.NewReader(body), x.body))
 	}
-	x.request.Body = bytes.NewReader(body)
+	x.request.Body = upstream.NewWholeBody(body)
 	x.request.ContentLength = int64(len(body))
 	return nil
 }
 
+// streamBody sets up a body that is sent while it is read. The holder may be ended until the request is.
+func (x *exchange) streamBody(body io.Reader) error {
+	x.streamsBody = true
+	x.request.Body = body
+	x.held.Interrupt(func() { x.setReadDeadline(time.Unix(0, 0)) })
+	if !x.held.Grow(streamedBodyBytes) {
+		return x.refuseBody()
+	}
+	return nil
+}
+
+// refuseBody returns the refusal of a request whose body does not fit into the memory.
+func (x *exchange) refuseBody() error {
+	x.deps.metrics.Counter("ferry_bodies_ended_total", "body", "request").Inc()
+	// The rest of the body is not waited for.
+	x.w.Header().Set("Connection", "close")
+	refusal := errkind.Wrap(errNoMemory, errkind.Overloaded, "")
+	refusal.RetryAfter = refusalRetryAfter
+	return refusal
+}
+
 // objectHash returns the hash by which the upstream is chosen: of the object key, or of
 // the attempt id when there is no object key.
 func (x *exchange) objectHash() uint64 {
@@ -246,7 +270,7 @@
 	if x.responseStarted {
 		x.abort()
 	}
-	if x.deps.callerConns.nearLimit() {
+	if x.deps.callerConns.NearLimit() {
 		x.w.Header().Set("Connection", "close")
 	}
 	x.beginResponse()
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -9,6 +9,7 @@
 
 	"samphireferry.example/ferry/admission"
 	"samphireferry.example/ferry/config/static"
+	"samphireferry.example/ferry/connlimit"
 	"samphireferry.example/ferry/entryinstance"
 	"samphireferry.example/ferry/linger"
 	"samphireferry.example/ferry/membership"
@@ -41,6 +42,9 @@
 	maxLoanMessagesPerSecond = 40
 	// lingerFraction is the fraction of the connection limit that may linger after their close.
 	lingerFraction = 0.1
+	// otherConnsDivisor is the part of the connection limit for the directory, the readiness check and
+	// the metrics together.
+	otherConnsDivisor = 5
 	// maxStoreBackoff bounds the pause after failed store calls.
 	maxStoreBackoff = 400 * time.Millisecond
 	// storeTimeout bounds a store call; the store is slow at times.
@@ -91,6 +95,8 @@
 	if err != nil {
 		return nil, err
 	}
+	upstreams := do.MustInvoke[*upstream.Client](i)
+	closer := linger.NewCloser(max(1, int(lingerFraction*float64(settings.MaxConnections))))
 	deps := &dependencies{
 		settings: settings,
 		identity: &entrypb.Identity{
@@ -101,18 +107,21 @@
 			FailureDomain: settings.FailureDomain,
 			Region:        settings.Region,
 		},
-		log:               do.MustInvoke[*zap.Logger](i),
-		metrics:           do.MustInvoke[*telemetry.Metrics](i),
-		views:             &views{},
-		store:             store,
-		peers:             do.MustInvoke[*entryinstance.Pool](i),
-		upstreams:         do.MustInvoke[*upstream.Client](i),
-		pool:              placement.NewPool(placement.Location{FailureDomain: settings.FailureDomain, Region: settings.Region, Instance: settings.Name}),
-		retries:           newRetryBudgets(settings.EdgeBounds),
-		throttle:          throttle.New(),
-		callerConns:       newConnections(settings.MaxConnections),
-		closer:            linger.NewCloser(max(1, int(lingerFraction*float64(settings.MaxConnections)))),
-		buffers:           newBuffers(int64(settings.Memory), settings.HeadShare),
+		log:       do.MustInvoke[*zap.Logger](i),
+		metrics:   do.MustInvoke[*telemetry.Metrics](i),
+		views:     &views{},
+		store:     store,
+		peers:     do.MustInvoke[*entryinstance.Pool](i),
+		upstreams: upstreams,
+		pool:      placement.NewPool(placement.Location{FailureDomain: settings.FailureDomain, Region: settings.Region, Instance: settings.Name}),
+		retries:   newRetryBudgets(settings.EdgeBounds),
+		throttle:  throttle.New(),
+		callerConns: connlimit.New(settings.MaxConnections, connlimit.MostFor(int64(settings.Memory)), func() int {
+			return upstreams.Connections() + closer.Lingering()
+		}),
+		otherConns:        connlimit.New(max(1, settings.MaxConnections/otherConnsDivisor), 0, nil),
+		closer:            closer,
+		buffers:           newBuffers(settings),
 		stopping:          &stopping{},
 		watchRole:         newWatchRoleState(),
 		operatorWatchRole: newWatchRoleState(),
--- a/headgate/conn.go
+++ b/headgate/conn.go
@@ -58,6 +58,14 @@
 	}
 }
 
+// ObserveWith returns a ConnState hook like Observe that passes all changes on to next.
+func ObserveWith(next func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
+	return func(conn net.Conn, state http.ConnState) {
+		Observe(conn, state)
+		next(conn, state)
+	}
+}
+
 type connKey struct{}
 
 // WithConn is the ConnContext hook of a server whose connections are Gated.
@@ -65,6 +73,12 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
+// ConnOf returns the connection of the request, nil if it has no gate.
+func ConnOf(r *http.Request) net.Conn {
+	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	return conn
+}
+
 // Take returns the memory held for the head of the request, or the refusal of the head. It returns nil
 // for a request of a connection without a gate.
 func Take(r *http.Request) (*buffers.Holder, error) {
--- a/headgate/fuzz_test.go
+++ b/headgate/fuzz_test.go
@@ -124,7 +124,7 @@
 			conn = io.MultiReader(strings.NewReader(text[:n]), strings.NewReader(text[n:]))
 		}
 		g := headgate.New(source{conn}, &headgate.Options{
-			Limits: requesthead.LimitsFor(32<<10, 0, 0), Timeout: time.Second, Budget: buffers.New(8 << 20), Count: func(requesthead.Reason) {},
+			Limits: requesthead.LimitsFor(32<<10, 0, 0), Timeout: time.Second, Budget: buffers.New(buffers.Limits{Bytes: 8 << 20}), Count: func(requesthead.Reason) {},
 		})
 		defer g.Release()
 		p.runs = nil
--- a/headgate/gate.go
+++ b/headgate/gate.go
@@ -155,7 +155,11 @@
 			return g.passDirectly(p, text, end), nil
 		}
 		if len(text) > 0 {
-			g.in = append(make([]byte, 0, max(firstBuffer, len(text))), text...)
+			size := max(firstBuffer, len(text))
+			if !g.hold().GrowHead(int64(size)) {
+				return g.refuse(p, noMemory()), nil
+			}
+			g.in = append(make([]byte, 0, size), text...)
 		}
 	}
 	err := g.collect()
--- a/headgate/gate_test.go
+++ b/headgate/gate_test.go
@@ -93,7 +93,7 @@
 		"behind a malformed chunk nothing": {"PUT /c" + host + "Transfer-Encoding: chunked\r\n\r\n5\r\nhelloX0\r\n\r\n" + after, nil, ""},
 	} {
 		for _, size := range []int{1, 2, 3, 50, 1 << 20} {
-			o, reasons := options(few, buffers.New(1<<20))
+			o, reasons := options(few, buffers.New(buffers.Limits{Bytes: 1 << 20}))
 			g := New(&pieces{text: c.text, size: size}, o)
 			served, refusal := serve(t, g)
 			assert.DeepEqual(t, served, c.want)
@@ -114,7 +114,7 @@
 
 // Guards against a head that the handler serves although another one was inspected.
 func TestARequestOutOfStepIsRefused(t *testing.T) {
-	o, reasons := options(requesthead.LimitsFor(32<<10, 0, 0), buffers.New(1<<20))
+	o, reasons := options(requesthead.LimitsFor(32<<10, 0, 0), buffers.New(buffers.Limits{Bytes: 1 << 20}))
 	g := New(&pieces{text: "GET /a HTTP/1.1\r\nHost: a\r\n\r\n", size: 1000}, o)
 	r, err := http.ReadRequest(bufio.NewReader(g))
 	assert.NilError(t, err)
@@ -137,7 +137,7 @@
 	for i := range 3000 {
 		many += fmt.Sprintf("%x:\r\n", i)
 	}
-	o, reasons := options(requesthead.LimitsFor(32<<10, 0, 0), buffers.NewWithHeads(8<<20, headLimit))
+	o, reasons := options(requesthead.LimitsFor(32<<10, 0, 0), buffers.New(buffers.Limits{Bytes: 8 << 20, Heads: headLimit}))
 	accepted := 0
 	for range clients {
 		g := New(&pieces{text: many + "\r\n", size: 1000}, o)
@@ -163,7 +163,7 @@
 // Guards against a head that is sent byte by byte for as long as an unused connection may stay open.
 func TestAHeadHasToArriveInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o, reasons := options(requesthead.LimitsFor(32<<10, 0, 0), buffers.New(1<<20))
+		o, reasons := options(requesthead.LimitsFor(32<<10, 0, 0), buffers.New(buffers.Limits{Bytes: 1 << 20}))
 		caller, accepted := net.Pipe()
 		defer caller.Close()
 		g := New(accepted, o)
@@ -191,7 +191,7 @@
 // one.
 func TestTheServerReadsOneByteAhead(t *testing.T) {
 	for name, next := range map[string]string{"a request": "GET /b HTTP/1.1\r\nHost: a\r\n\r\n", "a refused one": "GET /b HTTP/1.1\r\nA\r\n\r\n"} {
-		o, _ := options(requesthead.LimitsFor(32<<10, 0, 0), buffers.New(1<<20))
+		o, _ := options(requesthead.LimitsFor(32<<10, 0, 0), buffers.New(buffers.Limits{Bytes: 1 << 20}))
 		g := New(&pieces{text: "GET /a HTTP/1.1\r\nHost: a\r\n\r\n\r\n" + next, size: 28}, o)
 		r, err := http.ReadRequest(bufio.NewReader(g))
 		assert.NilError(t, err)
@@ -214,7 +214,7 @@
 // BenchmarkOrdinaryRequest measures the processor time that the gate adds to a request of 12 lines.
 func BenchmarkOrdinaryRequest(b *testing.B) {
 	text := "GET /lookup/7 HTTP/1.1\r\nHost: a.example\r\n" + strings.Repeat("X-Some-Field: some value of the field\r\n", 10) + "\r\n"
-	o, _ := options(requesthead.LimitsFor(32<<10, 0, 0), buffers.New(1<<20))
+	o, _ := options(requesthead.LimitsFor(32<<10, 0, 0), buffers.New(buffers.Limits{Bytes: 1 << 20}))
 	s := &pieces{size: 4096}
 	g := New(s, o)
 	p := make([]byte, 4096)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"runtime/debug"
 
 	"github.com/cockroachdb/errors"
 
@@ -27,6 +28,22 @@
 	CheckOnly() bool
 }
 
+const (
+	// heapFraction is the fraction of the memory, less textBytes, beyond which the garbage collector works
+	// without waiting for the heap to double. The rest is for what the heap grows while it works.
+	heapFraction = 0.65
+	// textBytes is the memory of the program's text and constants that are in use.
+	textBytes = 14 << 20
+)
+
+// LimitMemory makes the garbage collector keep the process within the memory of its machine in bytes, as far
+// as the heap in use allows. 0 sets no limit.
+func LimitMemory(memory int64) {
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(float64(max(memory/2, memory-textBytes)) * heapFraction))
+	}
+}
+
 // Run reads the settings with parse, runs the program with them and returns the
 // exit code: ExitBadUsage when parse fails, ExitFailed when run fails. Errors are
 // written to errOutput.
--- a/upstream/body.go
+++ b/upstream/body.go
@@ -21,7 +21,7 @@
 var errNotReplayable = errors.New("request body cannot be sent again")
 
 // ReplayBody is a request body that several attempts can read from its start
-// until more than 64 KiB of it have been read. It is safe for concurrent use. A
+// until more than 64 KiB of its source have been read. It is safe for concurrent use. A
 // blocked read of the source occupies one goroutine until the source returns,
 // but does not block an attempt beyond its context.
 type ReplayBody struct {
@@ -44,6 +44,11 @@
 // NewReplayBody returns a body that reads from source.
 func NewReplayBody(source io.Reader) *ReplayBody { return &ReplayBody{source: source} }
 
+// NewWholeBody returns a body whose bytes are known. It does not copy them, and every attempt can read it.
+func NewWholeBody(body []byte) *ReplayBody {
+	return &ReplayBody{kept: body, total: int64(len(body)), err: io.EOF}
+}
+
 // Replayable reports whether an attempt can still read the body from its start.
 func (b *ReplayBody) Replayable() bool {
 	b.mu.Lock()
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -126,6 +126,8 @@
 	prefix string
 	// attempts numbers the attempts for their ids.
 	attempts atomic.Uint64
+	// open counts the open connections.
+	open atomic.Int64
 
 	mu    sync.RWMutex
 	hosts map[string]*host
@@ -141,6 +143,9 @@
 	}
 }
 
+// Connections returns the number of open connections to all upstreams.
+func (c *Client) Connections() int { return int(c.open.Load()) }
+
 // Send makes one attempt on the upstream and returns the response once its
 // header has been received. The body of the response must be closed. Every error
 // is an errkind.Error; RetryReason returns whether and why another attempt is
@@ -222,7 +227,7 @@
 	if old != nil {
 		old.transport.CloseIdleConnections()
 	}
-	h := newHost(target, &c.options, c.start)
+	h := newHost(target, &c.options, c.start, &c.open)
 	c.hosts[target.Name] = h
 	return h
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -33,6 +33,8 @@
 
 	// done is closed once the connection is closed here.
 	done chan struct{}
+	// onClose is called when the connection is closed here; nil for nothing.
+	onClose func()
 
 	mu sync.Mutex
 	// reading is set while a Read is in progress.
@@ -102,6 +104,9 @@
 	if !c.closed {
 		c.closed = true
 		close(c.done)
+		if c.onClose != nil {
+			c.onClose()
+		}
 	}
 	c.changed.Broadcast()
 	c.mu.Unlock()
--- a/upstream/host.go
+++ b/upstream/host.go
@@ -32,7 +32,8 @@
 	start time.Time
 }
 
-func newHost(target *routing.Upstream, options *Options, start time.Time) *host {
+// newHost returns the host of an upstream. It counts its open connections in open.
+func newHost(target *routing.Upstream, options *Options, start time.Time, open *atomic.Int64) *host {
 	h := &host{address: target.Address, connections: target.ConnectionLimit(), start: start}
 	dialer := &net.Dialer{
 		Timeout:         options.DialTimeout,
@@ -45,7 +46,10 @@
 			if err != nil {
 				return nil, err
 			}
-			return newConn(inner, time.Now()), nil
+			c := newConn(inner, time.Now())
+			open.Add(1)
+			c.onClose = func() { open.Add(-1) }
+			return c, nil
 		},
 		MaxConnsPerHost:        target.ConnectionLimit(),
 		MaxIdleConnsPerHost:    min(target.ConnectionLimit(), idleConnsPerSlot*max(target.Slots, 1)),
