--- a/memorytest/harness_test.go
+++ b/memorytest/harness_test.go
@@ -148,8 +148,9 @@
 	return store, server.URL
 }
 
-// startEdge starts a ferry-edge with the limits of the tests and waits until it serves.
-func startEdge(t *testing.T) *instance {
+// startEdge starts a ferry-edge with the limits of the tests and waits until it serves. Settings in args replace
+// those.
+func startEdge(t *testing.T, args ...string) *instance {
 	t.Helper()
 	store, url := newStore(t)
 	const rate = 100_000
@@ -171,10 +172,10 @@
 		assert.NilError(t, err)
 	}
 	i := &instance{callers: freeAddress(t), directory: freeAddress(t), ready: freeAddress(t), metrics: freeAddress(t), rpc: freeAddress(t)}
-	i.start(t, "ferry-edge", "-name", "edge-1", "-region", "east", "-failure-domain", "east-1", "-domain", "east-1=east",
+	i.start(t, "ferry-edge", append([]string{"-name", "edge-1", "-region", "east", "-failure-domain", "east-1", "-domain", "east-1=east",
 		"-listen", i.callers, "-directory-listen", i.directory, "-ready-listen", i.ready, "-metrics-listen", i.metrics, "-rpc-listen", i.rpc,
 		"-platform", url, "-memory", fmt.Sprintf("%dMiB", machineMemory>>20), "-max-header", fmt.Sprintf("%dKiB", headerBytes>>10),
-		"-max-connections", strconv.Itoa(maxConnections))
+		"-max-connections", strconv.Itoa(maxConnections)}, args...)...)
 	return i
 }
 
