--- a/entryinstance/server.go
+++ b/entryinstance/server.go
@@ -46,7 +46,6 @@
 		grpc.MaxHeaderListSize(maxFieldBytes),
 		grpc.ReadBufferSize(bufferBytes),
 		grpc.WriteBufferSize(bufferBytes),
-		grpc.SharedWriteBuffer(true),
 		grpc.ConnectionTimeout(connectTimeout),
 		grpc.KeepaliveParams(keepalive.ServerParameters{
 			Time:    config.KeepaliveTime,
