--- a/review/third/main.go
+++ b/review/third/main.go
@@ -25,8 +25,9 @@
 
 // cases maps the names of the cases to their functions, which return whether the rule was broken.
 var cases = map[string]func(*run) (broken bool, err error){
-	"watch": runWatch,
-	"logs":  runLogs,
+	"watch":   runWatch,
+	"logs":    runLogs,
+	"foreign": runForeign,
 }
 
 func main() { os.Exit(runCase()) }
