--- a/review/third/foreign.go
+++ b/review/third/foreign.go
@@ -9,10 +9,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-const (
-	// drainsFor is how long the upstream serves after its report that it drains.
-	drainsFor = 8 * time.Second
-)
+// drainsFor is how long the upstream serves after its report that it drains.
+const drainsFor = 8 * time.Second
 
 // runForeign lets another writer replace the entry of an upstream that drains by one that lacks a
 // field.
@@ -22,11 +20,14 @@
 	if err != nil {
 		return false, err
 	}
+	for _, u := range s.upstreams {
+		u.work = longWork
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	c := newCallers(r.record)
 	var wait sync.WaitGroup
-	wait.Go(func() { c.run(ctx, 12, 20*time.Millisecond, s.addresses()) })
+	wait.Go(func() { c.run(ctx, 40, 20*time.Millisecond, s.addresses()) })
 	time.Sleep(settleTime)
 	leaver := s.upstreams[0]
 	foreign, err := withoutVersion(leaver)
@@ -54,6 +55,8 @@
 		}
 		last = max(last, after)
 	}
+	running := leaver.end()
+	time.Sleep(afterEnd)
 	cancel()
 	wait.Wait()
 	if err := s.checkRunning(); err != nil {
@@ -62,6 +65,7 @@
 	c.sumAnswers()
 	r.record.sum("%d requests reached %s later than %v after it had reported that it drains, the last after %v",
 		late, leaver.ID, drainBound, last.Round(time.Millisecond))
+	r.record.sum("%s ended while it was at work on %d requests", leaver.ID, running)
 	if len(leaver.since(r.record.start)) == 0 {
 		return false, errors.Newf("%s got no request at all", leaver.ID)
 	}
--- a/review/third/watch.go
+++ b/review/third/watch.go
@@ -21,7 +21,11 @@
 	// removal.
 	settleTime = 5 * time.Second
 	// servesOn is how long the upstream serves after the removal of its entry.
-	servesOn = 10 * time.Second
+	servesOn = 3 * time.Second
+	// longWork is how long the upstreams of this case work on a request.
+	longWork = 300 * time.Millisecond
+	// afterEnd is how long the callers go on after the end of the upstream.
+	afterEnd = 3 * time.Second
 )
 
 // cutter passes calls on to the store and closes the connections of all watches that wait once in each
@@ -84,11 +88,14 @@
 	if err != nil {
 		return false, err
 	}
+	for _, u := range s.upstreams {
+		u.work = longWork
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	c := newCallers(r.record)
 	var wait sync.WaitGroup
-	wait.Go(func() { c.run(ctx, 12, 20*time.Millisecond, s.addresses()) })
+	wait.Go(func() { c.run(ctx, 40, 20*time.Millisecond, s.addresses()) })
 	time.Sleep(settleTime)
 	if r.trouble {
 		wait.Go(func() { cut.run(ctx, r.record) })
@@ -108,9 +115,8 @@
 		}
 		last = max(last, after)
 	}
-	r.record.note("%s ends", leaver.ID)
-	_ = leaver.server.Close()
-	time.Sleep(time.Second)
+	running := leaver.end()
+	time.Sleep(afterEnd)
 	cancel()
 	wait.Wait()
 	if err := s.checkRunning(); err != nil {
@@ -119,6 +125,7 @@
 	c.sumAnswers()
 	r.record.sum("%d watches cut; %d requests reached %s later than %v after the removal of its entry, the last after %v",
 		cut.cuts, late, leaver.ID, drainBound, last.Round(time.Millisecond))
+	r.record.sum("%s ended while it was at work on %d requests", leaver.ID, running)
 	if len(leaver.since(r.record.start)) == 0 {
 		return false, fmt.Errorf("%s got no request at all", leaver.ID)
 	}
