--- a/review/third/logs.go
+++ b/review/third/logs.go
@@ -21,10 +21,10 @@
 
 const (
 	// logBytesPerSecond is the rate at which the reader of the log takes bytes.
-	logBytesPerSecond = 1 << 20
+	logBytesPerSecond = 10 << 20
 	// crowd is the number of clients that send odd header lines, crowdPause the pause of each between
 	// two requests, crowdFor how long they send.
-	crowd      = 16
+	crowd      = 64
 	crowdPause = 10 * time.Millisecond
 	crowdFor   = 40 * time.Second
 	// oddBytes is the length of the odd header line. It is below the largest header.
