--- a/review/third/main.go
+++ b/review/third/main.go
@@ -28,6 +28,7 @@
 	"watch":   runWatch,
 	"logs":    runLogs,
 	"foreign": runForeign,
+	"options": runOptions,
 }
 
 func main() { os.Exit(runCase()) }
