--- a/review/third/foreign.go
+++ b/review/third/foreign.go
@@ -9,11 +9,11 @@
 	"github.com/cockroachdb/errors"
 )
 
-// drainsFor is how long the upstream serves after its report that it drains.
-const drainsFor = 8 * time.Second
+// leavesAfter is how long the upstream of this case serves after the removal of its entry.
+const leavesAfter = 8 * time.Second
 
-// runForeign lets another writer replace the entry of an upstream that drains by one that lacks a
-// field.
+// runForeign lets another writer put an entry that lacks a field under the id of an upstream whose entry
+// has been removed.
 func runForeign(r *run) (bool, error) {
 	s, err := startSystem(r, 4, nil)
 	defer s.close()
@@ -34,22 +34,21 @@
 	if err != nil {
 		return false, err
 	}
-	leaver.Draining = true
-	if err := s.store.putRecord(leaver.Upstream); err != nil {
+	if err := s.store.remove(leaver.Key()); err != nil {
 		return false, err
 	}
-	drained := time.Now()
-	r.record.note("the store has acknowledged that %s is draining", leaver.ID)
+	removed := time.Now()
+	r.record.note("the store has acknowledged the removal of %s", leaver.ID)
 	time.Sleep(drainBound)
 	if r.trouble {
 		if err := s.store.put(leaver.Key(), foreign); err != nil {
 			return false, err
 		}
-		r.record.note("another writer has replaced the entry: %s", foreign)
+		r.record.note("another writer has put an entry there: %s", foreign)
 	}
-	time.Sleep(drainsFor - drainBound)
+	time.Sleep(leavesAfter - drainBound)
 	late, last := 0, time.Duration(0)
-	for _, after := range leaver.since(drained) {
+	for _, after := range leaver.since(removed) {
 		if after > drainBound {
 			late++
 		}
@@ -63,7 +62,7 @@
 		return false, err
 	}
 	c.sumAnswers()
-	r.record.sum("%d requests reached %s later than %v after it had reported that it drains, the last after %v",
+	r.record.sum("%d requests reached %s later than %v after the removal of its entry, the last after %v",
 		late, leaver.ID, drainBound, last.Round(time.Millisecond))
 	r.record.sum("%s ended while it was at work on %d requests", leaver.ID, running)
 	if len(leaver.since(r.record.start)) == 0 {
